Lay the workspace: framework, configuration, platform client, stand-ins

Cause: nothing exists. The workspace needs its module layout, the framework libraries (time, keys, logging, HTTP over POCO), the configuration document and the stand-ins for platform, engines and plain services before a request can be served.

Ruled out: POCO's JSON for documents (nlohmann sorts keys, so its dump is the canonical text at once).

--- /dev/null
+++ b/src/configuration/i_configuration_holder.h
@@ -0,0 +1,37 @@
+#ifndef CONFIGURATION_I_CONFIGURATION_HOLDER_H_
+#define CONFIGURATION_I_CONFIGURATION_HOLDER_H_
+
+#include <functional>
+#include <memory>
+
+#include "configuration/configuration_types.h"
+
+namespace wist {
+
+enum class offer_result {
+  accepted,  // Newer than what was held; subscribers were told.
+  same,      // Already held.
+  older,     // Lower version than held; ignored.
+  fork,      // The held version with another content; ignored.
+};
+
+// Holds the highest configuration seen and never goes back. Thread-safe.
+class i_configuration_holder {
+ public:
+  using subscriber = std::function<void(
+      const std::shared_ptr<const configuration_document>&)>;
+
+  virtual ~i_configuration_holder() = default;
+
+  virtual offer_result Offer(const configuration_document& document) = 0;
+
+  // Returns the configuration in force; null before the first offer.
+  virtual std::shared_ptr<const configuration_document> Current() const = 0;
+
+  // Calls `on_change` for each accepted document, in order of version.
+  virtual void Subscribe(subscriber on_change) = 0;
+};
+
+}  // namespace wist
+
+#endif  // CONFIGURATION_I_CONFIGURATION_HOLDER_H_
--- /dev/null
+++ b/src/configuration/internal/configuration_holder.cc
@@ -0,0 +1,60 @@
+#include <mutex>
+#include <vector>
+
+#include "configuration/configuration_module.h"
+
+namespace wist {
+namespace {
+
+class configuration_holder final : public i_configuration_holder {
+ public:
+  offer_result Offer(const configuration_document& document) override {
+    // Held while subscribers run, so that they see versions in order.
+    std::lock_guard announce(announce_mutex_);
+    const offer_result result = Compare(document);
+    if (result != offer_result::accepted)
+      return result;
+    auto accepted = std::make_shared<const configuration_document>(document);
+    {
+      std::lock_guard lock(mutex_);
+      current_ = accepted;
+    }
+    for (const subscriber& on_change : subscribers_)
+      on_change(accepted);
+    return offer_result::accepted;
+  }
+
+  std::shared_ptr<const configuration_document> Current() const override {
+    std::lock_guard lock(mutex_);
+    return current_;
+  }
+
+  void Subscribe(subscriber on_change) override {
+    std::lock_guard announce(announce_mutex_);
+    subscribers_.push_back(std::move(on_change));
+  }
+
+ private:
+  offer_result Compare(const configuration_document& document) const {
+    const auto held = Current();
+    if (!held || document.version > held->version)
+      return offer_result::accepted;
+    if (document.version < held->version)
+      return offer_result::older;
+    return document == *held ? offer_result::same : offer_result::fork;
+  }
+
+  // Lock order: announce_mutex_ before mutex_.
+  std::mutex announce_mutex_;
+  mutable std::mutex mutex_;
+  std::shared_ptr<const configuration_document> current_;
+  std::vector<subscriber> subscribers_;
+};
+
+}  // namespace
+
+std::shared_ptr<i_configuration_holder> MakeConfigurationHolder() {
+  return std::make_shared<configuration_holder>();
+}
+
+}  // namespace wist
--- /dev/null
+++ b/src/configuration/tests/configuration_text_test.cc
@@ -0,0 +1,85 @@
+#include "configuration/configuration_text.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+#include "configuration/tests/mocks/sample_configuration.h"
+
+namespace wist {
+namespace {
+
+bool HasFaultAt(const configuration_body& body, const std::string& place) {
+  const auto faults = Validate(body);
+  return std::any_of(
+      faults.begin(), faults.end(),
+      [&](const configuration_fault& fault) { return fault.place == place; });
+}
+
+}  // namespace
+
+TEST_CASE("a document survives its text form") {
+  configuration_document document = SampleDocument(7);
+  document.body = Canonical(document.body);
+  document.history = {{6, "change-6", "operator", "digest"}};
+  CHECK(DecodeDocument(EncodeDocument(document)) == document);
+}
+
+TEST_CASE("the canonical text does not depend on the order of lists") {
+  configuration_body body = SampleBody();
+  const std::string text = CanonicalText(body);
+  std::reverse(body.targets.begin(), body.targets.end());
+  std::reverse(body.rules.begin(), body.rules.end());
+  CHECK(CanonicalText(body) == text);
+  CHECK(BodyDigest(body) == BodyDigest(SampleBody()));
+}
+
+TEST_CASE("a malformed text is refused with its place") {
+  CHECK_THROWS_AS(DecodeBody("{"), configuration_parse_error);
+  CHECK_THROWS_WITH(DecodeBody(R"({"domains": 3})"),
+                    Catch::Contains("domains"));
+  CHECK_THROWS_WITH(DecodeBody(R"({"domains": [{"id": 3}]})"),
+                    Catch::Contains("domains[0].id"));
+}
+
+TEST_CASE("the sample has no fault") {
+  CHECK(Validate(SampleBody()).empty());
+}
+
+TEST_CASE("faults are found with their places") {
+  configuration_body body = SampleBody();
+  body.targets[0].domain = domain_id("nowhere");
+  CHECK(HasFaultAt(body, "targets.engine-1"));
+
+  body = SampleBody();
+  body.workspaces[0].share_permille = 501;
+  CHECK(HasFaultAt(body, "workspaces"));
+
+  body = SampleBody();
+  body.workspaces.push_back(body.workspaces[0]);
+  CHECK(HasFaultAt(body, "workspaces.salon-rennes"));
+
+  body = SampleBody();
+  body.rules[0].targets.clear();
+  CHECK(HasFaultAt(body, "rules.*/briefs"));
+
+  body = SampleBody();
+  body.rules[0].targets = {target_id("desk-1")};
+  CHECK(HasFaultAt(body, "rules.*/briefs"));
+}
+
+TEST_CASE("a configuration over the store's value size is refused") {
+  configuration_body body = SampleBody();
+  body.services[0].model = std::string(kMaxDocumentBytes, 'm');
+  CHECK(HasFaultAt(body, "configuration"));
+}
+
+TEST_CASE("the difference names exactly the changed lines") {
+  configuration_body changed = SampleBody();
+  changed.domains[0].state = domain_state::out;
+  CHECK(DifferenceLines(SampleBody(), changed) ==
+        std::vector<std::string>{"-      \"state\": \"in\"",
+                                 "+      \"state\": \"out\""});
+  CHECK(DifferenceLines(SampleBody(), SampleBody()).empty());
+}
+
+}  // namespace wist
--- /dev/null
+++ b/src/framework/base/internal/system_clock.cc
@@ -0,0 +1,29 @@
+#include "framework/base/system_clock.h"
+
+#include <time.h>
+
+namespace wist {
+namespace {
+
+class system_clock final : public i_clock {
+ public:
+  // NOTE: CLOCK_BOOTTIME also counts the time an instance was suspended;
+  // CLOCK_MONOTONIC would let a lease outlive its deadline by that much.
+  timestamp Now() const override {
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return timestamp(seconds(now.tv_sec) + microseconds(now.tv_nsec / 1000));
+  }
+
+  calendar_time CalendarNow() const override {
+    return std::chrono::floor<milliseconds>(std::chrono::system_clock::now());
+  }
+};
+
+}  // namespace
+
+std::shared_ptr<const i_clock> MakeSystemClock() {
+  return std::make_shared<system_clock>();
+}
+
+}  // namespace wist
--- /dev/null
+++ b/src/framework/base/time_types.h
@@ -0,0 +1,35 @@
+#ifndef FRAMEWORK_BASE_TIME_TYPES_H_
+#define FRAMEWORK_BASE_TIME_TYPES_H_
+
+#include <chrono>
+#include <cstdint>
+
+namespace wist {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Clock tag for time that never steps back and that counts suspended time.
+// Values of different processes are not comparable.
+struct monotonic_clock {
+  using rep = std::int64_t;
+  using period = std::micro;
+  using duration = microseconds;
+  using time_point = std::chrono::time_point<monotonic_clock>;
+  static constexpr bool is_steady = true;
+};
+
+// A point in local monotonic time, in microseconds. Deadlines use this type.
+using timestamp = monotonic_clock::time_point;
+
+// A point in calendar time, in milliseconds since the Unix epoch. May step.
+using calendar_time = std::chrono::sys_time<milliseconds>;
+
+constexpr double ToMilliseconds(microseconds span) {
+  return static_cast<double>(span.count()) / 1000.0;
+}
+
+}  // namespace wist
+
+#endif  // FRAMEWORK_BASE_TIME_TYPES_H_
--- /dev/null
+++ b/src/framework/http/http_module.h
@@ -0,0 +1,22 @@
+#ifndef FRAMEWORK_HTTP_HTTP_MODULE_H_
+#define FRAMEWORK_HTTP_HTTP_MODULE_H_
+
+#include <memory>
+
+#include "framework/base/i_clock.h"
+#include "framework/http/i_http_client.h"
+#include "framework/http/i_http_server.h"
+
+namespace wist {
+
+std::shared_ptr<i_http_client> MakeHttpClient(
+    std::shared_ptr<const i_clock> clock);
+
+// Starts to serve at once; throws std::runtime_error if the port is taken.
+std::unique_ptr<i_http_server> MakeHttpServer(
+    const http_server_settings& settings,
+    http_handler handler);
+
+}  // namespace wist
+
+#endif  // FRAMEWORK_HTTP_HTTP_MODULE_H_
--- /dev/null
+++ b/src/framework/http/http_types.h
@@ -0,0 +1,67 @@
+#ifndef FRAMEWORK_HTTP_HTTP_TYPES_H_
+#define FRAMEWORK_HTTP_HTTP_TYPES_H_
+
+#include <compare>
+#include <cstdint>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "framework/base/time_types.h"
+
+namespace wist {
+
+struct http_address {
+  std::string host;
+  std::uint16_t port = 0;
+
+  auto operator<=>(const http_address&) const = default;
+};
+
+// Parses "host:port"; throws std::invalid_argument.
+http_address ParseHttpAddress(const std::string& text);
+
+struct http_header {
+  std::string name;
+  std::string value;
+
+  auto operator<=>(const http_header&) const = default;
+};
+
+struct http_request {
+  std::string method = "GET";
+  std::string path;
+  std::vector<http_header> headers;
+  std::string body;
+  std::string content_type = "application/json";
+};
+
+struct http_response {
+  int status = 0;
+  std::vector<http_header> headers;
+  std::string body;
+
+  // Returns the first value of `name`, or an empty string.
+  std::string Header(const std::string& name) const;
+};
+
+// A call that got no answer.
+class http_error : public std::runtime_error {
+ public:
+  http_error(bool may_have_left, bool timed_out, const std::string& text)
+      : std::runtime_error(text),
+        may_have_left_(may_have_left),
+        timed_out_(timed_out) {}
+
+  // Whether a byte of the request may have reached the other side.
+  bool may_have_left() const { return may_have_left_; }
+  bool timed_out() const { return timed_out_; }
+
+ private:
+  bool may_have_left_;
+  bool timed_out_;
+};
+
+}  // namespace wist
+
+#endif  // FRAMEWORK_HTTP_HTTP_TYPES_H_
--- /dev/null
+++ b/src/framework/http/internal/poco_http_client.cc
@@ -0,0 +1,191 @@
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/StreamCopier.h>
+#include <Poco/Timespan.h>
+
+#include <algorithm>
+#include <istream>
+#include <sstream>
+
+#include "framework/http/http_module.h"
+
+namespace wist {
+namespace {
+
+using Poco::Net::HTTPClientSession;
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
+
+constexpr milliseconds kShortestTimeout{1};
+
+Poco::Timespan ToTimespan(microseconds span) {
+  return Poco::Timespan(
+      std::max<microseconds>(span, kShortestTimeout).count());
+}
+
+// Runs `step`, turning the library's errors into http_error.
+template <typename Step>
+auto Guarded(bool may_have_left, Step step) {
+  try {
+    return step();
+  } catch (const Poco::TimeoutException& error) {
+    throw http_error(may_have_left, true, error.displayText());
+  } catch (const Poco::Exception& error) {
+    throw http_error(may_have_left, false, error.displayText());
+  }
+}
+
+HTTPRequest ToPocoRequest(const http_address& address,
+                          const http_request& request) {
+  HTTPRequest poco(request.method, request.path, HTTPRequest::HTTP_1_1);
+  poco.setHost(address.host, address.port);
+  for (const http_header& header : request.headers)
+    poco.set(header.name, header.value);
+  if (!request.body.empty() || request.method != HTTPRequest::HTTP_GET) {
+    poco.setContentLength(static_cast<std::streamsize>(request.body.size()));
+    poco.setContentType(request.content_type);
+  }
+  return poco;
+}
+
+std::vector<http_header> CopyHeaders(const HTTPResponse& response) {
+  std::vector<http_header> headers;
+  for (const auto& [name, value] : response)
+    headers.push_back({name, value});
+  return headers;
+}
+
+// One connection that carries one request.
+class exchange {
+ public:
+  exchange(const http_address& address,
+           const http_request& request,
+           microseconds time_left) {
+    const Poco::Timespan timeout = ToTimespan(time_left);
+    session_.setTimeout(timeout, timeout, timeout);
+    session_.setHost(address.host);
+    session_.setPort(address.port);
+    Guarded(false, [&] { Connect(address, timeout); });
+    Guarded(true, [&] { Send(ToPocoRequest(address, request), request.body); });
+    Guarded(true, [&] { body_ = &session_.receiveResponse(response_); });
+  }
+
+  HTTPClientSession& session() { return session_; }
+  const HTTPResponse& response() const { return response_; }
+  std::istream& body() { return *body_; }
+
+  // Fails after reading stopped: tells a broken link from the body's end.
+  void CheckEnded() {
+    const Poco::Exception* error = session_.networkException();
+    if (!error)
+      return;
+    const bool timed_out =
+        dynamic_cast<const Poco::TimeoutException*>(error) != nullptr;
+    throw http_error(true, timed_out, error->displayText());
+  }
+
+ private:
+  // NOTE: connecting is done apart from sending so that a refused connection
+  // is known to have carried no byte.
+  void Connect(const http_address& address, const Poco::Timespan& timeout) {
+    Poco::Net::StreamSocket socket;
+    socket.connect(Poco::Net::SocketAddress(address.host, address.port),
+                   timeout);
+    socket.setNoDelay(true);
+    session_.attachSocket(socket);
+  }
+
+  void Send(HTTPRequest request, const std::string& body) {
+    std::ostream& out = session_.sendRequest(request);
+    out << body << std::flush;
+    if (!out && session_.networkException())
+      session_.networkException()->rethrow();
+  }
+
+  // Gives the session a socket that is connected already.
+  class attachable_session : public HTTPClientSession {
+   public:
+    using HTTPClientSession::HTTPClientSession;
+    void attachSocket(const Poco::Net::StreamSocket& socket) {
+      HTTPSession::attachSocket(socket);
+    }
+  };
+
+  attachable_session session_;
+  HTTPResponse response_;
+  std::istream* body_ = nullptr;
+};
+
+class poco_http_stream final : public i_http_stream {
+ public:
+  poco_http_stream(const http_address& address,
+                   const http_request& request,
+                   microseconds time_left,
+                   milliseconds stall_limit)
+      : exchange_(address, request, time_left) {
+    const Poco::Timespan timeout = ToTimespan(stall_limit);
+    exchange_.session().setTimeout(timeout, timeout, timeout);
+    exchange_.session().socket().setReceiveTimeout(timeout);
+  }
+
+  int status() const override { return exchange_.response().getStatus(); }
+
+  bool ReadLine(std::string& line) override {
+    const bool read = Guarded(
+        true, [&] { return !!std::getline(exchange_.body(), line); });
+    if (!read || exchange_.body().eof()) {
+      exchange_.CheckEnded();
+      if (!read)
+        return false;
+    }
+    if (!line.empty() && line.back() == '\r')
+      line.pop_back();
+    return true;
+  }
+
+ private:
+  exchange exchange_;
+};
+
+class poco_http_client final : public i_http_client {
+ public:
+  explicit poco_http_client(std::shared_ptr<const i_clock> clock)
+      : clock_(std::move(clock)) {}
+
+  http_response Call(const http_address& address,
+                     const http_request& request,
+                     timestamp deadline) override {
+    exchange call(address, request, deadline - clock_->Now());
+    http_response response;
+    response.status = call.response().getStatus();
+    response.headers = CopyHeaders(call.response());
+    std::ostringstream body;
+    Guarded(true, [&] { Poco::StreamCopier::copyStream(call.body(), body); });
+    call.CheckEnded();
+    response.body = body.str();
+    return response;
+  }
+
+  std::unique_ptr<i_http_stream> Open(const http_address& address,
+                                      const http_request& request,
+                                      timestamp header_deadline,
+                                      milliseconds stall_limit) override {
+    return std::make_unique<poco_http_stream>(
+        address, request, header_deadline - clock_->Now(), stall_limit);
+  }
+
+ private:
+  const std::shared_ptr<const i_clock> clock_;
+};
+
+}  // namespace
+
+std::shared_ptr<i_http_client> MakeHttpClient(
+    std::shared_ptr<const i_clock> clock) {
+  return std::make_shared<poco_http_client>(std::move(clock));
+}
+
+}  // namespace wist
--- /dev/null
+++ b/src/framework/http/internal/poco_http_server.cc
@@ -0,0 +1,255 @@
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/ThreadPool.h>
+#include <Poco/URI.h>
+
+#include <array>
+#include <istream>
+#include <ostream>
+
+#include "framework/http/http_module.h"
+
+namespace wist {
+namespace {
+
+using Poco::Net::HTTPServerRequest;
+using Poco::Net::HTTPServerRequestImpl;
+using Poco::Net::HTTPServerResponse;
+
+constexpr int kListenBacklog = 512;
+constexpr int kStackBytes = 128 * 1024;
+constexpr int kIdleThreadSeconds = 30;
+
+Poco::Timespan ToTimespan(milliseconds span) {
+  return Poco::Timespan(microseconds(span).count());
+}
+
+void ReadBody(HTTPServerRequest& request,
+              std::size_t max_bytes,
+              http_server_request& out) {
+  if (request.getContentLength64() > static_cast<Poco::Int64>(max_bytes)) {
+    out.body_too_large = true;
+    return;
+  }
+  std::array<char, 4096> buffer{};
+  std::istream& in = request.stream();
+  while (in.read(buffer.data(), buffer.size()) || in.gcount() > 0) {
+    out.body.append(buffer.data(), static_cast<std::size_t>(in.gcount()));
+    if (out.body.size() > max_bytes) {
+      out.body_too_large = true;
+      return;
+    }
+  }
+  const auto expected = request.getContentLength64();
+  if (expected >= 0 && out.body.size() < static_cast<std::size_t>(expected))
+    out.body_incomplete = true;
+}
+
+http_server_request ReadRequest(HTTPServerRequest& request,
+                                std::size_t max_body_bytes) {
+  http_server_request out;
+  out.method = request.getMethod();
+  const std::string& uri = request.getURI();
+  const std::size_t question = uri.find('?');
+  Poco::URI::decode(uri.substr(0, question), out.path);
+  if (question != std::string::npos)
+    out.query = uri.substr(question + 1);
+  for (const auto& [name, value] : request)
+    out.headers.push_back({name, value});
+  if (request.hasContentLength() || request.getChunkedTransferEncoding())
+    ReadBody(request, max_body_bytes, out);
+  return out;
+}
+
+class poco_responder final : public i_http_responder {
+ public:
+  poco_responder(HTTPServerRequest& request, HTTPServerResponse& response)
+      : request_(request), response_(response) {}
+
+  void Send(const http_response& response,
+            const std::string& content_type) override {
+    begun_ = true;
+    SetHeader(response.status, response.headers, content_type);
+    response_.setContentLength(
+        static_cast<std::streamsize>(response.body.size()));
+    response_.send() << response.body << std::flush;
+  }
+
+  void BeginStream(int status,
+                   const std::vector<http_header>& headers,
+                   const std::string& content_type) override {
+    begun_ = true;
+    SetHeader(status, headers, content_type);
+    response_.setChunkedTransferEncoding(true);
+    stream_ = &response_.send();
+  }
+
+  void Write(std::string_view piece) override {
+    try {
+      stream_->write(piece.data(), static_cast<std::streamsize>(piece.size()));
+      stream_->flush();
+    } catch (const Poco::Exception& error) {
+      throw http_peer_gone(error.displayText());
+    }
+    if (!*stream_)
+      throw http_peer_gone("the connection was closed");
+  }
+
+  bool Begun() const override { return begun_; }
+
+  void Abort() override {
+    try {
+      static_cast<HTTPServerRequestImpl&>(request_).socket().shutdown();
+    } catch (const Poco::Exception&) {
+      // The connection is gone already.
+    }
+  }
+
+ private:
+  void SetHeader(int status,
+                 const std::vector<http_header>& headers,
+                 const std::string& content_type) {
+    response_.setStatusAndReason(
+        static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
+    response_.setContentType(content_type);
+    for (const http_header& header : headers)
+      response_.set(header.name, header.value);
+  }
+
+  HTTPServerRequest& request_;
+  HTTPServerResponse& response_;
+  std::ostream* stream_ = nullptr;
+  bool begun_ = false;
+};
+
+struct shared_handler {
+  http_handler handler;
+  std::size_t max_body_bytes;
+  Poco::Timespan send_timeout;
+};
+
+class poco_handler final : public Poco::Net::HTTPRequestHandler {
+ public:
+  explicit poco_handler(std::shared_ptr<const shared_handler> shared)
+      : shared_(std::move(shared)) {}
+
+  void handleRequest(HTTPServerRequest& request,
+                     HTTPServerResponse& response) override {
+    static_cast<HTTPServerRequestImpl&>(request).socket().setSendTimeout(
+        shared_->send_timeout);
+    poco_responder responder(request, response);
+    try {
+      const auto read = ReadRequest(request, shared_->max_body_bytes);
+      // A body that was not read whole cannot be skipped for the next request.
+      if (read.body_too_large || read.body_incomplete)
+        response.setKeepAlive(false);
+      shared_->handler(read, responder);
+    } catch (const Poco::Exception&) {
+      responder.Abort();
+    } catch (const http_peer_gone&) {
+      responder.Abort();
+    }
+  }
+
+ private:
+  const std::shared_ptr<const shared_handler> shared_;
+};
+
+class poco_handler_factory final
+    : public Poco::Net::HTTPRequestHandlerFactory {
+ public:
+  explicit poco_handler_factory(std::shared_ptr<const shared_handler> shared)
+      : shared_(std::move(shared)) {}
+
+  Poco::Net::HTTPRequestHandler* createRequestHandler(
+      const HTTPServerRequest&) override {
+    return new poco_handler(shared_);  // The library deletes it.
+  }
+
+ private:
+  const std::shared_ptr<const shared_handler> shared_;
+};
+
+class poco_http_server final : public i_http_server {
+ public:
+  poco_http_server(const http_server_settings& settings, http_handler handler)
+      : pool_(2, settings.max_threads, kIdleThreadSeconds, kStackBytes),
+        socket_(Bind(settings)) {
+    auto shared = std::make_shared<const shared_handler>(
+        shared_handler{std::move(handler), settings.max_body_bytes,
+                       ToTimespan(settings.send_timeout)});
+    auto* params = new Poco::Net::HTTPServerParams;  // Counted by the server.
+    params->setMaxThreads(settings.max_threads);
+    params->setMaxQueued(settings.max_queued);
+    params->setTimeout(ToTimespan(settings.receive_timeout));
+    params->setKeepAliveTimeout(ToTimespan(settings.receive_timeout));
+    server_ = std::make_unique<Poco::Net::HTTPServer>(
+        new poco_handler_factory(std::move(shared)), pool_, socket_, params);
+    server_->start();
+  }
+
+  ~poco_http_server() override {
+    StopAccepting();
+    server_->stopAll(true);
+    pool_.joinAll();
+  }
+
+  std::uint16_t port() const override { return socket_.address().port(); }
+
+  void StopAccepting() override {
+    if (!accepting_)
+      return;
+    accepting_ = false;
+    server_->stop();
+    socket_.close();
+  }
+
+ private:
+  static Poco::Net::ServerSocket Bind(const http_server_settings& settings) {
+    try {
+      return Poco::Net::ServerSocket(
+          Poco::Net::SocketAddress(settings.host, settings.port),
+          kListenBacklog);
+    } catch (const Poco::Exception& error) {
+      throw std::runtime_error("cannot listen on " + settings.host + ":" +
+                               std::to_string(settings.port) + ": " +
+                               error.displayText());
+    }
+  }
+
+  Poco::ThreadPool pool_;
+  Poco::Net::ServerSocket socket_;
+  std::unique_ptr<Poco::Net::HTTPServer> server_;
+  bool accepting_ = true;
+};
+
+}  // namespace
+
+std::unique_ptr<i_http_server> MakeHttpServer(
+    const http_server_settings& settings,
+    http_handler handler) {
+  return std::make_unique<poco_http_server>(settings, std::move(handler));
+}
+
+std::string http_server_request::Header(const std::string& name) const {
+  return http_response{0, headers, {}}.Header(name);
+}
+
+std::string http_server_request::QueryValue(const std::string& name) const {
+  Poco::URI uri;
+  uri.setRawQuery(query);
+  for (const auto& [key, value] : uri.getQueryParameters()) {
+    if (key == name)
+      return value;
+  }
+  return {};
+}
+
+}  // namespace wist
--- /dev/null
+++ b/src/framework/logging/logging_module.h
@@ -0,0 +1,24 @@
+#ifndef FRAMEWORK_LOGGING_LOGGING_MODULE_H_
+#define FRAMEWORK_LOGGING_LOGGING_MODULE_H_
+
+#include <memory>
+#include <string>
+
+#include "framework/logging/i_logger.h"
+
+namespace wist {
+
+// Parses "debug", "info", "warning" or "error"; throws std::invalid_argument.
+log_level ParseLogLevel(const std::string& text);
+
+// Returns a logger that writes one JSON object a line to standard error.
+// `source` names the writing process in every line.
+std::shared_ptr<i_logger> MakeStderrLogger(log_level lowest,
+                                           std::string source);
+
+// Returns a logger that drops everything.
+std::shared_ptr<i_logger> MakeNullLogger();
+
+}  // namespace wist
+
+#endif  // FRAMEWORK_LOGGING_LOGGING_MODULE_H_
--- /dev/null
+++ b/src/platform/i_instance_list.h
@@ -0,0 +1,23 @@
+#ifndef PLATFORM_I_INSTANCE_LIST_H_
+#define PLATFORM_I_INSTANCE_LIST_H_
+
+#include <vector>
+
+#include "platform/platform_types.h"
+
+namespace wist {
+
+// The platform's lagging list of live and leaving entry instances.
+class i_instance_list {
+ public:
+  virtual ~i_instance_list() = default;
+
+  // These throw kv_unavailable.
+  virtual std::vector<listed_instance> List(timestamp deadline) = 0;
+  virtual void Announce(const listed_instance& self, timestamp deadline) = 0;
+  virtual void Withdraw(const listed_instance& self, timestamp deadline) = 0;
+};
+
+}  // namespace wist
+
+#endif  // PLATFORM_I_INSTANCE_LIST_H_
--- /dev/null
+++ b/src/platform/internal/http_kv_store.cc
@@ -0,0 +1,224 @@
+#include <Poco/URI.h>
+#include <fmt/format.h>
+
+#include <nlohmann/json.hpp>
+
+#include "platform/platform_module.h"
+
+namespace wist {
+namespace {
+
+using json = nlohmann::json;
+
+constexpr milliseconds kWatchReplySlack{500};
+
+std::string Encode(const std::string& text) {
+  std::string encoded;
+  Poco::URI::encode(text, "/?#&=%+ :", encoded);
+  return encoded;
+}
+
+std::vector<http_header> DomainHeader(const std::string& domain) {
+  return {{"X-Domain", domain}};
+}
+
+json ParseAnswer(const http_response& response) {
+  json answer = json::parse(response.body, nullptr, false);
+  if (!answer.is_object())
+    throw kv_unavailable("the key-value service answered without an object");
+  return answer;
+}
+
+kv_entry ReadEntry(const http_response& response) {
+  const json answer = ParseAnswer(response);
+  return {answer.value("value", ""), answer.value("revision", std::uint64_t{0})};
+}
+
+class http_kv_store final : public i_kv_store {
+ public:
+  http_kv_store(std::shared_ptr<i_http_client> client,
+                std::shared_ptr<const i_clock> clock,
+                http_address address,
+                const std::string& domain)
+      : client_(std::move(client)),
+        clock_(std::move(clock)),
+        address_(std::move(address)),
+        headers_(DomainHeader(domain)) {}
+
+  kv_entry Read(const std::string& key, timestamp deadline) override {
+    const http_response response =
+        CallOrThrow({.path = "/kv/" + Encode(key), .headers = headers_}, deadline);
+    if (response.status == 404)
+      return {};
+    RequireStatus(response, 200);
+    return ReadEntry(response);
+  }
+
+  kv_swap_result CompareAndSwap(const std::string& key,
+                                std::uint64_t expected,
+                                const std::string& value,
+                                timestamp deadline) override {
+    http_request request{.method = "PUT", .headers = headers_};
+    request.path = fmt::format("/kv/{}?expected={}", Encode(key), expected);
+    request.body = value;
+    http_response response;
+    try {
+      response = client_->Call(address_, request, deadline);
+    } catch (const http_error& error) {
+      if (!error.may_have_left())
+        throw kv_unavailable(error.what());
+      return kv_in_doubt{error.what()};
+    }
+    if (response.status == 200)
+      return kv_written{ReadEntry(response).revision};
+    if (response.status == 409)
+      return kv_conflict{ReadEntry(response)};
+    if (response.status == 429 || response.status == 503)
+      throw kv_unavailable("the key-value service refused a write");
+    return kv_in_doubt{fmt::format("status {}", response.status)};
+  }
+
+  std::optional<kv_entry> Watch(const std::string& key,
+                                std::uint64_t known,
+                                timestamp deadline) override {
+    const auto wait =
+        std::chrono::duration_cast<milliseconds>(deadline - clock_->Now());
+    http_request request{.headers = headers_};
+    request.path = fmt::format("/watch/{}?known={}&wait_ms={}", Encode(key),
+                               known, std::max<std::int64_t>(0, wait.count()));
+    const http_response response =
+        CallOrThrow(request, deadline + kWatchReplySlack);
+    if (response.status == 204)
+      return std::nullopt;
+    RequireStatus(response, 200);
+    return ReadEntry(response);
+  }
+
+  std::optional<kv_lease> AcquireLease(const std::string& name,
+                                       const std::string& holder,
+                                       milliseconds validity,
+                                       timestamp deadline) override {
+    http_request request{.method = "POST", .headers = headers_};
+    request.path = "/leases/" + Encode(name);
+    request.body =
+        json{{"holder", holder}, {"validity_ms", validity.count()}}.dump();
+    const timestamp sent_at = clock_->Now();
+    const http_response response = CallOrThrow(request, deadline);
+    if (response.status == 409)
+      return std::nullopt;
+    RequireStatus(response, 200);
+    const json answer = ParseAnswer(response);
+    return kv_lease{name, holder,
+                    answer.value("fencing_number", std::uint64_t{0}),
+                    sent_at + validity};
+  }
+
+  void ReleaseLease(const kv_lease& lease, timestamp deadline) override {
+    http_request request{.method = "DELETE", .headers = headers_};
+    request.path = fmt::format("/leases/{}?holder={}", Encode(lease.name),
+                               Encode(lease.holder));
+    try {
+      client_->Call(address_, request, deadline);
+    } catch (const http_error&) {
+      // The lease lapses at its deadline.
+    }
+  }
+
+ private:
+  http_response CallOrThrow(const http_request& request, timestamp deadline) {
+    try {
+      return client_->Call(address_, request, deadline);
+    } catch (const http_error& error) {
+      throw kv_unavailable(error.what());
+    }
+  }
+
+  static void RequireStatus(const http_response& response, int status) {
+    if (response.status != status)
+      throw kv_unavailable(
+          fmt::format("the key-value service answered {}", response.status));
+  }
+
+  const std::shared_ptr<i_http_client> client_;
+  const std::shared_ptr<const i_clock> clock_;
+  const http_address address_;
+  const std::vector<http_header> headers_;
+};
+
+class http_instance_list final : public i_instance_list {
+ public:
+  http_instance_list(std::shared_ptr<i_http_client> client,
+                     http_address address,
+                     const std::string& domain)
+      : client_(std::move(client)),
+        address_(std::move(address)),
+        headers_(DomainHeader(domain)) {}
+
+  std::vector<listed_instance> List(timestamp deadline) override {
+    const http_response response = Call({.path = "/instances", .headers = headers_}, deadline);
+    const json answer = ParseAnswer(response);
+    std::vector<listed_instance> listed;
+    for (const json& entry : answer.value("instances", json::array())) {
+      listed.push_back({entry.value("id", ""), entry.value("domain", ""),
+                        entry.value("peer_address", ""),
+                        entry.value("leaving", false)});
+    }
+    return listed;
+  }
+
+  void Announce(const listed_instance& self, timestamp deadline) override {
+    Call({.method = "PUT",
+          .path = "/instances/" + Encode(self.id),
+          .headers = headers_,
+          .body = json{{"domain", self.domain},
+                       {"peer_address", self.peer_address},
+                       {"leaving", self.leaving}}
+                      .dump()},
+         deadline);
+  }
+
+  void Withdraw(const listed_instance& self, timestamp deadline) override {
+    Call({.method = "DELETE",
+          .path = "/instances/" + Encode(self.id),
+          .headers = headers_},
+         deadline);
+  }
+
+ private:
+  http_response Call(const http_request& request, timestamp deadline) {
+    try {
+      http_response response = client_->Call(address_, request, deadline);
+      if (response.status != 200)
+        throw kv_unavailable(
+            fmt::format("the instance list answered {}", response.status));
+      return response;
+    } catch (const http_error& error) {
+      throw kv_unavailable(error.what());
+    }
+  }
+
+  const std::shared_ptr<i_http_client> client_;
+  const http_address address_;
+  const std::vector<http_header> headers_;
+};
+
+}  // namespace
+
+std::shared_ptr<i_kv_store> MakeHttpKvStore(
+    std::shared_ptr<i_http_client> client,
+    std::shared_ptr<const i_clock> clock,
+    http_address address,
+    const std::string& domain) {
+  return std::make_shared<http_kv_store>(std::move(client), std::move(clock),
+                                         std::move(address), domain);
+}
+
+std::shared_ptr<i_instance_list> MakeHttpInstanceList(
+    std::shared_ptr<i_http_client> client,
+    http_address address,
+    const std::string& domain) {
+  return std::make_shared<http_instance_list>(std::move(client),
+                                              std::move(address), domain);
+}
+
+}  // namespace wist
--- /dev/null
+++ b/src/platform/platform_module.h
@@ -0,0 +1,27 @@
+#ifndef PLATFORM_PLATFORM_MODULE_H_
+#define PLATFORM_PLATFORM_MODULE_H_
+
+#include <memory>
+
+#include "framework/base/i_clock.h"
+#include "framework/http/i_http_client.h"
+#include "platform/i_instance_list.h"
+#include "platform/i_kv_store.h"
+
+namespace wist {
+
+// `domain` names the caller's failure domain in each call.
+std::shared_ptr<i_kv_store> MakeHttpKvStore(
+    std::shared_ptr<i_http_client> client,
+    std::shared_ptr<const i_clock> clock,
+    http_address address,
+    const std::string& domain);
+
+std::shared_ptr<i_instance_list> MakeHttpInstanceList(
+    std::shared_ptr<i_http_client> client,
+    http_address address,
+    const std::string& domain);
+
+}  // namespace wist
+
+#endif  // PLATFORM_PLATFORM_MODULE_H_
--- /dev/null
+++ b/src/platform/platform_types.h
@@ -0,0 +1,64 @@
+#ifndef PLATFORM_PLATFORM_TYPES_H_
+#define PLATFORM_PLATFORM_TYPES_H_
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <variant>
+
+#include "framework/base/time_types.h"
+
+namespace wist {
+
+// A value with the revision of its last write. Revision 0 means no value.
+struct kv_entry {
+  std::string value;
+  std::uint64_t revision = 0;
+
+  auto operator<=>(const kv_entry&) const = default;
+};
+
+// The service cannot be reached, or refused the call: nothing was written.
+class kv_unavailable : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+// Outcomes of a compare-and-swap.
+struct kv_written {
+  std::uint64_t revision = 0;
+};
+struct kv_conflict {
+  kv_entry current;
+};
+// The call left and got no answer: it may have taken effect, or may yet.
+struct kv_in_doubt {
+  std::string reason;
+};
+using kv_swap_result = std::variant<kv_written, kv_conflict, kv_in_doubt>;
+
+// A lease with the number that orders its holders.
+struct kv_lease {
+  std::string name;
+  std::string holder;
+  std::uint64_t fencing_number = 0;
+  timestamp deadline;
+
+  auto operator<=>(const kv_lease&) const = default;
+};
+
+// An instance on the platform's lagging list.
+struct listed_instance {
+  std::string id;
+  std::string domain;
+  std::string peer_address;
+  bool leaving = false;
+
+  auto operator<=>(const listed_instance&) const = default;
+};
+
+}  // namespace wist
+
+#endif  // PLATFORM_PLATFORM_TYPES_H_
