Claim requests that run at most once by compare-and-swap

Cause: a doubled deposit charges a family twice; nothing decided who may dispatch. Claims are grouped per bucket into one swap; a lost answer is settled by writing the same nonces again or reading them back; a claim not settled in time is withdrawn by its own claimant and never dispatched.

Measured: 300 random interleavings of three instances over a store that loses answers and applies lost writes late grant each key at most once.

--- /dev/null
+++ b/src/claims/tests/claim_batcher_test.cc
@@ -0,0 +1,197 @@
+#include "claims/internal/claim_batcher.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+#include <set>
+
+#include "stand_ins/platform/platform_model.h"
+
+namespace wist {
+namespace {
+
+using stand_ins::platform_model;
+
+constexpr timestamp kStart{seconds(100)};
+const calendar_time kIssued{seconds(1'700'000'000)};
+const claim_settings kSettings{.buckets_a_slice = 1};
+
+claim_operation Claim(const std::string& key, const std::string& nonce) {
+  return {{key, nonce, kIssued}, "body"};
+}
+
+store_answer MakeCall(platform_model& store, const store_call& call) {
+  if (const auto* swap = std::get_if<bucket_swap>(&call))
+    return store.CompareAndSwap(swap->bucket, swap->expected, swap->value);
+  return store.Read(std::get<bucket_read>(call).bucket);
+}
+
+const std::string kBucket = BucketKey(kSettings, kIssued, 0);
+
+// Makes calls until the batcher wants none; returns what was settled.
+std::vector<completed_operation> RunAll(claim_batcher& batcher,
+                                        platform_model& store,
+                                        timestamp now) {
+  std::vector<completed_operation> settled;
+  while (const auto call = batcher.NextCall(now)) {
+    for (auto& done : batcher.OnAnswer(kBucket, MakeCall(store, *call), now))
+      settled.push_back(std::move(done));
+  }
+  return settled;
+}
+
+}  // namespace
+
+TEST_CASE("many claims go into one swap") {
+  platform_model store;
+  claim_batcher batcher(kSettings);
+  for (int i = 0; i < 50; ++i)
+    batcher.Submit(Claim("k" + std::to_string(i), "n"), kStart,
+                   kStart + seconds(1));
+  CHECK(RunAll(batcher, store, kStart).size() == 50);
+  CHECK(store.revision() == 1);
+}
+
+TEST_CASE("a lost answer is settled by reading the nonce back") {
+  platform_model store;
+  claim_batcher batcher(kSettings);
+  batcher.Submit(Claim("k", "n"), kStart, kStart + seconds(5));
+  batcher.OnAnswer(kBucket, MakeCall(store, *batcher.NextCall(kStart)), kStart);
+  const auto swap = batcher.NextCall(kStart);
+  REQUIRE(std::holds_alternative<bucket_swap>(*swap));
+  SECTION("when the write took effect") {
+    MakeCall(store, *swap);
+  }
+  SECTION("when the write was lost too") {}
+  CHECK(batcher
+            .OnAnswer(kBucket, kv_swap_result(kv_in_doubt{"no answer"}), kStart)
+            .empty());
+  const auto settled = RunAll(batcher, store, kStart + seconds(1));
+  REQUIRE(settled.size() == 1);
+  CHECK(std::holds_alternative<claim_granted>(settled[0].result));
+}
+
+TEST_CASE("a claim that is not settled in time is withdrawn") {
+  platform_model store;
+  claim_batcher batcher(kSettings);
+  batcher.Submit(Claim("k", "n"), kStart, kStart + seconds(1));
+  batcher.OnAnswer(kBucket, store_unavailable{}, kStart);
+  const auto expired = batcher.Expire(kStart + seconds(1));
+  REQUIRE(expired.size() == 1);
+  CHECK(std::holds_alternative<claim_unavailable>(expired[0].result));
+  RunAll(batcher, store, kStart + seconds(2));
+
+  claim_batcher other(kSettings);
+  other.Submit(Claim("k", "n2"), kStart, kStart + seconds(9));
+  const auto settled = RunAll(other, store, kStart + seconds(3));
+  REQUIRE(settled.size() == 1);
+  CHECK(std::holds_alternative<claim_granted>(settled[0].result));
+}
+
+TEST_CASE("an operation given up during its swap leaves the cache whole") {
+  platform_model store;
+  claim_batcher batcher(kSettings);
+  const claim_operation claim = Claim("k", "n");
+  batcher.Submit(claim, kStart, kStart + seconds(9));
+  RunAll(batcher, store, kStart);
+  batcher.Submit(outcome_operation{claim.ticket, {200, "done"}}, kStart,
+                 kStart + seconds(1));
+  const auto swap = batcher.NextCall(kStart);
+  const store_answer answer = MakeCall(store, *swap);
+  batcher.Expire(kStart + seconds(2));
+  batcher.OnAnswer(kBucket, answer, kStart + seconds(2));
+  batcher.Submit(Claim("other", "n"), kStart + seconds(2),
+                 kStart + seconds(9));
+  RunAll(batcher, store, kStart + seconds(2));
+  CHECK(DecodeBucket(store.Read(kBucket).value).records.at("k").outcome);
+}
+
+TEST_CASE("an undecided answer is given only from a fresh value") {
+  platform_model store;
+  claim_batcher first(kSettings);
+  claim_batcher second(kSettings);
+  const claim_operation claim = Claim("k", "n1");
+  first.Submit(claim, kStart, kStart + seconds(9));
+  RunAll(first, store, kStart);
+  // The second one's cache now holds the claim without an outcome.
+  second.Submit(Claim("other", "n2"), kStart, kStart + seconds(9));
+  RunAll(second, store, kStart);
+  first.Submit(outcome_operation{claim.ticket, {200, "done"}}, kStart,
+               kStart + seconds(9));
+  RunAll(first, store, kStart);
+
+  second.Submit(Claim("k", "n3"), kStart + seconds(1), kStart + seconds(9));
+  const auto settled = RunAll(second, store, kStart + seconds(1));
+  REQUIRE(settled.size() == 1);
+  CHECK(std::holds_alternative<claim_replayed>(settled[0].result));
+}
+
+// Several instances claim the same few keys over a store that loses answers
+// and lets lost writes take effect late, in random order.
+TEST_CASE("at most one claim of a key is granted in any interleaving") {
+  for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+    std::mt19937_64 random(seed);
+    platform_model store;
+    std::vector<claim_batcher> instances(3, claim_batcher(kSettings));
+    std::vector<std::optional<store_call>> in_flight(3);
+    std::vector<bucket_swap> late;
+    std::map<std::string, std::set<std::string>> granted;
+    std::map<std::pair<std::size_t, operation_number>, claim_ticket> tickets;
+    timestamp now = kStart;
+    for (int step = 0; step < 200; ++step) {
+      now += milliseconds(random() % 40);
+      const std::size_t i = random() % 3;
+      switch (random() % 6) {
+        case 0: {
+          const auto claim = Claim("k" + std::to_string(random() % 3),
+                                   std::to_string(step));
+          const auto number =
+              instances[i].Submit(claim, now, now + milliseconds(400));
+          tickets[{i, number}] = claim.ticket;
+          break;
+        }
+        case 1:
+          if (!in_flight[i])
+            in_flight[i] = instances[i].NextCall(now);
+          break;
+        case 2:
+          if (!late.empty()) {
+            MakeCall(store, late.back());
+            late.pop_back();
+          }
+          break;
+        case 3:
+          instances[i].Expire(now);
+          break;
+        default: {
+          if (!in_flight[i])
+            break;
+          store_answer answer = MakeCall(store, bucket_read{kBucket});
+          const auto* swap = std::get_if<bucket_swap>(&*in_flight[i]);
+          if (swap && random() % 4 == 0) {
+            late.push_back(*swap);
+            answer = kv_swap_result(kv_in_doubt{"lost"});
+          } else if (random() % 8 == 0) {
+            answer = store_unavailable{};
+          } else if (swap) {
+            answer = MakeCall(store, *swap);
+            if (random() % 4 == 0)
+              answer = kv_swap_result(kv_in_doubt{"lost"});
+          }
+          in_flight[i].reset();
+          for (const auto& done : instances[i].OnAnswer(kBucket, answer, now)) {
+            const claim_ticket& ticket = tickets[{i, done.number}];
+            if (std::holds_alternative<claim_granted>(done.result) &&
+                !ticket.key.empty())
+              granted[ticket.key].insert(ticket.nonce);
+          }
+        }
+      }
+    }
+    for (const auto& [key, nonces] : granted) {
+      INFO("seed " << seed << " key " << key);
+      CHECK(nonces.size() <= 1);
+    }
+  }
+}
+
+}  // namespace wist
