Admit generations of unknown length by a forecast of memory

Cause: engines run out of memory half way through replies when requests are sent on lagged reports alone.

--- /dev/null
+++ b/src/admission/tests/forecast_admission_test.cc
@@ -0,0 +1,143 @@
+#include <catch2/catch.hpp>
+
+#include "admission/admission_module.h"
+#include "configuration/tests/mocks/sample_configuration.h"
+
+namespace wist {
+namespace {
+
+constexpr timestamp kStart{seconds(100)};
+
+// A gate whose answers a test sets.
+class fake_gate final : public i_target_gate {
+ public:
+  bool MayDispatch(const target_spec& target, timestamp) const override {
+    return target.domain != closed_domain;
+  }
+  std::int32_t ColdAllowance(const target_spec&, timestamp) const override {
+    return cold_allowance;
+  }
+
+  domain_id closed_domain;
+  std::int32_t cold_allowance = 0;
+};
+
+struct fixture {
+  fixture() {
+    admission->ApplyConfiguration(SampleBody());
+    Report("engine-1", 0, false);
+    Report("engine-2", 0, false);
+  }
+
+  void Report(const std::string& target, std::int64_t used, bool cold) {
+    report_at += milliseconds(1);
+    target_report report;
+    report.taken_at = report_at;
+    report.running = static_cast<std::int32_t>(used / 1000);
+    report.memory_used = used;
+    report.memory_total = 40000;
+    report.cold = cold;
+    admission->OnReport(target_id(target), report, report_at);
+  }
+
+  request_number Submit(std::int64_t prompt) {
+    admission_request request;
+    request.workspace = workspace_id("planners");
+    request.service = service_id("briefs");
+    request.prompt_tokens = prompt;
+    request.start_deadline = now + seconds(2);
+    return admission->Submit(request, now);
+  }
+
+  // Returns the number of requests admitted out of `count` submitted.
+  int Admitted(int count, std::int64_t prompt) {
+    for (int i = 0; i < count; ++i)
+      Submit(prompt);
+    int admitted = 0;
+    for (const admission_event& event : admission->Pump(now))
+      admitted += std::holds_alternative<request_admitted>(event) ? 1 : 0;
+    return admitted;
+  }
+
+  std::shared_ptr<fake_gate> gate = std::make_shared<fake_gate>();
+  std::unique_ptr<i_admission> admission =
+      MakeForecastAdmission({}, gate, instance_id("i"), domain_id("rennes"));
+  timestamp report_at = kStart;
+  timestamp now = kStart + milliseconds(100);
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(fixture, "admission stops before memory runs out") {
+  const int admitted = Admitted(200, 1000);
+  CHECK(admitted > 30);
+  CHECK(admitted < 80);  // Both engines hold 80 prompts without any output.
+}
+
+TEST_CASE_METHOD(fixture, "a full target gets nothing more") {
+  Report("engine-1", 39000, false);
+  Report("engine-2", 39000, false);
+  CHECK(Admitted(3, 1000) == 0);
+}
+
+TEST_CASE_METHOD(fixture, "a request that cannot start in time is shed") {
+  Report("engine-1", 39000, false);
+  Report("engine-2", 39000, false);
+  Submit(1000);
+  CHECK(admission->Pump(now).empty());
+  now += seconds(2);
+  const auto events = admission->Pump(now);
+  REQUIRE(events.size() == 1);
+  CHECK(std::get<request_shed>(events[0]).reason == shed_reason::deadline);
+}
+
+TEST_CASE_METHOD(fixture, "nothing goes through a closed gate") {
+  gate->closed_domain = domain_id("rennes");
+  Submit(100);
+  const auto events = admission->Pump(now);
+  REQUIRE(events.size() == 1);
+  CHECK(std::get<request_admitted>(events[0]).target == target_id("engine-2"));
+}
+
+TEST_CASE_METHOD(fixture, "a cold target gets its allowance and no more") {
+  Report("engine-1", 0, true);
+  Report("engine-2", 0, true);
+  CHECK(Admitted(5, 100) == 0);
+  gate->cold_allowance = 1;
+  CHECK(Admitted(5, 100) == 2);
+}
+
+TEST_CASE_METHOD(fixture, "a failed target is left alone until its report") {
+  admission->OnTargetFailure(target_id("engine-1"), now);
+  admission->OnTargetFailure(target_id("engine-2"), now);
+  CHECK(Admitted(1, 100) == 0);
+  Report("engine-1", 0, false);
+  CHECK(Admitted(0, 100) == 1);
+}
+
+TEST_CASE_METHOD(fixture, "the work of other instances takes its room") {
+  quota_grant grant;
+  grant.target = target_id("engine-1");
+  grant.others.mean.fill(20000);
+  grant.others_running = 20;
+  grant.share = 0.5;
+  grant.deadline = now + seconds(3);
+  admission->OnGrant(grant);
+  grant.target = target_id("engine-2");
+  admission->OnGrant(grant);
+  const int with_others = Admitted(100, 1000);
+  CHECK(with_others > 5);
+  CHECK(with_others < 22);  // Half of the room that is left.
+}
+
+TEST_CASE_METHOD(fixture, "an unbound service is refused at once") {
+  admission_request request;
+  request.workspace = workspace_id("planners");
+  request.service = service_id("nothing");
+  admission->Submit(request, now);
+  const auto events = admission->Pump(now);
+  REQUIRE(events.size() == 1);
+  CHECK(std::get<request_shed>(events[0]).reason == shed_reason::no_target);
+}
+
+}  // namespace wist
--- /dev/null
+++ b/src/quota/internal/quota_book.cc
@@ -0,0 +1,92 @@
+#include <map>
+
+#include "framework/base/hashing.h"
+#include "quota/quota_module.h"
+
+namespace wist {
+namespace {
+
+// A member without demand keeps this part of an even share, so that its first
+// request need not wait for the next exchange.
+constexpr double kIdlePart = 0.5;
+
+class quota_book final : public i_quota_book {
+ public:
+  std::vector<quota_grant> Exchange(const instance_id& member,
+                                    const std::vector<target_tally>& tallies,
+                                    timestamp now) override {
+    std::vector<quota_grant> grants;
+    for (const target_tally& tally : tallies) {
+      member_map& members = targets_[tally.target];
+      DropLapsed(members, now);
+      members[member] = {tally, now + kQuotaValidity};
+      grants.push_back(Grant(member, tally.target, members, now));
+    }
+    return grants;
+  }
+
+ private:
+  struct held_tally {
+    target_tally tally;
+    timestamp deadline;
+  };
+  using member_map = std::map<instance_id, held_tally>;
+
+  static void DropLapsed(member_map& members, timestamp now) {
+    std::erase_if(members, [&](const auto& entry) {
+      return entry.second.deadline <= now;
+    });
+  }
+
+  static quota_grant Grant(const instance_id& member,
+                           const target_id& target,
+                           const member_map& members,
+                           timestamp now) {
+    quota_grant grant;
+    grant.target = target;
+    grant.deadline = now + kQuotaValidity;
+    double total_demand = 0;
+    for (const auto& [id, held] : members) {
+      total_demand += held.tally.demand;
+      if (id == member)
+        continue;
+      grant.others += held.tally.forecast;
+      grant.others_running += held.tally.running;
+    }
+    const double even = 1.0 / static_cast<double>(members.size());
+    const double own_demand = members.at(member).tally.demand;
+    const double wanted = total_demand > 0 ? own_demand / total_demand : even;
+    grant.share = kIdlePart * even + (1 - kIdlePart) * wanted;
+    return grant;
+  }
+
+  std::map<target_id, member_map> targets_;
+};
+
+}  // namespace
+
+std::unique_ptr<i_quota_book> MakeQuotaBook() {
+  return std::make_unique<quota_book>();
+}
+
+int BlockOf(const target_id& target) {
+  return static_cast<int>(StableHash(target.text()) % kBlocksADomain);
+}
+
+instance_id BlockOwner(const domain_id& domain,
+                       int block,
+                       const std::vector<instance_id>& members) {
+  const std::string name = domain.text() + "/" + std::to_string(block) + "/";
+  instance_id owner;
+  std::uint64_t best = 0;
+  for (const instance_id& member : members) {
+    const std::uint64_t weight = StableHash(name + member.text());
+    if (owner.empty() || weight > best) {
+      owner = member;
+      best = weight;
+    }
+  }
+  return owner;
+}
+
+}  // namespace wist
