--- /dev/null
+++ b/src/limits/limits_module.h
@@ -0,0 +1,24 @@
+#ifndef LIMITS_LIMITS_MODULE_H_
+#define LIMITS_LIMITS_MODULE_H_
+
+#include <memory>
+
+#include "limits/i_quarantine.h"
+#include "limits/i_retry_budget.h"
+#include "limits/i_workspace_limiter.h"
+
+namespace wist {
+
+// Crashes of different targets that stop a request.
+inline constexpr std::size_t kStrikesToQuarantine = 2;
+
+// How long a crash counts against a request.
+inline constexpr seconds kStrikeValidity{120};
+
+std::unique_ptr<i_retry_budget> MakeRetryBudget();
+std::unique_ptr<i_quarantine> MakeQuarantine();
+std::unique_ptr<i_workspace_limiter> MakeWorkspaceLimiter();
+
+}  // namespace wist
+
+#endif  // LIMITS_LIMITS_MODULE_H_
--- a/src/quota/internal/quota_book.cc
+++ b/src/quota/internal/quota_book.cc
@@ -8,7 +8,7 @@
 
 // A member without demand keeps this part of an even share, so that its first
 // request need not wait for the next exchange.
-constexpr double kIdlePart = 0.5;
+constexpr double kIdlePart = 0.2;
 
 class quota_book final : public i_quota_book {
  public:
--- /dev/null
+++ b/src/settings/settings_types.h
@@ -0,0 +1,59 @@
+#ifndef SETTINGS_SETTINGS_TYPES_H_
+#define SETTINGS_SETTINGS_TYPES_H_
+
+#include <cstdint>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "framework/http/http_types.h"
+#include "framework/logging/log_types.h"
+
+namespace wist {
+
+// Checked settings of an entry instance.
+struct entry_settings {
+  std::string instance;
+  std::string domain;
+  http_address listen;
+  http_address peer_listen;
+  http_address platform;
+  std::vector<http_address> seed_peers;
+  std::string keys;
+  log_level lowest_log_level = log_level::info;
+  int max_streams = 600;
+  std::size_t max_body_bytes = 1 << 20;
+  milliseconds start_limit{10'000};
+  milliseconds stop_limit{30'000};
+  milliseconds poll_interval{250};
+  bool log_caller_text = false;
+
+  auto operator<=>(const entry_settings&) const = default;
+};
+
+// One setting as `--print-settings` shows it.
+struct shown_setting {
+  std::string name;
+  std::string value;
+  std::string source;  // "flag", "environment" or "default".
+
+  auto operator<=>(const shown_setting&) const = default;
+};
+
+// Settings that do not work; each fault is one message.
+class settings_error : public std::runtime_error {
+ public:
+  explicit settings_error(std::vector<std::string> faults)
+      : std::runtime_error(faults.empty() ? "" : faults.front()),
+        faults_(std::move(faults)) {}
+
+  const std::vector<std::string>& faults() const { return faults_; }
+
+ private:
+  std::vector<std::string> faults_;
+};
+
+}  // namespace wist
+
+#endif  // SETTINGS_SETTINGS_TYPES_H_
