Hold cold targets to what they bear; know the other instances

Cause: a back end in cold start falls over under full load, and several instances with stale views can each think they have room. Each target's bound is split into static parts, used without asking, and a pool handed out by the holder of the domain's lease, by permits that never outlive that lease. A new epoch counts what already runs by reports taken after its start.

Ruled out: an owner by membership alone (two owners from disjoint member lists each grant the whole bound); votes of the instances (a consensus group of ours).

Membership is gossip of (incarnation, heartbeat); word of a failure domain or of the store ages from the time the asking call left, so that a stalled link makes it older and never younger.

--- /dev/null
+++ b/src/coldstart/coldstart_module.h
@@ -0,0 +1,21 @@
+#ifndef COLDSTART_COLDSTART_MODULE_H_
+#define COLDSTART_COLDSTART_MODULE_H_
+
+#include <memory>
+
+#include "coldstart/i_cold_allowance.h"
+#include "coldstart/i_cold_steward.h"
+
+namespace wist {
+
+std::unique_ptr<i_cold_steward> MakeColdSteward(const cold_settings& settings);
+
+// `started_at` is the start of this process.
+std::unique_ptr<i_cold_allowance> MakeColdAllowance(
+    const cold_settings& settings,
+    const domain_id& domain,
+    timestamp started_at);
+
+}  // namespace wist
+
+#endif  // COLDSTART_COLDSTART_MODULE_H_
