Link instances over nng with signed CBOR messages

Cause: the decisions need the other instances' word; messages of unknown origin must not change them.

Ruled out: field names in messages (they are sent every second; arrays keep the control budget).

--- /dev/null
+++ b/src/peer_link/i_peer_link.h
@@ -0,0 +1,38 @@
+#ifndef PEER_LINK_I_PEER_LINK_H_
+#define PEER_LINK_I_PEER_LINK_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include "peer_link/peer_types.h"
+
+namespace wist {
+
+// Calls other instances. Thread-safe.
+class i_peer_link {
+ public:
+  virtual ~i_peer_link() = default;
+
+  // Returns the answer of the instance at `address` (host:port). Throws
+  // peer_error if there is none by `deadline`.
+  virtual peer_answer Call(const std::string& address,
+                           const peer_call& call,
+                           timestamp deadline) = 0;
+
+  // Bytes sent and received since the start, for the control budget.
+  virtual std::uint64_t BytesMoved() const = 0;
+};
+
+using peer_handler = std::function<peer_answer(const addressed_call&)>;
+
+// Answers calls of other instances while it exists.
+class i_peer_server {
+ public:
+  virtual ~i_peer_server() = default;
+  virtual std::uint64_t BytesMoved() const = 0;
+};
+
+}  // namespace wist
+
+#endif  // PEER_LINK_I_PEER_LINK_H_
--- /dev/null
+++ b/src/peer_link/internal/peer_codec.cc
@@ -0,0 +1,287 @@
+#include "peer_link/internal/peer_codec.h"
+
+#include <cmath>
+#include <nlohmann/json.hpp>
+
+namespace wist {
+namespace {
+
+using json = nlohmann::json;
+
+// Calls and answers are signed for different purposes, so that one is never
+// taken for the other.
+constexpr char kCallPurpose[] = "peer-call";
+constexpr char kAnswerPurpose[] = "peer-answer";
+constexpr char kSignatureEnd = '|';
+constexpr std::size_t kMaxSignatureBytes = 200;
+
+// Messages are arrays without field names: they are sent every second.
+
+json ToJson(const member_record& r);
+json ToJson(const domain_word& w);
+json ToJson(const told_strike& s);
+json ToJson(const target_tally& t);
+json ToJson(const quota_grant& g);
+json ToJson(const cold_request& r);
+json ToJson(const cold_permit& p);
+
+template <typename Item>
+json ToJsonList(const std::vector<Item>& items) {
+  json list = json::array();
+  for (const Item& item : items)
+    list.push_back(ToJson(item));
+  return list;
+}
+
+template <typename Reader>
+auto ReadList(const json& j, Reader reader) {
+  std::vector<decltype(reader(j))> items;
+  for (const json& item : j)
+    items.push_back(reader(item));
+  return items;
+}
+
+json ToJson(const member_record& r) {
+  return json::array({r.id.text(), r.domain.text(), r.address, r.incarnation,
+                      r.heartbeat, r.leaving});
+}
+
+member_record ReadMember(const json& j) {
+  member_record record;
+  record.id = instance_id(j.at(0).get<std::string>());
+  record.domain = domain_id(j.at(1).get<std::string>());
+  record.address = j.at(2).get<std::string>();
+  record.incarnation = j.at(3).get<std::uint64_t>();
+  record.heartbeat = j.at(4).get<std::uint64_t>();
+  record.leaving = j.at(5).get<bool>();
+  return record;
+}
+
+json ToJson(const domain_word& w) {
+  return json::array({w.domain.text(), w.version, w.in, w.age.count()});
+}
+
+domain_word ReadWord(const json& j) {
+  return {domain_id(j.at(0).get<std::string>()), j.at(1).get<std::int64_t>(),
+          j.at(2).get<bool>(), milliseconds(j.at(3).get<std::uint32_t>())};
+}
+
+json ToJson(const told_strike& s) {
+  return json::array(
+      {s.request_digest, s.target.text(), s.counts_for.count()});
+}
+
+told_strike ReadStrike(const json& j) {
+  return {j.at(0).get<std::string>(), target_id(j.at(1).get<std::string>()),
+          milliseconds(j.at(2).get<std::uint32_t>())};
+}
+
+json ToJson(const gossip& g) {
+  json store = json::array();
+  if (g.store)
+    store = json::array({g.store->version, g.store->age.count()});
+  return json::array({ToJson(g.self), g.configuration_version,
+                      ToJsonList(g.members), ToJsonList(g.words), store,
+                      ToJsonList(g.strikes)});
+}
+
+gossip ReadGossip(const json& j) {
+  gossip told;
+  told.self = ReadMember(j.at(0));
+  told.configuration_version = j.at(1).get<std::int64_t>();
+  told.members = ReadList(j.at(2), ReadMember);
+  told.words = ReadList(j.at(3), ReadWord);
+  if (!j.at(4).empty()) {
+    told.store = store_word{j.at(4).at(0).get<std::int64_t>(),
+                            milliseconds(j.at(4).at(1).get<std::uint32_t>())};
+  }
+  told.strikes = ReadList(j.at(5), ReadStrike);
+  return told;
+}
+
+// Whole tokens are exact enough and shorter.
+json ToJson(const memory_forecast& f) {
+  json list = json::array();
+  for (const double mean : f.mean)
+    list.push_back(std::llround(mean));
+  for (const double variance : f.variance)
+    list.push_back(std::llround(std::sqrt(std::max(0.0, variance))));
+  return list;
+}
+
+memory_forecast ReadForecast(const json& j) {
+  memory_forecast forecast;
+  const std::size_t count = forecast.mean.size();
+  for (std::size_t i = 0; i < count; ++i) {
+    forecast.mean[i] = j.at(i).get<double>();
+    const double deviation = j.at(count + i).get<double>();
+    forecast.variance[i] = deviation * deviation;
+  }
+  return forecast;
+}
+
+json ToJson(const target_tally& t) {
+  return json::array({t.target.text(), t.running, ToJson(t.forecast),
+                      std::llround(t.demand * 10)});
+}
+
+target_tally ReadTally(const json& j) {
+  target_tally tally;
+  tally.target = target_id(j.at(0).get<std::string>());
+  tally.running = j.at(1).get<std::int32_t>();
+  tally.forecast = ReadForecast(j.at(2));
+  tally.demand = j.at(3).get<double>() / 10;
+  return tally;
+}
+
+json ToJson(const quota_grant& g) {
+  return json::array({g.target.text(), ToJson(g.others), g.others_running,
+                      std::llround(g.share * 1000)});
+}
+
+quota_grant ReadGrant(const json& j) {
+  quota_grant grant;
+  grant.target = target_id(j.at(0).get<std::string>());
+  grant.others = ReadForecast(j.at(1));
+  grant.others_running = j.at(2).get<std::int32_t>();
+  grant.share = std::max(1.0, j.at(3).get<double>()) / 1000;
+  return grant;
+}
+
+json ToJson(const cold_request& r) {
+  return json::array({r.target.text(), r.running, r.wanted});
+}
+
+cold_request ReadColdRequest(const json& j) {
+  return {target_id(j.at(0).get<std::string>()), j.at(1).get<std::int32_t>(),
+          j.at(2).get<std::int32_t>()};
+}
+
+json ToJson(const cold_permit& p) {
+  return json::array(
+      {p.target.text(), p.count, p.epoch, p.valid_for.count()});
+}
+
+cold_permit ReadPermit(const json& j) {
+  return {target_id(j.at(0).get<std::string>()), j.at(1).get<std::int32_t>(),
+          j.at(2).get<std::uint64_t>(),
+          milliseconds(j.at(3).get<std::uint32_t>())};
+}
+
+struct call_writer {
+  json operator()(const gossip_call& c) const { return ToJson(c.told); }
+  json operator()(const configuration_call&) const { return json::array(); }
+  json operator()(const tally_call& c) const {
+    return json::array({c.member.text(), ToJsonList(c.tallies)});
+  }
+  json operator()(const permit_call& c) const {
+    return json::array({c.member.text(), ToJsonList(c.requests)});
+  }
+};
+
+peer_call ReadCall(std::size_t kind, const json& j) {
+  switch (kind) {
+    case 0:
+      return gossip_call{ReadGossip(j)};
+    case 1:
+      return configuration_call{};
+    case 2:
+      return tally_call{instance_id(j.at(0).get<std::string>()),
+                        ReadList(j.at(1), ReadTally)};
+    case 3:
+      return permit_call{instance_id(j.at(0).get<std::string>()),
+                         ReadList(j.at(1), ReadColdRequest)};
+    default:
+      throw peer_error("a peer's call is of an unknown kind");
+  }
+}
+
+struct answer_writer {
+  json operator()(const gossip_answer& a) const { return ToJson(a.told); }
+  json operator()(const configuration_answer& a) const { return a.document; }
+  json operator()(const tally_answer& a) const { return ToJsonList(a.grants); }
+  json operator()(const permit_answer& a) const {
+    return ToJsonList(a.permits);
+  }
+  json operator()(const refusal_answer&) const { return json::array(); }
+};
+
+peer_answer ReadAnswer(std::size_t kind, const json& j) {
+  switch (kind) {
+    case 0:
+      return gossip_answer{ReadGossip(j)};
+    case 1:
+      return configuration_answer{j.get<std::string>()};
+    case 2:
+      return tally_answer{ReadList(j, ReadGrant)};
+    case 3:
+      return permit_answer{ReadList(j, ReadPermit)};
+    case 4:
+      return refusal_answer{};
+    default:
+      throw peer_error("a peer's answer is of an unknown kind");
+  }
+}
+
+std::string Seal(const i_keyring& keys,
+                 const std::string& purpose,
+                 const json& message) {
+  std::string payload;
+  json::to_cbor(message, payload);
+  return keys.Sign(purpose, payload) + kSignatureEnd + payload;
+}
+
+json Open(const i_keyring& keys,
+          const std::string& purpose,
+          const std::string& bytes) {
+  const std::size_t end = bytes.find(kSignatureEnd);
+  if (end == std::string::npos || end > kMaxSignatureBytes)
+    throw peer_error("a peer's message has no signature");
+  const std::string payload = bytes.substr(end + 1);
+  if (!keys.Verify(purpose, payload, bytes.substr(0, end)))
+    throw peer_error("a peer's message is not signed by a known key");
+  return json::from_cbor(payload);
+}
+
+// Runs `decode`, turning the codec's errors into peer_error.
+template <typename Decode>
+auto Decoded(Decode decode) {
+  try {
+    return decode();
+  } catch (const json::exception& error) {
+    throw peer_error(std::string("a peer's message is malformed: ") +
+                     error.what());
+  }
+}
+
+}  // namespace
+
+std::string EncodeCall(const i_keyring& keys, const addressed_call& call) {
+  return Seal(keys, kCallPurpose,
+              json::array({call.from.text(), call.call.index(),
+                           std::visit(call_writer{}, call.call)}));
+}
+
+addressed_call DecodeCall(const i_keyring& keys, const std::string& bytes) {
+  return Decoded([&] {
+    const json message = Open(keys, kCallPurpose, bytes);
+    return addressed_call{
+        domain_id(message.at(0).get<std::string>()),
+        ReadCall(message.at(1).get<std::size_t>(), message.at(2))};
+  });
+}
+
+std::string EncodeAnswer(const i_keyring& keys, const peer_answer& answer) {
+  return Seal(keys, kAnswerPurpose,
+              json::array({answer.index(),
+                           std::visit(answer_writer{}, answer)}));
+}
+
+peer_answer DecodeAnswer(const i_keyring& keys, const std::string& bytes) {
+  return Decoded([&] {
+    const json message = Open(keys, kAnswerPurpose, bytes);
+    return ReadAnswer(message.at(0).get<std::size_t>(), message.at(1));
+  });
+}
+
+}  // namespace wist
--- /dev/null
+++ b/src/peer_link/peer_link_module.h
@@ -0,0 +1,25 @@
+#ifndef PEER_LINK_PEER_LINK_MODULE_H_
+#define PEER_LINK_PEER_LINK_MODULE_H_
+
+#include <memory>
+
+#include "framework/base/i_clock.h"
+#include "framework/keys/i_keyring.h"
+#include "peer_link/i_peer_link.h"
+
+namespace wist {
+
+std::shared_ptr<i_peer_link> MakePeerLink(
+    std::shared_ptr<const i_clock> clock,
+    std::shared_ptr<const i_keyring> keys,
+    const domain_id& from);
+
+// Throws peer_error if the address is taken.
+std::unique_ptr<i_peer_server> MakePeerServer(
+    const std::string& address,
+    std::shared_ptr<const i_keyring> keys,
+    peer_handler handler);
+
+}  // namespace wist
+
+#endif  // PEER_LINK_PEER_LINK_MODULE_H_
--- /dev/null
+++ b/src/peer_link/peer_types.h
@@ -0,0 +1,68 @@
+#ifndef PEER_LINK_PEER_TYPES_H_
+#define PEER_LINK_PEER_TYPES_H_
+
+#include <stdexcept>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "cluster/cluster_types.h"
+#include "coldstart/coldstart_types.h"
+#include "quota/quota_types.h"
+
+namespace wist {
+
+// Calls from one instance to another.
+struct gossip_call {
+  gossip told;
+};
+// Asks for the configuration held, as text.
+struct configuration_call {};
+struct tally_call {
+  instance_id member;
+  std::vector<target_tally> tallies;
+};
+struct permit_call {
+  instance_id member;
+  std::vector<cold_request> requests;
+};
+using peer_call =
+    std::variant<gossip_call, configuration_call, tally_call, permit_call>;
+
+// A call with the failure domain that it comes from.
+struct addressed_call {
+  domain_id from;
+  peer_call call;
+};
+
+// Answers, in the order of the calls.
+struct gossip_answer {
+  gossip told;
+};
+struct configuration_answer {
+  std::string document;  // Empty if none is held.
+};
+// Deadlines of the grants are not carried; they count from the call.
+struct tally_answer {
+  std::vector<quota_grant> grants;
+};
+struct permit_answer {
+  std::vector<cold_permit> permits;
+};
+// The callee does not do this.
+struct refusal_answer {};
+using peer_answer = std::variant<gossip_answer,
+                                 configuration_answer,
+                                 tally_answer,
+                                 permit_answer,
+                                 refusal_answer>;
+
+// A peer could not be reached, or its message was not understood.
+class peer_error : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+}  // namespace wist
+
+#endif  // PEER_LINK_PEER_TYPES_H_
