--- /dev/null
+++ b/examples/guild.cc
@@ -0,0 +1,57 @@
+// The New England Tortoise Overwintering Guild: four failure domains, twelve
+// care-plan workers and four for bookings and the status desk.
+
+#include <fmt/format.h>
+
+#include "examples/program.h"
+
+namespace {
+
+constexpr int kEngines = 12;
+constexpr int kDesks = 4;
+constexpr std::int64_t kEngineMemoryTokens = 40'000;
+constexpr std::int32_t kColdBearable = 4;
+constexpr std::int32_t kEntryInstances = 3;
+
+const char* const kDomains[] = {"nashua", "worcester", "hartford",
+                                "burlington"};
+
+wist::configuration_body Build(
+    const wist::examples::deployment_addresses& addresses) {
+  wist::configuration_builder builder;
+  for (const char* domain : kDomains)
+    builder.AddDomain(domain, "new-england", kEntryInstances);
+  for (int i = 0; i < kEngines; ++i) {
+    builder.AddEngine(
+        fmt::format("care-{}", i + 1), kDomains[i % 4], addresses.host,
+        static_cast<std::uint16_t>(addresses.first_engine_port + i),
+        kEngineMemoryTokens, kColdBearable, i % 3 == 0);
+  }
+  for (int i = 0; i < kDesks; ++i) {
+    builder.AddPlainTarget(
+        fmt::format("berth-{}", i + 1), kDomains[i], addresses.host,
+        static_cast<std::uint16_t>(addresses.first_plain_port + i));
+  }
+  builder.AddWorkspace("boarding-nashua", 250, 6000, 1)
+      .AddWorkspace("boarding-hartford", 250, 6000, 1);
+  for (const char* workspace :
+       {"boarding-worcester", "boarding-burlington", "boarding-keene",
+        "boarding-salem", "boarding-bangor", "boarding-newport", "keepers",
+        "owners"})
+    builder.AddWorkspace(workspace, 60, 3000, 2);
+  builder.AddGenerationService("care-plans", "care-planner", {1900, 33, 950})
+      .AddPlainService("berths", /*repeatable=*/false)
+      .AddPlainService("status", /*repeatable=*/true);
+  const auto engines = builder.TargetsOf(wist::service_kind::generation);
+  const auto desks = builder.TargetsOf(wist::service_kind::plain);
+  builder.Bind("*", "care-plans", engines)
+      .Bind("*", "berths", desks)
+      .Bind("*", "status", desks);
+  return builder.body();
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  return wist::examples::RunProgram(argc, argv, Build);
+}
--- a/src/admission/i_admission.h
+++ b/src/admission/i_admission.h
@@ -42,6 +42,9 @@
   // next report.
   virtual void OnTargetFailure(const target_id& target, timestamp now) = 0;
 
+  // Returns the targets that some rule leads to from here.
+  virtual std::vector<target_id> UsedTargets() const = 0;
+
   // Exchanges work with the other instances.
   virtual std::vector<target_tally> Tallies(timestamp now) = 0;
   virtual void OnGrant(const quota_grant& grant) = 0;
--- a/src/admission/internal/baseline_admission.cc
+++ b/src/admission/internal/baseline_admission.cc
@@ -74,6 +74,13 @@
     targets_[target].failed = true;
   }
 
+  std::vector<target_id> UsedTargets() const override {
+    std::vector<target_id> used;
+    for (const auto& [id, state] : targets_)
+      used.push_back(id);
+    return used;
+  }
+
   std::vector<target_tally> Tallies(timestamp) override { return {}; }
   void OnGrant(const quota_grant&) override {}
   void SetInstanceCount(int) override {}
--- a/src/admission/internal/forecast_admission.cc
+++ b/src/admission/internal/forecast_admission.cc
@@ -110,6 +110,8 @@
       book->OnFailure();
   }
 
+  std::vector<target_id> UsedTargets() const override { return used_targets_; }
+
   std::vector<target_tally> Tallies(timestamp) override {
     std::vector<target_tally> tallies;
     const double queued =
--- /dev/null
+++ b/src/apps/wistctl/audit_command.h
@@ -0,0 +1,13 @@
+#ifndef APPS_WISTCTL_AUDIT_COMMAND_H_
+#define APPS_WISTCTL_AUDIT_COMMAND_H_
+
+#include "apps/wistctl/control_command.h"
+
+namespace wist {
+
+// Returns 0 if the logs have no finding.
+int RunAudit(const control_command& command);
+
+}  // namespace wist
+
+#endif  // APPS_WISTCTL_AUDIT_COMMAND_H_
--- /dev/null
+++ b/src/apps/wistctl/control_command.h
@@ -0,0 +1,32 @@
+#ifndef APPS_WISTCTL_CONTROL_COMMAND_H_
+#define APPS_WISTCTL_CONTROL_COMMAND_H_
+
+#include <cstdint>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace wist {
+
+// A call of wistctl.
+struct control_command {
+  std::string name;
+  std::vector<std::string> arguments;
+  std::string platform;
+  std::string author;
+  std::string digest;
+  std::string instances;
+  std::string windows;
+  std::string format;
+  std::int64_t grace_ms = 0;
+};
+
+// The call's words are off.
+class usage_error : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+}  // namespace wist
+
+#endif  // APPS_WISTCTL_CONTROL_COMMAND_H_
--- /dev/null
+++ b/src/apps/wistctl/main.cc
@@ -0,0 +1,155 @@
+#include <fmt/format.h>
+
+#include <boost/program_options.hpp>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <map>
+
+#include "apps/wistctl/audit_command.h"
+#include "apps/wistctl/configuration_commands.h"
+#include "apps/wistctl/control_command.h"
+#include "apps/wistctl/status_command.h"
+#include "configuration/configuration_text.h"
+#include "operator_api/operator_types.h"
+#include "platform/platform_types.h"
+
+namespace wist {
+namespace {
+
+namespace po = boost::program_options;
+
+constexpr int kExitOk = 0;
+constexpr int kExitFailed = 1;
+constexpr int kExitUsage = 2;
+
+using command_function = int (*)(const control_command&);
+
+struct named_command {
+  const char* usage;
+  command_function run;
+};
+
+const std::map<std::string, named_command>& Commands() {
+  static const std::map<std::string, named_command> commands = {
+      {"plan", {"plan FILE: show the configuration in FILE", RunPlan}},
+      {"apply",
+       {"apply FILE --digest D: put the plan with digest D in force",
+        RunApply}},
+      {"show", {"show: print the configuration in force", RunShow}},
+      {"history", {"history: list the accepted changes", RunHistory}},
+      {"status", {"status HOST:PORT...: ask instances", RunStatus}},
+      {"domain", {"domain out|in NAME: take out or bring back", RunDomain}},
+      {"target", {"target leave|return NAME", RunTarget}},
+      {"burn",
+       {"burn --instances HOST:PORT,... : service-level burn", RunBurn}},
+      {"audit", {"audit LOG...: check the logs of all instances", RunAudit}},
+  };
+  return commands;
+}
+
+po::options_description Options() {
+  po::options_description options("options");
+  auto add = options.add_options();
+  add("help", "print this text and exit");
+  add("version", "print the version and exit");
+  add("platform", po::value<std::string>(),
+      "the platform's service, host:port (or WISTERIATALLY_PLATFORM)");
+  add("author", po::value<std::string>(),
+      "who makes the change (or WISTERIATALLY_AUTHOR, or USER)");
+  add("digest", po::value<std::string>(), "digest that plan printed");
+  add("instances", po::value<std::string>(), "host:port[,host:port...]");
+  add("windows", po::value<std::string>()->default_value("5,60"),
+      "burn windows in seconds, the longest one is waited for");
+  add("format", po::value<std::string>()->default_value("table"),
+      "table, json or html");
+  add("grace-ms", po::value<std::int64_t>()->default_value(3000),
+      "time a domain may still get work after it was taken out");
+  return options;
+}
+
+void PrintHelp() {
+  fmt::print("wistctl, the operators' tool.\n\ncommands:\n");
+  for (const auto& [name, command] : Commands())
+    fmt::print("  {}\n", command.usage);
+  std::cout << "\n" << Options();
+}
+
+std::string FlagOrVariable(const po::variables_map& values,
+                           const std::string& flag,
+                           const char* variable) {
+  if (values.count(flag))
+    return values[flag].as<std::string>();
+  const char* set = std::getenv(variable);
+  return set ? set : "";
+}
+
+control_command ToCommand(const po::variables_map& values) {
+  control_command command;
+  command.arguments = values["arguments"].as<std::vector<std::string>>();
+  command.name = command.arguments.front();
+  command.arguments.erase(command.arguments.begin());
+  command.platform =
+      FlagOrVariable(values, "platform", "WISTERIATALLY_PLATFORM");
+  command.author = FlagOrVariable(values, "author", "WISTERIATALLY_AUTHOR");
+  if (command.author.empty())
+    command.author = FlagOrVariable(values, "author", "USER");
+  if (values.count("digest"))
+    command.digest = values["digest"].as<std::string>();
+  if (values.count("instances"))
+    command.instances = values["instances"].as<std::string>();
+  command.windows = values["windows"].as<std::string>();
+  command.format = values["format"].as<std::string>();
+  command.grace_ms = values["grace-ms"].as<std::int64_t>();
+  return command;
+}
+
+int Run(int argc, char** argv) {
+  po::options_description all = Options();
+  all.add_options()("arguments", po::value<std::vector<std::string>>());
+  po::positional_options_description positional;
+  positional.add("arguments", -1);
+  po::variables_map values;
+  po::store(po::command_line_parser(argc, argv)
+                .options(all)
+                .positional(positional)
+                .run(),
+            values);
+  if (values.count("version")) {
+    fmt::print("wistctl {}\n", WIST_VERSION);
+    return kExitOk;
+  }
+  if (values.count("help") || !values.count("arguments")) {
+    PrintHelp();
+    return values.count("help") ? kExitOk : kExitUsage;
+  }
+  const control_command command = ToCommand(values);
+  const auto found = Commands().find(command.name);
+  if (found == Commands().end())
+    throw usage_error("no command '" + command.name + "'; see --help");
+  return found->second.run(command);
+}
+
+}  // namespace
+}  // namespace wist
+
+int main(int argc, char** argv) {
+  using namespace wist;
+  try {
+    return Run(argc, argv);
+  } catch (const configuration_refused& refused) {
+    for (const configuration_fault& fault : refused.faults())
+      fmt::print(stderr, "wistctl: {}: {}\n", fault.place, fault.text);
+    return kExitFailed;
+  } catch (const usage_error& error) {
+    fmt::print(stderr, "wistctl: {}\n", error.what());
+    return kExitUsage;
+  } catch (const po::error& error) {
+    fmt::print(stderr, "wistctl: {}\n", error.what());
+    return kExitUsage;
+  } catch (const std::exception& error) {
+    fmt::print(stderr, "wistctl: {}\n", error.what());
+    return kExitFailed;
+  }
+}
--- /dev/null
+++ b/src/apps/wisteriatally/main.cc
@@ -0,0 +1,158 @@
+#include <fmt/format.h>
+#include <signal.h>
+
+#include <atomic>
+#include <cstdlib>
+#include <thread>
+
+#include "claims/claims_module.h"
+#include "entry/entry_module.h"
+#include "framework/base/system_clock.h"
+#include "framework/http/http_module.h"
+#include "framework/keys/keys_module.h"
+#include "framework/logging/logging_module.h"
+#include "metrics/metrics_module.h"
+#include "node/node_module.h"
+#include "platform/platform_module.h"
+#include "settings/settings_module.h"
+
+namespace wist {
+namespace {
+
+constexpr int kExitBadSettings = 2;
+constexpr int kExitFailed = 1;
+constexpr milliseconds kStopPoll{20};
+
+// Threads beyond the streams, for health checks and status.
+constexpr int kSpareThreads = 8;
+
+std::string AddressText(const http_address& address) {
+  return fmt::format("{}:{}", address.host, address.port);
+}
+
+node_settings ToNodeSettings(const entry_settings& settings) {
+  node_settings node;
+  node.instance = instance_id(settings.instance);
+  node.domain = domain_id(settings.domain);
+  node.peer_address = AddressText(settings.peer_listen);
+  for (const http_address& peer : settings.seed_peers)
+    node.seed_peers.push_back(AddressText(peer));
+  node.poll_interval = settings.poll_interval;
+  return node;
+}
+
+http_server_settings ToServerSettings(const entry_settings& settings) {
+  http_server_settings server;
+  server.host = settings.listen.host;
+  server.port = settings.listen.port;
+  server.max_threads = settings.max_streams + kSpareThreads;
+  server.max_queued = settings.max_streams;
+  server.max_body_bytes = settings.max_body_bytes;
+  return server;
+}
+
+sigset_t StopSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  return signals;
+}
+
+// Finishes requests in flight; a second signal stops at once.
+void StopInOrder(const entry_settings& settings,
+                 const i_clock& clock,
+                 i_logger& logger,
+                 i_node& node,
+                 i_entry_service& entry) {
+  logger.Write(log_level::info, "stopping", {});
+  std::thread([signals = StopSignals()] {
+    int received = 0;
+    sigwait(&signals, &received);
+    std::_Exit(kExitFailed);
+  }).detach();
+  const timestamp stop_deadline = clock.Now() + settings.stop_limit;
+  entry.BeginStopping();
+  node.BeginLeaving();
+  while (entry.InFlight() > 0 && clock.Now() < stop_deadline)
+    std::this_thread::sleep_for(kStopPoll);
+  logger.Write(log_level::info, "stopped",
+               {{"cut", static_cast<std::int64_t>(entry.InFlight())}});
+}
+
+int Serve(const entry_settings& settings) {
+  const sigset_t signals = StopSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  signal(SIGPIPE, SIG_IGN);
+
+  const auto clock = MakeSystemClock();
+  const auto http = MakeHttpClient(clock);
+  const auto logger =
+      MakeStderrLogger(settings.lowest_log_level, settings.instance);
+  const auto keys = MakeKeyring(settings.keys);
+  const std::shared_ptr<i_kv_store> store =
+      MakeHttpKvStore(http, clock, settings.platform, settings.domain);
+  const std::shared_ptr<i_claim_registry> claims =
+      MakeClaimRegistry(store, clock, {});
+  const std::shared_ptr<i_node> node =
+      MakeNode(ToNodeSettings(settings),
+               {clock, http, store,
+                MakeHttpInstanceList(http, settings.platform, settings.domain),
+                keys, logger});
+  const auto entry = MakeEntryService(
+      {settings.instance, settings.domain, settings.start_limit,
+       settings.log_caller_text},
+      {clock, http, keys, logger, MakePrometheusMetrics(), claims, node});
+  const auto server = MakeHttpServer(
+      ToServerSettings(settings),
+      [&](const http_server_request& request, i_http_responder& responder) {
+        entry->Handle(request, responder);
+      });
+  logger->Write(log_level::info, "serving",
+                {{"listen", AddressText(settings.listen)}});
+
+  int received = 0;
+  sigwait(&signals, &received);
+  StopInOrder(settings, *clock, *logger, *node, *entry);
+  // NOTE: the process ends here; requests past the stop deadline are cut, and
+  // waiting for their threads would only hide that.
+  std::_Exit(0);
+}
+
+void PrintSettings(const entry_command& command) {
+  for (const shown_setting& setting : command.shown)
+    fmt::print("{} = {} ({})\n", setting.name, setting.value, setting.source);
+}
+
+int Run(const entry_command& command) {
+  switch (command.action) {
+    case entry_action::help:
+      fmt::print("{}", EntryHelp());
+      return 0;
+    case entry_action::version:
+      fmt::print("wisteriatally {}\n", WIST_VERSION);
+      return 0;
+    case entry_action::print_settings:
+      PrintSettings(command);
+      return 0;
+    case entry_action::serve:
+      return Serve(command.settings);
+  }
+  return kExitFailed;
+}
+
+}  // namespace
+}  // namespace wist
+
+int main(int argc, char** argv) {
+  try {
+    return wist::Run(wist::ReadEntryCommand({argv + 1, argv + argc}));
+  } catch (const wist::settings_error& error) {
+    for (const std::string& fault : error.faults())
+      fmt::print(stderr, "wisteriatally: {}\n", fault);
+    return wist::kExitBadSettings;
+  } catch (const std::exception& error) {
+    fmt::print(stderr, "wisteriatally: {}\n", error.what());
+    return wist::kExitFailed;
+  }
+}
--- /dev/null
+++ b/src/burn/internal/metrics_text.cc
@@ -0,0 +1,128 @@
+#include <map>
+#include <optional>
+#include <sstream>
+
+#include "burn/burn_module.h"
+
+namespace wist {
+namespace {
+
+// One line of the Prometheus text format.
+struct metric_line {
+  std::string name;
+  std::map<std::string, std::string> labels;
+  double value = 0;
+};
+
+// Reads `key="value"` pairs; values of this product hold no quotes.
+std::map<std::string, std::string> ParseLabels(const std::string& text) {
+  std::map<std::string, std::string> labels;
+  std::size_t start = 0;
+  while (start < text.size()) {
+    const std::size_t equal = text.find("=\"", start);
+    if (equal == std::string::npos)
+      break;
+    const std::size_t end = text.find('"', equal + 2);
+    if (end == std::string::npos)
+      break;
+    labels[text.substr(start, equal - start)] =
+        text.substr(equal + 2, end - equal - 2);
+    start = end + 1;
+    if (start < text.size() && text[start] == ',')
+      ++start;
+  }
+  return labels;
+}
+
+std::optional<metric_line> ParseLine(const std::string& text) {
+  if (text.empty() || text[0] == '#')
+    return std::nullopt;
+  metric_line line;
+  const std::size_t space = text.rfind(' ');
+  if (space == std::string::npos)
+    return std::nullopt;
+  std::istringstream(text.substr(space + 1)) >> line.value;
+  const std::size_t brace = text.find('{');
+  if (brace == std::string::npos) {
+    line.name = text.substr(0, space);
+    return line;
+  }
+  const std::size_t close = text.rfind('}');
+  if (close == std::string::npos || close < brace)
+    return std::nullopt;
+  line.name = text.substr(0, brace);
+  line.labels = ParseLabels(text.substr(brace + 1, close - brace - 1));
+  return line;
+}
+
+// Returns the largest bucket bound that is not above `limit`, a bucket's count
+// being taken if it is the best so far.
+class bucket_choice {
+ public:
+  void Offer(const metric_line& line, double limit_seconds) {
+    const auto bound = line.labels.find("le");
+    if (bound == line.labels.end() || bound->second == "+Inf")
+      return;
+    const double value = std::stod(bound->second);
+    if (value > limit_seconds + 1e-9 || value < best_bound_)
+      return;
+    best_bound_ = value;
+    count_ = line.value;
+  }
+  double count() const { return count_; }
+
+ private:
+  double best_bound_ = -1;
+  double count_ = 0;
+};
+
+objective_spec ObjectiveOf(const std::vector<service_spec>& services,
+                           const std::string& service) {
+  for (const service_spec& spec : services) {
+    if (spec.id.text() == service)
+      return spec.objective;
+  }
+  return {};
+}
+
+}  // namespace
+
+void AddMetrics(const std::string& metrics_text,
+                const std::vector<service_spec>& services,
+                burn_sample& sample) {
+  std::map<burn_subject, bucket_choice> first_tokens;
+  std::map<burn_subject, bucket_choice> gaps;
+  std::istringstream stream(metrics_text);
+  for (std::string text; std::getline(stream, text);) {
+    const auto line = ParseLine(text);
+    if (!line || !line->labels.contains("workspace"))
+      continue;
+    const burn_subject subject{line->labels.at("service"),
+                               line->labels.at("workspace"),
+                               line->labels.at("domain")};
+    if (subject.service.empty())
+      continue;
+    const objective_spec objective = ObjectiveOf(services, subject.service);
+    burn_counts& counts = sample[subject];
+    if (line->name == "wisteriatally_requests_total")
+      counts.requests += line->value;
+    else if (line->name == "wisteriatally_refusals_total")
+      counts.refusals += line->value;
+    else if (line->name == "wisteriatally_stall_seconds_total")
+      counts.stall_seconds += line->value;
+    else if (line->name == "wisteriatally_first_token_seconds_count")
+      counts.first_tokens += line->value;
+    else if (line->name == "wisteriatally_between_tokens_seconds_count")
+      counts.gaps += line->value;
+    else if (line->name == "wisteriatally_first_token_seconds_bucket")
+      first_tokens[subject].Offer(*line, objective.first_token_ms / 1000.0);
+    else if (line->name == "wisteriatally_between_tokens_seconds_bucket")
+      gaps[subject].Offer(*line, objective.between_tokens_ms / 1000.0);
+  }
+  for (const auto& [subject, choice] : first_tokens)
+    sample[subject].first_tokens_in_time += choice.count();
+  for (const auto& [subject, choice] : gaps)
+    sample[subject].gaps_in_time += choice.count();
+}
+
+}  // namespace wist
--- /dev/null
+++ b/src/entry/internal/generation_service.h
@@ -0,0 +1,69 @@
+#ifndef ENTRY_INTERNAL_GENERATION_SERVICE_H_
+#define ENTRY_INTERNAL_GENERATION_SERVICE_H_
+
+#include <optional>
+#include <vector>
+
+#include "entry/entry_module.h"
+#include "entry/internal/caller_request.h"
+#include "entry/internal/deferred_canceller.h"
+#include "entry/internal/exchange_record.h"
+#include "entry/internal/generation_link.h"
+#include "entry/internal/token_sink.h"
+
+namespace wist {
+
+// Runs generations for callers. Thread-safe.
+class generation_service {
+ public:
+  generation_service(const entry_service_settings& settings,
+                     const entry_services& services);
+
+  // These fill in `record`. They throw request_error for a refusal and
+  // http_peer_gone if the caller left.
+  void Run(const generation_request& request,
+           exchange_record& record,
+           i_http_responder& responder);
+  void Resume(const resume_point& point,
+              exchange_record& record,
+              i_http_responder& responder);
+
+ private:
+  class admitted_slot;
+
+  void CheckLimits(const generation_request& request) const;
+  request_admitted Admit(const generation_request& request,
+                         const std::vector<target_id>& excluded,
+                         timestamp start_deadline,
+                         run_verdict verdict) const;
+  void RunOn(const target_spec& target,
+             const generation_request& request,
+             const metric_labels& labels,
+             timestamp arrived_at,
+             admitted_slot& slot,
+             exchange_record& record,
+             token_sink& sink);
+  void Relay(generation_link& link,
+             const resume_point& generation,
+             const target_spec& target,
+             const metric_labels& labels,
+             timestamp arrived_at,
+             admitted_slot* slot,
+             exchange_record& record,
+             token_sink& sink);
+  void OnLost(const generation_lost& lost,
+              const generation_request& request,
+              const target_spec& target,
+              exchange_record& record,
+              token_sink& sink) const;
+  std::optional<target_spec> FindTarget(const target_id& id) const;
+
+  const entry_service_settings settings_;
+  const entry_services services_;
+  const record_writer records_;
+  deferred_canceller canceller_;
+};
+
+}  // namespace wist
+
+#endif  // ENTRY_INTERNAL_GENERATION_SERVICE_H_
--- /dev/null
+++ b/src/framework/base/periodic_thread.h
@@ -0,0 +1,52 @@
+#ifndef FRAMEWORK_BASE_PERIODIC_THREAD_H_
+#define FRAMEWORK_BASE_PERIODIC_THREAD_H_
+
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <thread>
+
+#include "framework/base/time_types.h"
+
+namespace wist {
+
+// Runs a step again and again, with a pause between, until it is destroyed.
+class periodic_thread {
+ public:
+  periodic_thread(milliseconds pause, std::function<void()> step)
+      : pause_(pause), step_(std::move(step)), thread_([this] { Run(); }) {}
+
+  ~periodic_thread() {
+    {
+      std::lock_guard lock(mutex_);
+      stopping_ = true;
+    }
+    stop_.notify_all();
+    thread_.join();
+  }
+
+  periodic_thread(const periodic_thread&) = delete;
+  periodic_thread& operator=(const periodic_thread&) = delete;
+
+ private:
+  void Run() {
+    std::unique_lock lock(mutex_);
+    while (!stopping_) {
+      lock.unlock();
+      step_();
+      lock.lock();
+      stop_.wait_for(lock, pause_, [this] { return stopping_; });
+    }
+  }
+
+  const milliseconds pause_;
+  const std::function<void()> step_;
+  std::mutex mutex_;
+  std::condition_variable stop_;
+  bool stopping_ = false;
+  std::thread thread_;
+};
+
+}  // namespace wist
+
+#endif  // FRAMEWORK_BASE_PERIODIC_THREAD_H_
--- /dev/null
+++ b/src/metrics/i_metrics.h
@@ -0,0 +1,44 @@
+#ifndef METRICS_I_METRICS_H_
+#define METRICS_I_METRICS_H_
+
+#include <string>
+#include <string_view>
+
+#include "framework/base/time_types.h"
+
+namespace wist {
+
+// What a measurement belongs to.
+struct metric_labels {
+  std::string service;
+  std::string workspace;
+  std::string domain;
+
+  auto operator<=>(const metric_labels&) const = default;
+};
+
+// Counts and times what callers see. Thread-safe.
+class i_metrics {
+ public:
+  virtual ~i_metrics() = default;
+
+  virtual void OnRequest(const metric_labels& labels) = 0;
+  virtual void OnRefusal(const metric_labels& labels,
+                         std::string_view code,
+                         std::string_view verdict) = 0;
+  virtual void OnFirstToken(const metric_labels& labels,
+                            microseconds since_request) = 0;
+
+  // A token came `gap` after the one before it.
+  virtual void OnTokenGap(const metric_labels& labels, microseconds gap) = 0;
+
+  virtual void SetStreams(int streams) = 0;
+  virtual void SetControlBytes(double bytes) = 0;
+
+  // Returns all metrics in the Prometheus text format.
+  virtual std::string Text() = 0;
+};
+
+}  // namespace wist
+
+#endif  // METRICS_I_METRICS_H_
--- /dev/null
+++ b/src/metrics/internal/prometheus_metrics.cc
@@ -0,0 +1,144 @@
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <map>
+#include <mutex>
+#include <sstream>
+
+#include "metrics/metrics_module.h"
+
+namespace wist {
+namespace {
+
+using prometheus::Histogram;
+
+// A token that comes later than this after the last one counts as a stall.
+constexpr double kStallSeconds = 0.2;
+
+const Histogram::BucketBoundaries kFirstTokenSeconds = {
+    0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 1.6, 1.9, 2.2, 3, 5, 10};
+const Histogram::BucketBoundaries kGapSeconds = {
+    0.005, 0.01, 0.015, 0.02, 0.025, 0.03, 0.033, 0.036, 0.04,
+    0.05,  0.07, 0.1,   0.2,  0.5,   1,    2,     5};
+
+double ToSeconds(microseconds span) {
+  return static_cast<double>(span.count()) / 1e6;
+}
+
+prometheus::Labels ToLabels(const metric_labels& labels) {
+  return {{"service", labels.service},
+          {"workspace", labels.workspace},
+          {"domain", labels.domain}};
+}
+
+class prometheus_metrics final : public i_metrics {
+ public:
+  prometheus_metrics()
+      : requests_(prometheus::BuildCounter()
+                      .Name("wisteriatally_requests_total")
+                      .Help("Requests taken")
+                      .Register(registry_)),
+        refusals_(prometheus::BuildCounter()
+                      .Name("wisteriatally_refusals_total")
+                      .Help("Refused requests by code and verdict")
+                      .Register(registry_)),
+        stall_seconds_(prometheus::BuildCounter()
+                           .Name("wisteriatally_stall_seconds_total")
+                           .Help("Time beyond 0.2 s between two tokens")
+                           .Register(registry_)),
+        first_token_(prometheus::BuildHistogram()
+                         .Name("wisteriatally_first_token_seconds")
+                         .Help("Time from request to first token")
+                         .Register(registry_)),
+        gaps_(prometheus::BuildHistogram()
+                  .Name("wisteriatally_between_tokens_seconds")
+                  .Help("Time between two tokens of a stream")
+                  .Register(registry_)),
+        streams_(prometheus::BuildGauge()
+                     .Name("wisteriatally_streams")
+                     .Help("Requests in flight")
+                     .Register(registry_)
+                     .Add({})),
+        control_bytes_(prometheus::BuildGauge()
+                           .Name("wisteriatally_control_bytes")
+                           .Help("Bytes of peer messages since the start")
+                           .Register(registry_)
+                           .Add({})) {}
+
+  void OnRequest(const metric_labels& labels) override {
+    Cached(labels).requests->Increment();
+  }
+
+  void OnRefusal(const metric_labels& labels,
+                 std::string_view code,
+                 std::string_view verdict) override {
+    prometheus::Labels all = ToLabels(labels);
+    all["code"] = code;
+    all["verdict"] = verdict;
+    refusals_.Add(all).Increment();
+  }
+
+  void OnFirstToken(const metric_labels& labels,
+                    microseconds since_request) override {
+    Cached(labels).first_token->Observe(ToSeconds(since_request));
+  }
+
+  void OnTokenGap(const metric_labels& labels, microseconds gap) override {
+    const double gap_seconds = ToSeconds(gap);
+    const series& own = Cached(labels);
+    own.gaps->Observe(gap_seconds);
+    if (gap_seconds > kStallSeconds)
+      own.stall_seconds->Increment(gap_seconds - kStallSeconds);
+  }
+
+  void SetStreams(int streams) override { streams_.Set(streams); }
+  void SetControlBytes(double bytes) override { control_bytes_.Set(bytes); }
+
+  std::string Text() override {
+    std::ostringstream out;
+    prometheus::TextSerializer().Serialize(out, registry_.Collect());
+    return out.str();
+  }
+
+ private:
+  struct series {
+    prometheus::Counter* requests = nullptr;
+    prometheus::Counter* stall_seconds = nullptr;
+    Histogram* first_token = nullptr;
+    Histogram* gaps = nullptr;
+  };
+
+  const series& Cached(const metric_labels& labels) {
+    std::lock_guard lock(mutex_);
+    const auto [found, added] = series_.try_emplace(labels);
+    if (added) {
+      const prometheus::Labels all = ToLabels(labels);
+      found->second = {&requests_.Add(all), &stall_seconds_.Add(all),
+                       &first_token_.Add(all, kFirstTokenSeconds),
+                       &gaps_.Add(all, kGapSeconds)};
+    }
+    return found->second;
+  }
+
+  prometheus::Registry registry_;
+  prometheus::Family<prometheus::Counter>& requests_;
+  prometheus::Family<prometheus::Counter>& refusals_;
+  prometheus::Family<prometheus::Counter>& stall_seconds_;
+  prometheus::Family<Histogram>& first_token_;
+  prometheus::Family<Histogram>& gaps_;
+  prometheus::Gauge& streams_;
+  prometheus::Gauge& control_bytes_;
+  std::mutex mutex_;
+  std::map<metric_labels, series> series_;
+};
+
+}  // namespace
+
+std::shared_ptr<i_metrics> MakePrometheusMetrics() {
+  return std::make_shared<prometheus_metrics>();
+}
+
+}  // namespace wist
--- /dev/null
+++ b/src/node/i_admission_desk.h
@@ -0,0 +1,27 @@
+#ifndef NODE_I_ADMISSION_DESK_H_
+#define NODE_I_ADMISSION_DESK_H_
+
+#include "admission/admission_types.h"
+
+namespace wist {
+
+// Where request threads wait for a target. Thread-safe.
+class i_admission_desk {
+ public:
+  virtual ~i_admission_desk() = default;
+
+  // Blocks until the request is admitted or shed.
+  virtual admission_event Admit(const admission_request& request) = 0;
+
+  // Whether the request may still be sent. Called right before the send: a
+  // permit or a domain's word may have lapsed since it was admitted.
+  virtual bool MaySend(const request_admitted& admitted) = 0;
+
+  virtual void OnProgress(request_number request, std::int64_t tokens_out) = 0;
+  virtual void OnEnd(request_number request, generation_end end) = 0;
+  virtual void OnTargetFailure(const target_id& target) = 0;
+};
+
+}  // namespace wist
+
+#endif  // NODE_I_ADMISSION_DESK_H_
--- /dev/null
+++ b/src/node/i_node.h
@@ -0,0 +1,27 @@
+#ifndef NODE_I_NODE_H_
+#define NODE_I_NODE_H_
+
+#include "node/i_admission_desk.h"
+#include "node/i_limit_desk.h"
+#include "node/i_node_status.h"
+#include "node/i_plain_router.h"
+
+namespace wist {
+
+// The part of an instance that acts together with the others.
+class i_node {
+ public:
+  virtual ~i_node() = default;
+
+  virtual i_admission_desk& admission() = 0;
+  virtual i_limit_desk& limits() = 0;
+  virtual i_plain_router& plain_router() = 0;
+  virtual i_node_status& status() = 0;
+
+  // Leaves the platform's list and hands duties over; requests go on.
+  virtual void BeginLeaving() = 0;
+};
+
+}  // namespace wist
+
+#endif  // NODE_I_NODE_H_
--- /dev/null
+++ b/src/node/internal/admission_desk.cc
@@ -0,0 +1,136 @@
+#include "node/internal/admission_desk.h"
+
+#include "admission/admission_module.h"
+
+namespace wist {
+
+admission_desk::admission_desk(const node_settings& settings,
+                               std::shared_ptr<const i_clock> clock,
+                               std::shared_ptr<cluster_desk> cluster)
+    : clock_(std::move(clock)),
+      cluster_(std::move(cluster)),
+      admission_(MakeForecastAdmission({},
+                                       cluster_,
+                                       settings.instance,
+                                       settings.domain)) {}
+
+admission_event admission_desk::Admit(const admission_request& request) {
+  std::unique_lock lock(mutex_);
+  const request_number number = admission_->Submit(request, clock_->Now());
+  ++waiting_;
+  PumpLocked();
+  decided_.wait(lock, [&] { return decisions_.contains(number); });
+  --waiting_;
+  const admission_event event = decisions_.extract(number).mapped();
+  return event;
+}
+
+bool admission_desk::MaySend(const request_admitted& admitted) {
+  std::lock_guard lock(mutex_);
+  const auto spec = targets_.find(admitted.target);
+  if (spec == targets_.end())
+    return false;
+  const timestamp now = clock_->Now();
+  if (!cluster_->MayDispatch(spec->second, now))
+    return false;
+  if (!reported_cold_[admitted.target])
+    return true;
+  std::int32_t running = 0;
+  for (const auto& [number, target] : running_)
+    running += target == admitted.target ? 1 : 0;
+  return running <= cluster_->ColdAllowance(spec->second, now);
+}
+
+void admission_desk::OnProgress(request_number request,
+                                std::int64_t tokens_out) {
+  std::lock_guard lock(mutex_);
+  admission_->OnProgress(request, tokens_out, clock_->Now());
+}
+
+void admission_desk::OnEnd(request_number request, generation_end end) {
+  std::lock_guard lock(mutex_);
+  running_.erase(request);
+  admission_->OnEnd(request, end, clock_->Now());
+  PumpLocked();
+}
+
+void admission_desk::OnTargetFailure(const target_id& target) {
+  std::lock_guard lock(mutex_);
+  admission_->OnTargetFailure(target, clock_->Now());
+}
+
+void admission_desk::ApplyConfiguration(const configuration_body& body) {
+  std::lock_guard lock(mutex_);
+  admission_->ApplyConfiguration(body);
+  targets_.clear();
+  for (const target_spec& target : body.targets)
+    targets_[target.id] = target;
+  PumpLocked();
+}
+
+void admission_desk::OnReport(const target_id& target,
+                              const target_report& report) {
+  std::lock_guard lock(mutex_);
+  reported_cold_[target] = report.cold;
+  admission_->OnReport(target, report, clock_->Now());
+  PumpLocked();
+}
+
+void admission_desk::SetInstanceCount(int count) {
+  std::lock_guard lock(mutex_);
+  admission_->SetInstanceCount(count);
+}
+
+std::vector<target_spec> admission_desk::UsedTargets() const {
+  std::lock_guard lock(mutex_);
+  std::vector<target_spec> used;
+  for (const target_id& id : admission_->UsedTargets()) {
+    const auto spec = targets_.find(id);
+    if (spec != targets_.end())
+      used.push_back(spec->second);
+  }
+  return used;
+}
+
+std::vector<target_tally> admission_desk::Tallies() {
+  std::lock_guard lock(mutex_);
+  return admission_->Tallies(clock_->Now());
+}
+
+void admission_desk::OnGrants(const std::vector<quota_grant>& grants) {
+  std::lock_guard lock(mutex_);
+  for (const quota_grant& grant : grants)
+    admission_->OnGrant(grant);
+  PumpLocked();
+}
+
+void admission_desk::Pump() {
+  std::lock_guard lock(mutex_);
+  PumpLocked();
+}
+
+void admission_desk::PumpLocked() {
+  const auto events = admission_->Pump(clock_->Now());
+  for (const admission_event& event : events) {
+    std::visit([&](const auto& e) { decisions_[e.request] = event; }, event);
+    if (const auto* admitted = std::get_if<request_admitted>(&event))
+      running_[admitted->request] = admitted->target;
+  }
+  if (!events.empty())
+    decided_.notify_all();
+}
+
+std::vector<cold_load> admission_desk::ColdLoads() const {
+  std::lock_guard lock(mutex_);
+  std::map<target_id, std::int32_t> running;
+  for (const auto& [number, target] : running_)
+    ++running[target];
+  std::vector<cold_load> loads;
+  for (const auto& [target, cold] : reported_cold_) {
+    if (cold)
+      loads.push_back({target, running[target], waiting_});
+  }
+  return loads;
+}
+
+}  // namespace wist
--- /dev/null
+++ b/src/node/internal/cluster_desk.cc
@@ -0,0 +1,148 @@
+#include "node/internal/cluster_desk.h"
+
+#include "cluster/cluster_module.h"
+#include "coldstart/coldstart_module.h"
+#include "framework/base/hashing.h"
+#include "quota/quota_module.h"
+
+namespace wist {
+namespace {
+
+member_record SelfRecord(const node_settings& settings, const i_clock& clock) {
+  member_record self;
+  self.id = settings.instance;
+  self.domain = settings.domain;
+  self.address = settings.peer_address;
+  self.incarnation = static_cast<std::uint64_t>(
+      clock.CalendarNow().time_since_epoch().count());
+  return self;
+}
+
+}  // namespace
+
+cluster_desk::cluster_desk(const node_settings& settings,
+                           std::shared_ptr<const i_clock> clock)
+    : clock_(std::move(clock)),
+      view_(MakeClusterView({},
+                            SelfRecord(settings, *clock_),
+                            StableHash(settings.instance.text()))),
+      allowance_(MakeColdAllowance({}, settings.domain, clock_->Now())),
+      steward_(MakeColdSteward({})),
+      quota_book_(MakeQuotaBook()) {}
+
+bool cluster_desk::MayDispatch(const target_spec& target, timestamp now) const {
+  std::lock_guard lock(mutex_);
+  return target.state == target_state::active &&
+         view_->MayDispatchInto(target.domain, now);
+}
+
+std::int32_t cluster_desk::ColdAllowance(const target_spec& target,
+                                         timestamp now) const {
+  std::lock_guard lock(mutex_);
+  return allowance_->Allowance(target.id, now);
+}
+
+void cluster_desk::ApplyConfiguration(const configuration_document& document) {
+  std::lock_guard lock(mutex_);
+  view_->OnConfiguration(document);
+  allowance_->ApplyConfiguration(document.body);
+  steward_->ApplyConfiguration(document.body);
+}
+
+void cluster_desk::OnReport(const target_id& target,
+                            const target_report& report) {
+  std::lock_guard lock(mutex_);
+  steward_->OnReport(target, report, clock_->Now());
+}
+
+void cluster_desk::OnLease(const kv_lease& lease) {
+  std::lock_guard lock(mutex_);
+  lease_ = lease;
+  steward_->OnLease(lease, clock_->Now());
+}
+
+void cluster_desk::OnStoreRead(std::int64_t version, timestamp read_at) {
+  std::lock_guard lock(mutex_);
+  view_->OnStoreRead(version, read_at);
+}
+
+void cluster_desk::AddSeed(const std::string& address) {
+  std::lock_guard lock(mutex_);
+  view_->AddSeed(address);
+}
+
+void cluster_desk::SetLeaving() {
+  std::lock_guard lock(mutex_);
+  view_->SetLeaving();
+}
+
+gossip cluster_desk::Tell() {
+  std::lock_guard lock(mutex_);
+  return view_->Tell(clock_->Now());
+}
+
+void cluster_desk::OnGossipAnswer(const gossip& told, timestamp called_at) {
+  std::lock_guard lock(mutex_);
+  view_->OnAnswer(told, called_at, clock_->Now());
+}
+
+void cluster_desk::OnGossipCall(const gossip& told) {
+  std::lock_guard lock(mutex_);
+  view_->OnCall(told, clock_->Now());
+}
+
+std::vector<quota_grant> cluster_desk::ExchangeTallies(const tally_call& call) {
+  std::lock_guard lock(mutex_);
+  return quota_book_->Exchange(call.member, call.tallies, clock_->Now());
+}
+
+std::vector<cold_permit> cluster_desk::ExchangePermits(
+    const permit_call& call) {
+  std::lock_guard lock(mutex_);
+  return steward_->Exchange(call.member, call.requests, clock_->Now());
+}
+
+void cluster_desk::OnPermit(const cold_permit& permit, timestamp asked_at) {
+  std::lock_guard lock(mutex_);
+  allowance_->OnPermit(permit, asked_at);
+}
+
+cold_request cluster_desk::AskFor(const target_id& target,
+                                  std::int32_t running,
+                                  std::int32_t wanted) const {
+  std::lock_guard lock(mutex_);
+  return allowance_->Ask(target, running, wanted);
+}
+
+std::optional<std::string> cluster_desk::NextPeer() {
+  std::lock_guard lock(mutex_);
+  return view_->NextPeer(clock_->Now());
+}
+
+std::vector<member_record> cluster_desk::LiveMembers() const {
+  std::lock_guard lock(mutex_);
+  return view_->LiveMembers(clock_->Now());
+}
+
+std::vector<member_record> cluster_desk::LiveMembersOf(
+    const domain_id& domain) const {
+  std::lock_guard lock(mutex_);
+  return view_->LiveMembersOf(domain, clock_->Now());
+}
+
+bool cluster_desk::StoreIsFresh() const {
+  std::lock_guard lock(mutex_);
+  return view_->StoreIsFresh(clock_->Now());
+}
+
+bool cluster_desk::Superseded() const {
+  std::lock_guard lock(mutex_);
+  return view_->Superseded();
+}
+
+bool cluster_desk::HoldsLease() const {
+  std::lock_guard lock(mutex_);
+  return lease_ && clock_->Now() < lease_->deadline;
+}
+
+}  // namespace wist
--- /dev/null
+++ b/src/node/internal/cluster_desk.h
@@ -0,0 +1,69 @@
+#ifndef NODE_INTERNAL_CLUSTER_DESK_H_
+#define NODE_INTERNAL_CLUSTER_DESK_H_
+
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <vector>
+
+#include "admission/i_target_gate.h"
+#include "cluster/i_cluster_view.h"
+#include "coldstart/i_cold_allowance.h"
+#include "coldstart/i_cold_steward.h"
+#include "framework/base/i_clock.h"
+#include "node/node_module.h"
+#include "peer_link/peer_types.h"
+#include "quota/i_quota_book.h"
+
+namespace wist {
+
+// The tables about other instances behind one lock. Thread-safe.
+//
+// Lock order of the node: admission desk, then limit desk, then this.
+class cluster_desk final : public i_target_gate {
+ public:
+  cluster_desk(const node_settings& settings,
+               std::shared_ptr<const i_clock> clock);
+
+  // i_target_gate:
+  bool MayDispatch(const target_spec& target, timestamp now) const override;
+  std::int32_t ColdAllowance(const target_spec& target,
+                             timestamp now) const override;
+
+  void ApplyConfiguration(const configuration_document& document);
+  void OnReport(const target_id& target, const target_report& report);
+  void OnLease(const kv_lease& lease);
+  void OnStoreRead(std::int64_t version, timestamp read_at);
+  void AddSeed(const std::string& address);
+  void SetLeaving();
+
+  gossip Tell();
+  void OnGossipAnswer(const gossip& told, timestamp called_at);
+  void OnGossipCall(const gossip& told);
+  std::vector<quota_grant> ExchangeTallies(const tally_call& call);
+  std::vector<cold_permit> ExchangePermits(const permit_call& call);
+  void OnPermit(const cold_permit& permit, timestamp asked_at);
+  cold_request AskFor(const target_id& target,
+                      std::int32_t running,
+                      std::int32_t wanted) const;
+
+  std::optional<std::string> NextPeer();
+  std::vector<member_record> LiveMembers() const;
+  std::vector<member_record> LiveMembersOf(const domain_id& domain) const;
+  bool StoreIsFresh() const;
+  bool Superseded() const;
+  bool HoldsLease() const;
+
+ private:
+  const std::shared_ptr<const i_clock> clock_;
+  mutable std::mutex mutex_;
+  std::unique_ptr<i_cluster_view> view_;
+  std::unique_ptr<i_cold_allowance> allowance_;
+  std::unique_ptr<i_cold_steward> steward_;
+  std::unique_ptr<i_quota_book> quota_book_;
+  std::optional<kv_lease> lease_;
+};
+
+}  // namespace wist
+
+#endif  // NODE_INTERNAL_CLUSTER_DESK_H_
--- /dev/null
+++ b/src/node/internal/limit_desk.cc
@@ -0,0 +1,112 @@
+#include "node/internal/limit_desk.h"
+
+namespace wist {
+namespace {
+
+constexpr std::string_view kWorkspacePrefix = "workspace/";
+constexpr std::size_t kMostToldStrikes = 64;
+
+}  // namespace
+
+bool IsWorkspaceTally(const target_id& name) {
+  return name.text().rfind(kWorkspacePrefix, 0) == 0;
+}
+
+limit_desk::limit_desk(std::shared_ptr<const i_clock> clock)
+    : clock_(std::move(clock)),
+      limiter_(MakeWorkspaceLimiter()),
+      retry_budget_(MakeRetryBudget()),
+      quarantine_(MakeQuarantine()) {}
+
+std::optional<timestamp> limit_desk::TakeRequest(
+    const workspace_id& workspace) {
+  std::lock_guard lock(mutex_);
+  return limiter_->Take(workspace, clock_->Now());
+}
+
+void limit_desk::OnFirstTry() {
+  std::lock_guard lock(mutex_);
+  retry_budget_->OnFirstTry();
+}
+
+bool limit_desk::TryRetry() {
+  std::lock_guard lock(mutex_);
+  return retry_budget_->TryRetry();
+}
+
+std::optional<timestamp> limit_desk::QuarantinedUntil(
+    const std::string& request_digest) {
+  std::lock_guard lock(mutex_);
+  return quarantine_->QuarantinedUntil(request_digest, clock_->Now());
+}
+
+std::vector<target_id> limit_desk::StruckTargets(
+    const std::string& request_digest) {
+  std::lock_guard lock(mutex_);
+  return quarantine_->StruckTargets(request_digest, clock_->Now());
+}
+
+void limit_desk::AddStrike(const std::string& request_digest,
+                           const target_id& target) {
+  std::lock_guard lock(mutex_);
+  const timestamp now = clock_->Now();
+  quarantine_->AddStrike({request_digest, target, now + kStrikeValidity}, now);
+}
+
+void limit_desk::ApplyConfiguration(const configuration_body& body) {
+  std::lock_guard lock(mutex_);
+  limiter_->ApplyConfiguration(body, clock_->Now());
+}
+
+void limit_desk::SetInstanceCount(int count) {
+  std::lock_guard lock(mutex_);
+  limiter_->SetInstanceCount(count);
+}
+
+std::vector<target_tally> limit_desk::DemandTallies() {
+  std::lock_guard lock(mutex_);
+  std::vector<target_tally> tallies;
+  for (const limit_demand& demand : limiter_->Demands()) {
+    target_tally tally;
+    tally.target =
+        target_id(std::string(kWorkspacePrefix) + demand.workspace.text());
+    tally.demand = demand.requests;
+    tallies.push_back(tally);
+  }
+  return tallies;
+}
+
+void limit_desk::OnGrants(const std::vector<quota_grant>& grants) {
+  std::lock_guard lock(mutex_);
+  for (const quota_grant& grant : grants) {
+    if (!IsWorkspaceTally(grant.target))
+      continue;
+    const workspace_id workspace(
+        grant.target.text().substr(kWorkspacePrefix.size()));
+    limiter_->OnShare({workspace, grant.share, grant.deadline});
+  }
+}
+
+std::vector<told_strike> limit_desk::StrikesToTell() {
+  std::lock_guard lock(mutex_);
+  const timestamp now = clock_->Now();
+  std::vector<told_strike> told;
+  for (const crash_strike& strike :
+       quarantine_->Strikes(now, kMostToldStrikes)) {
+    told.push_back(
+        {strike.request_digest, strike.target,
+         std::chrono::duration_cast<milliseconds>(strike.deadline - now)});
+  }
+  return told;
+}
+
+void limit_desk::OnToldStrikes(const std::vector<told_strike>& strikes) {
+  std::lock_guard lock(mutex_);
+  const timestamp now = clock_->Now();
+  for (const told_strike& strike : strikes) {
+    quarantine_->AddStrike(
+        {strike.request_digest, strike.target, now + strike.counts_for}, now);
+  }
+}
+
+}  // namespace wist
--- /dev/null
+++ b/src/node/internal/limit_desk.h
@@ -0,0 +1,53 @@
+#ifndef NODE_INTERNAL_LIMIT_DESK_H_
+#define NODE_INTERNAL_LIMIT_DESK_H_
+
+#include <memory>
+#include <mutex>
+
+#include "cluster/cluster_types.h"
+#include "framework/base/i_clock.h"
+#include "limits/limits_module.h"
+#include "node/i_limit_desk.h"
+
+namespace wist {
+
+// The limits behind a lock.
+class limit_desk final : public i_limit_desk {
+ public:
+  explicit limit_desk(std::shared_ptr<const i_clock> clock);
+
+  // i_limit_desk:
+  std::optional<timestamp> TakeRequest(const workspace_id& workspace) override;
+  void OnFirstTry() override;
+  bool TryRetry() override;
+  std::optional<timestamp> QuarantinedUntil(
+      const std::string& request_digest) override;
+  std::vector<target_id> StruckTargets(
+      const std::string& request_digest) override;
+  void AddStrike(const std::string& request_digest,
+                 const target_id& target) override;
+
+  void ApplyConfiguration(const configuration_body& body);
+  void SetInstanceCount(int count);
+
+  // Demand and shares travel as tallies of pseudo targets.
+  std::vector<target_tally> DemandTallies();
+  void OnGrants(const std::vector<quota_grant>& grants);
+
+  std::vector<told_strike> StrikesToTell();
+  void OnToldStrikes(const std::vector<told_strike>& strikes);
+
+ private:
+  const std::shared_ptr<const i_clock> clock_;
+  std::mutex mutex_;
+  std::unique_ptr<i_workspace_limiter> limiter_;
+  std::unique_ptr<i_retry_budget> retry_budget_;
+  std::unique_ptr<i_quarantine> quarantine_;
+};
+
+// Whether a tally's name is a workspace's.
+bool IsWorkspaceTally(const target_id& name);
+
+}  // namespace wist
+
+#endif  // NODE_INTERNAL_LIMIT_DESK_H_
--- /dev/null
+++ b/src/node/internal/plain_router.cc
@@ -0,0 +1,78 @@
+#include "node/internal/plain_router.h"
+
+#include <algorithm>
+
+namespace wist {
+namespace {
+
+// A target that failed is left alone for this long.
+constexpr milliseconds kFailureHold{1000};
+
+constexpr char kAnyWorkspace[] = "*";
+
+const rule_spec* FindRule(const configuration_body& body,
+                          const workspace_id& workspace,
+                          const service_id& service) {
+  const rule_spec* general = nullptr;
+  for (const rule_spec& rule : body.rules) {
+    if (rule.service != service)
+      continue;
+    if (rule.workspace == workspace)
+      return &rule;
+    if (rule.workspace.text() == kAnyWorkspace)
+      general = &rule;
+  }
+  return general;
+}
+
+bool Contains(const std::vector<target_id>& ids, const target_id& id) {
+  return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+}  // namespace
+
+plain_router::plain_router(const domain_id& domain,
+                           std::shared_ptr<const i_clock> clock,
+                           std::shared_ptr<cluster_desk> cluster)
+    : domain_(domain), clock_(std::move(clock)), cluster_(std::move(cluster)) {}
+
+std::optional<target_spec> plain_router::Choose(
+    const workspace_id& workspace,
+    const service_id& service,
+    const std::vector<target_id>& excluded) {
+  std::lock_guard lock(mutex_);
+  const timestamp now = clock_->Now();
+  const rule_spec* rule = FindRule(body_, workspace, service);
+  if (!rule)
+    return std::nullopt;
+  std::vector<target_spec> local;
+  std::vector<target_spec> foreign;
+  for (const target_spec& target : body_.targets) {
+    const auto failed = failed_until_.find(target.id);
+    const bool held_off = failed != failed_until_.end() && now < failed->second;
+    if (!Contains(rule->targets, target.id) || Contains(excluded, target.id) ||
+        held_off || !cluster_->MayDispatch(target, now))
+      continue;
+    (target.domain == domain_ ? local : foreign).push_back(target);
+  }
+  const auto& usable = local.empty() ? foreign : local;
+  if (usable.empty())
+    return std::nullopt;
+  return usable[turn_++ % usable.size()];
+}
+
+bool plain_router::MaySend(const target_spec& target) {
+  return cluster_->MayDispatch(target, clock_->Now());
+}
+
+void plain_router::OnFailure(const target_id& target) {
+  std::lock_guard lock(mutex_);
+  failed_until_[target] = clock_->Now() + kFailureHold;
+}
+
+void plain_router::ApplyConfiguration(const configuration_body& body) {
+  std::lock_guard lock(mutex_);
+  body_ = body;
+}
+
+}  // namespace wist
--- /dev/null
+++ b/src/operator_api/operator_types.h
@@ -0,0 +1,63 @@
+#ifndef OPERATOR_API_OPERATOR_TYPES_H_
+#define OPERATOR_API_OPERATOR_TYPES_H_
+
+#include <compare>
+#include <cstdint>
+#include <stdexcept>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "configuration/configuration_types.h"
+
+namespace wist {
+
+// A change as it is shown before it is accepted. What is applied is exactly
+// `text`.
+struct change_plan {
+  configuration_body body;
+  std::string text;
+  std::string digest;
+  std::vector<std::string> difference;
+  std::int64_t base_version = 0;
+  std::uint64_t base_revision = 0;
+  std::vector<change_record> base_history;
+};
+
+// Outcomes of an apply.
+struct change_accepted {
+  std::int64_t version = 0;
+  std::string change_id;
+  auto operator<=>(const change_accepted&) const = default;
+};
+// Another change came first.
+struct change_overtaken {
+  std::int64_t version = 0;
+  std::string change_id;
+  std::string author;
+  auto operator<=>(const change_overtaken&) const = default;
+};
+// The store did not settle it in time; planning again shows what is in force.
+struct change_in_doubt {
+  std::string change_id;
+  auto operator<=>(const change_in_doubt&) const = default;
+};
+using apply_result =
+    std::variant<change_accepted, change_overtaken, change_in_doubt>;
+
+// A configuration that cannot work.
+class configuration_refused : public std::runtime_error {
+ public:
+  explicit configuration_refused(std::vector<configuration_fault> faults)
+      : std::runtime_error("the configuration has faults"),
+        faults_(std::move(faults)) {}
+
+  const std::vector<configuration_fault>& faults() const { return faults_; }
+
+ private:
+  std::vector<configuration_fault> faults_;
+};
+
+}  // namespace wist
+
+#endif  // OPERATOR_API_OPERATOR_TYPES_H_
--- /dev/null
+++ b/src/operator_api/tests/operator_client_test.cc
@@ -0,0 +1,74 @@
+#include <catch2/catch.hpp>
+
+#include "configuration/configuration_text.h"
+#include "configuration/tests/mocks/sample_configuration.h"
+#include "framework/base/tests/mocks/virtual_clock.h"
+#include "operator_api/configuration_builder.h"
+#include "operator_api/operator_api_module.h"
+#include "platform/tests/mocks/model_kv_store.h"
+
+namespace wist {
+namespace {
+
+struct fixture {
+  timestamp Soon() const { return clock->Now() + seconds(5); }
+
+  std::shared_ptr<virtual_clock> clock = std::make_shared<virtual_clock>();
+  std::shared_ptr<model_kv_store> store =
+      std::make_shared<model_kv_store>(*clock);
+  std::unique_ptr<i_operator_client> client = MakeOperatorClient(store, clock);
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(fixture, "what was shown is what is in force") {
+  const change_plan plan = client->Plan(SampleBody(), Soon());
+  const auto result = client->Apply(plan, "anna", Soon());
+  REQUIRE(std::holds_alternative<change_accepted>(result));
+  const configuration_document shown = client->Show(Soon());
+  CHECK(CanonicalText(shown.body) == plan.text);
+  CHECK(shown.version == 1);
+  CHECK(shown.history.back().digest == plan.digest);
+}
+
+TEST_CASE_METHOD(fixture, "the second of two operators is told who won") {
+  const change_plan first = client->Plan(SampleBody(), Soon());
+  const change_plan second = client->Plan(SampleBody(), Soon());
+  const auto won = client->Apply(first, "anna", Soon());
+  const auto lost = client->Apply(second, "bert", Soon());
+  REQUIRE(std::holds_alternative<change_overtaken>(lost));
+  CHECK(std::get<change_overtaken>(lost).author == "anna");
+  CHECK(std::get<change_overtaken>(lost).change_id ==
+        std::get<change_accepted>(won).change_id);
+}
+
+TEST_CASE_METHOD(fixture, "a lost answer to the write is settled") {
+  const change_plan plan = client->Plan(SampleBody(), Soon());
+  SECTION("when it took effect") {
+    store->lost_answers = 1;
+  }
+  SECTION("when it did not") {
+    store->lost_writes = 1;
+  }
+  const auto result = client->Apply(plan, "anna", Soon());
+  CHECK(std::holds_alternative<change_accepted>(result));
+  CHECK(client->Show(Soon()).version == 1);
+}
+
+TEST_CASE_METHOD(fixture, "a configuration that cannot work is refused") {
+  configuration_body body = SampleBody();
+  body.rules[0].targets.clear();
+  CHECK_THROWS_AS(client->Plan(body, Soon()), configuration_refused);
+}
+
+TEST_CASE_METHOD(fixture, "a plan shows only what changes") {
+  client->Apply(client->Plan(SampleBody(), Soon()), "anna", Soon());
+  const auto body =
+      WithDomainState(SampleBody(), domain_id("brest"), domain_state::out);
+  CHECK(client->Plan(body, Soon()).difference.size() == 2);
+  CHECK_THROWS_AS(
+      WithDomainState(body, domain_id("nowhere"), domain_state::out),
+      std::invalid_argument);
+}
+
+}  // namespace wist
--- a/stand_ins/engine/engine_main.cc
+++ b/stand_ins/engine/engine_main.cc
@@ -77,7 +77,7 @@
       return Generate(request, responder);
     const std::string id = PathTail(request.path, "/v1/generations/");
     if (!id.empty() && request.method == "DELETE")
-      return Cancel(id, responder);
+      return Cancel(id, request, responder);
     if (!id.empty())
       return Resume(id, request, responder);
     SendJson(responder, 404, json::object());
@@ -188,19 +188,25 @@
     {
       std::lock_guard lock(mutex_);
       const auto found = generations_.find(id);
-      if (found == generations_.end())
+      if (found == generations_.end() || found->second.lost)
         return SendJson(responder, 410, {{"error", "no such generation"}});
       ++found->second.readers;
     }
     Stream(id, from, request.QueryValue("as"), responder);
   }
 
-  void Cancel(const std::string& id, i_http_responder& responder) {
+  void Cancel(const std::string& id,
+              const http_server_request& request,
+              i_http_responder& responder) {
     std::lock_guard lock(mutex_);
-    model_.Cancel(id);
     const auto found = generations_.find(id);
-    if (found != generations_.end())
-      found->second.lost = true;
+    if (found == generations_.end() || found->second.finished)
+      return SendJson(responder, 200, json::object());
+    if (request.QueryValue("unless_read") == "true" &&
+        found->second.readers > 0)
+      return SendJson(responder, 409, {{"error", "it is being read"}});
+    model_.Cancel(id);
+    found->second.lost = true;
     ++cancelled_;
     progress_.notify_all();
     SendJson(responder, 200, json::object());
