--- /dev/null
+++ b/bench/policy/fleet.h
@@ -0,0 +1,32 @@
+#ifndef BENCH_POLICY_FLEET_H_
+#define BENCH_POLICY_FLEET_H_
+
+#include <cstdint>
+#include <string>
+
+#include "admission/admission_types.h"
+#include "bench/policy/measures.h"
+#include "stand_ins/engine/engine_types.h"
+
+namespace wist::bench {
+
+// A run of the experiment.
+struct run_settings {
+  std::string deployment = "korrigan";
+  std::string policy = "forecast";
+  std::string event = "none";
+  std::uint64_t seed = 1;
+  double load = 0.9;  // Part of the engines' capacity.
+  double seconds = 120;
+  double warm_up_seconds = 20;
+  milliseconds tally_interval{1000};
+  stand_ins::engine_settings engine;
+  admission_settings admission;
+};
+
+// Runs all instances and engines of a deployment on a virtual clock.
+measures RunFleet(const run_settings& settings);
+
+}  // namespace wist::bench
+
+#endif  // BENCH_POLICY_FLEET_H_
--- /dev/null
+++ b/bench/policy/main.cc
@@ -0,0 +1,54 @@
+#include <boost/program_options.hpp>
+#include <iostream>
+
+#include "bench/policy/fleet.h"
+
+namespace po = boost::program_options;
+
+int main(int argc, char** argv) {
+  using namespace wist::bench;
+  run_settings settings;
+  po::options_description options("policy experiment on a virtual clock");
+  auto add = options.add_options();
+  add("help", "print this text");
+  add("deployment", po::value(&settings.deployment), "korrigan or guild");
+  add("policy", po::value(&settings.policy),
+      "forecast, round_robin, least_outstanding or two_choices");
+  add("event", po::value(&settings.event),
+      "none, domain_out_return, engine_deaths, hot_prefix, report_lag, "
+      "warm_turns_cold, large_workspace_surge, long_tail_lengths, kv_outage "
+      "or partition");
+  add("seed", po::value(&settings.seed), "seed");
+  add("load", po::value(&settings.load), "part of the engines' capacity");
+  add("seconds", po::value(&settings.seconds), "measured time");
+  add("risk-deviate", po::value(&settings.admission.risk_deviate),
+      "accepted risk of the forecast");
+  add("foreign-penalty", po::value(&settings.admission.foreign_penalty),
+      "preference for targets of the own failure domain");
+  std::int64_t tally_interval_ms = settings.tally_interval.count();
+  add("tally-interval-ms", po::value(&tally_interval_ms),
+      "time between exchanges of tallies");
+  add("max-running", po::value(&settings.admission.max_running_a_target),
+      "bound of running generations a target, 0 for none");
+  try {
+    po::variables_map values;
+    po::store(po::parse_command_line(argc, argv, options), values);
+    po::notify(values);
+    if (values.count("help")) {
+      std::cout << options;
+      return 0;
+    }
+    settings.tally_interval = wist::milliseconds(tally_interval_ms);
+    nlohmann::json result = ToJson(RunFleet(settings));
+    result["deployment"] = settings.deployment;
+    result["policy"] = settings.policy;
+    result["event"] = settings.event;
+    result["seed"] = settings.seed;
+    result["load"] = settings.load;
+    std::cout << result.dump() << "\n";
+    return 0;
+  } catch (const std::exception& error) {
+    std::cerr << "policy: " << error.what() << "\n";
+    return 2;
+  }
+}
--- a/src/admission/admission_types.h
+++ b/src/admission/admission_types.h
@@ -67,7 +67,7 @@
 
 struct admission_settings {
   // Chance accepted that memory runs out, as the normal deviate of one minus it.
-  double risk_deviate = 2.0;
+  double risk_deviate = 4.0;
   // Part of a target's memory that is never planned for.
   double memory_reserve = 0.02;
   // Forecasts assume this many generations at the most, so that steps stay
@@ -80,6 +80,9 @@
   double prefix_slack = 0.10;
   // How long a prefix is believed to stay cached after its last use.
   seconds prefix_validity{60};
+  // How much less loaded a target of another failure domain has to be, as a
+  // part of its memory, to be preferred to one of the own domain.
+  double foreign_penalty = 0;
   // Targets considered for one rule at the most.
   std::size_t subset_size = 16;
   std::size_t max_queued = 512;
--- a/src/admission/internal/forecast_admission.cc
+++ b/src/admission/internal/forecast_admission.cc
@@ -270,9 +270,11 @@
     std::optional<candidate> cached;
     for (const target_id& id : *RuleTargets(request)) {
       target_book* book = Find(id);
-      const auto share = PlannedShare(book, request, added, lengths, now);
+      auto share = PlannedShare(book, request, added, lengths, now);
       if (!share)
         continue;
+      if (book->spec().domain != domain_)
+        *share += settings_.foreign_penalty;
       if (!best || *share < best->planned_share)
         best = candidate{book, *share};
       const bool holds = !request.prefix.empty() &&
--- a/stand_ins/engine/engine_types.h
+++ b/stand_ins/engine/engine_types.h
@@ -16,7 +16,7 @@
   microseconds step_base{8'000};
   microseconds step_per_sequence{200};
   microseconds step_per_prefill_token{40};
-  int prefill_tokens_a_step = 512;
+  int prefill_tokens_a_step = 256;
   // Prompt prefixes kept after their generations end, in tokens.
   std::int64_t prefix_cache_tokens = 16'000;
   milliseconds report_lag{500};
