Exchange tallies as often as the fleet's size allows

Ruled out: the preference for own-domain targets (reverted here); a hard split of the room into token grants (a ninth of the room is less than one request).

--- a/bench/policy/fleet.cc
+++ b/bench/policy/fleet.cc
@@ -505,12 +505,11 @@
     End(index, generation_end::finished);
   }
 
-  // Service relative to demand: every workspace asks in proportion to its
-  // weight, and shares follow the weights.
+  // Service relative to demand, which is in proportion to the shares.
   void NoteService(const request_state& request, double tokens) {
     const workspace_load& own = load_.workspaces()[request.drawn.workspace];
     measured_.workspace_service[request.drawn.workspace] +=
-        tokens / own.weight;
+        tokens / own.weight / own.median_output;
   }
 
   // Control ------------------------------------------------------------------
--- a/bench/policy/fleet.h
+++ b/bench/policy/fleet.h
@@ -19,7 +19,7 @@
   double load = 0.9;  // Part of the engines' capacity.
   double seconds = 120;
   double warm_up_seconds = 20;
-  milliseconds tally_interval{1000};
+  milliseconds tally_interval{50};
   stand_ins::engine_settings engine;
   admission_settings admission;
 };
--- a/bench/policy/main.cc
+++ b/bench/policy/main.cc
@@ -23,8 +23,6 @@
   add("seconds", po::value(&settings.seconds), "measured time");
   add("risk-deviate", po::value(&settings.admission.risk_deviate),
       "accepted risk of the forecast");
-  add("foreign-penalty", po::value(&settings.admission.foreign_penalty),
-      "preference for targets of the own failure domain");
   std::int64_t tally_interval_ms = settings.tally_interval.count();
   add("tally-interval-ms", po::value(&tally_interval_ms),
       "time between exchanges of tallies");
--- a/src/admission/admission_types.h
+++ b/src/admission/admission_types.h
@@ -80,9 +80,6 @@
   double prefix_slack = 0.10;
   // How long a prefix is believed to stay cached after its last use.
   seconds prefix_validity{60};
-  // How much less loaded a target of another failure domain has to be, as a
-  // part of its memory, to be preferred to one of the own domain.
-  double foreign_penalty = 0;
   // Targets considered for one rule at the most.
   std::size_t subset_size = 16;
   std::size_t max_queued = 512;
--- a/src/admission/internal/forecast_admission.cc
+++ b/src/admission/internal/forecast_admission.cc
@@ -112,14 +112,15 @@
 
   std::vector<target_id> UsedTargets() const override { return used_targets_; }
 
-  std::vector<target_tally> Tallies(timestamp) override {
+  std::vector<target_tally> Tallies(timestamp now) override {
     std::vector<target_tally> tallies;
     const double queued =
         static_cast<double>(queue_.size()) /
         static_cast<double>(std::max<std::size_t>(1, used_targets_.size()));
     for (const target_id& target : used_targets_) {
-      if (target_book* book = Find(target))
-        tallies.push_back(book->Tally(queued));
+      target_book* book = Find(target);
+      if (book && book->WantsTally(queued, now))
+        tallies.push_back(book->Tally(queued, now));
     }
     return tallies;
   }
@@ -270,11 +271,9 @@
     std::optional<candidate> cached;
     for (const target_id& id : *RuleTargets(request)) {
       target_book* book = Find(id);
-      auto share = PlannedShare(book, request, added, lengths, now);
+      const auto share = PlannedShare(book, request, added, lengths, now);
       if (!share)
         continue;
-      if (book->spec().domain != domain_)
-        *share += settings_.foreign_penalty;
       if (!best || *share < best->planned_share)
         best = candidate{book, *share};
       const bool holds = !request.prefix.empty() &&
--- a/src/admission/internal/target_book.cc
+++ b/src/admission/internal/target_book.cc
@@ -9,6 +9,10 @@
 constexpr std::size_t kHistoryLength = 256;
 constexpr std::size_t kPrefixesKept = 64;
 
+// An instance that has nothing on a target tells so this often.
+constexpr milliseconds kIdleTallyInterval{1000};
+constexpr double kLeastDemand = 0.01;
+
 // Part of the last interval's demand that is carried into the next.
 constexpr double kDemandMemory = 0.5;
 
@@ -160,7 +164,13 @@
   return report_->running + report_->waiting + added * instance_count;
 }
 
-target_tally target_book::Tally(double queued_demand) {
+bool target_book::WantsTally(double queued_demand, timestamp now) const {
+  return own_running_ > 0 || demand_ > kLeastDemand || queued_demand > 0 ||
+         now >= tallied_at_ + kIdleTallyInterval;
+}
+
+target_tally target_book::Tally(double queued_demand, timestamp now) {
+  tallied_at_ = now;
   target_tally tally;
   tally.target = spec_.id;
   tally.running = own_running_;
--- a/src/admission/internal/target_book.h
+++ b/src/admission/internal/target_book.h
@@ -49,7 +49,9 @@
   // Returns the generations believed to run there, of all instances.
   double RunningEstimate(int instance_count, timestamp now) const;
 
-  target_tally Tally(double queued_demand);
+  // Whether the owner has something to learn, or the grant grows old.
+  bool WantsTally(double queued_demand, timestamp now) const;
+  target_tally Tally(double queued_demand, timestamp now);
 
   void NotePrefix(const std::string& prefix, timestamp cached_until);
   bool HoldsPrefix(const std::string& prefix, timestamp now) const;
@@ -82,6 +84,7 @@
   memory_forecast added_since_tally_;
   std::int32_t added_count_since_tally_ = 0;
   double demand_ = 0;
+  timestamp tallied_at_;
 
   std::map<std::string, timestamp> prefixes_;
 };
--- a/src/node/internal/node.cc
+++ b/src/node/internal/node.cc
@@ -21,6 +21,13 @@
 
 constexpr milliseconds kGossipPause{400};
 constexpr milliseconds kExchangePause{1000};
+
+// Tallies are exchanged at this interval for each member of the own failure
+// domain, so that the bytes a second an owner moves stay bounded.
+constexpr milliseconds kTallyPauseAMember{15};
+constexpr milliseconds kShortestTallyPause{50};
+constexpr milliseconds kLongestTallyPause{1000};
+
 constexpr milliseconds kStorePause{50};
 constexpr milliseconds kDutyPause{2000};
 constexpr milliseconds kPumpPause{20};
@@ -121,7 +128,8 @@
 
   void StartThreads() {
     Start(kGossipPause, [this] { Gossip(); });
-    Start(kExchangePause, [this] { ExchangeTallies(); });
+    Start(kShortestTallyPause, [this] { ExchangeTalliesWhenDue(); });
+    Start(kExchangePause, [this] { ExchangeLimits(); });
     Start(kExchangePause, [this] { ExchangePermits(); });
     Start(kStorePause, [this] { FollowStore(); });
     Start(kDutyPause, [this] { DoPlatformDuties(); });
@@ -246,15 +254,33 @@
 
   // Tallies and permits ------------------------------------------------------
 
+  void ExchangeTalliesWhenDue() {
+    const timestamp now = services_.clock->Now();
+    if (now < next_tallies_at_)
+      return;
+    const auto neighbours =
+        static_cast<int>(cluster_->LiveMembersOf(settings_.domain).size());
+    next_tallies_at_ =
+        now + std::clamp(kTallyPauseAMember * neighbours, kShortestTallyPause,
+                         kLongestTallyPause);
+    ExchangeTallies();
+  }
+
   void ExchangeTallies() {
     const auto members = cluster_->LiveMembers();
-    const int count = std::max<int>(1, static_cast<int>(members.size()));
-    admission_.SetInstanceCount(count);
-    limits_.SetInstanceCount(count);
+    admission_.SetInstanceCount(std::max<int>(1, static_cast<int>(members.size())));
     std::map<std::string, std::vector<target_tally>> by_owner;
     for (const target_tally& tally : admission_.Tallies())
       by_owner[OwnerAddress(DomainOf(tally.target), tally.target, members)]
           .push_back(tally);
+    for (const auto& [address, tallies] : by_owner)
+      ExchangeWith(address, tallies);
+  }
+
+  void ExchangeLimits() {
+    const auto members = cluster_->LiveMembers();
+    limits_.SetInstanceCount(std::max<int>(1, static_cast<int>(members.size())));
+    std::map<std::string, std::vector<target_tally>> by_owner;
     for (const target_tally& tally : limits_.DemandTallies())
       by_owner[OwnerAddress(domain_id(kAllDomains), tally.target, members)]
           .push_back(tally);
@@ -455,6 +481,7 @@
   std::atomic<bool> leaving_ = false;
   std::atomic<bool> heard_peer_ = false;
   bool announced_ = false;
+  timestamp next_tallies_at_;
   std::vector<std::unique_ptr<periodic_thread>> threads_;
 };
 
