--- a/bench/policy/fleet.cc
+++ b/bench/policy/fleet.cc
@@ -62,8 +62,7 @@
 class bench_gate final : public i_target_gate {
  public:
   bench_gate(const domain_id& domain, timestamp started_at)
-      : domain_(domain),
-        allowance(MakeColdAllowance({}, domain, started_at)) {}
+      : domain_(domain), allowance(MakeColdAllowance({}, domain, started_at)) {}
 
   bool MayDispatch(const target_spec& target, timestamp now) const override {
     const auto closed = closed_from.find(target.domain);
@@ -162,8 +161,8 @@
   };
 
   static timestamp At(double seconds_from_start) {
-    return kStart + microseconds(static_cast<std::int64_t>(
-                        seconds_from_start * 1e6));
+    return kStart +
+           microseconds(static_cast<std::int64_t>(seconds_from_start * 1e6));
   }
 
   bool Measuring() const { return now_ >= At(settings_.warm_up_seconds); }
@@ -213,8 +212,7 @@
       engine.spec.memory_tokens = settings_.engine.memory_tokens;
       engine.spec.cold_bearable_requests =
           settings_.engine.cold_bearable_requests;
-      engine.model =
-          std::make_unique<engine_model>(settings_.engine, kStart);
+      engine.model = std::make_unique<engine_model>(settings_.engine, kStart);
       engines_.push_back(std::move(engine));
     }
   }
@@ -225,13 +223,12 @@
       instance_state instance;
       instance.id = instance_id(fmt::format("instance-{}", i));
       instance.domain = DomainOf(i);
-      instance.gate = std::make_shared<bench_gate>(instance.domain,
-                                                   kStart - seconds(60));
+      instance.gate =
+          std::make_shared<bench_gate>(instance.domain, kStart - seconds(60));
       instance.gate->guards_cold = ours;
       if (ours) {
-        instance.admission =
-            MakeForecastAdmission(settings_.admission, instance.gate,
-                                  instance.id, instance.domain);
+        instance.admission = MakeForecastAdmission(
+            settings_.admission, instance.gate, instance.id, instance.domain);
       } else {
         instance.admission = MakeBaselineAdmission(
             BaselineOf(settings_.policy), instance.gate,
@@ -241,7 +238,7 @@
     }
     const configuration_body body = Body();
     for (instance_state& instance : instances_) {
-      instance.admission->ApplyConfiguration(body);
+      instance.admission->ApplyConfiguration(body, now_);
       instance.admission->SetInstanceCount(size_.instances);
       instance.gate->allowance->ApplyConfiguration(body);
     }
@@ -324,9 +321,8 @@
         const std::size_t index = instance.requests.at(admitted->request);
         const std::size_t engine = EngineIndex(admitted->target);
         requests_[index].engine = engine;
-        Schedule(now_ + kLinkDelay, [this, index, engine] {
-          Deliver(index, engine);
-        });
+        Schedule(now_ + kLinkDelay,
+                 [this, index, engine] { Deliver(index, engine); });
       } else {
         const auto& shed = std::get<request_shed>(event);
         const std::size_t index = instance.requests.at(shed.request);
@@ -522,16 +518,14 @@
         continue;
       const stand_ins::engine_report seen = engine.model->Report(now_);
       target_report report;
-      // An idle engine goes on telling the same load.
-      report.taken_at = std::max(seen.at, now_ - settings_.engine.report_lag);
+      report.taken_at = seen.at;
       report.running = seen.running;
       report.waiting = seen.waiting;
       report.memory_used = seen.memory_used;
       report.memory_total = seen.memory_total;
       report.cold = seen.cold;
       instance.admission->OnReport(engine.spec.id, report, now_);
-      stewards_.at(engine.spec.domain)
-          ->OnReport(engine.spec.id, report, now_);
+      stewards_.at(engine.spec.domain)->OnReport(engine.spec.id, report, now_);
     }
   }
 
@@ -568,7 +562,8 @@
       std::int32_t running = 0;
       for (const auto& [number, index] : instance.requests)
         running += requests_[index].engine == i ? 1 : 0;
-      asked.push_back(instance.gate->allowance->Ask(engine.spec.id, running, 2));
+      asked.push_back(
+          instance.gate->allowance->Ask(engine.spec.id, running, 2));
     }
     if (asked.empty())
       return;
@@ -618,6 +613,10 @@
   // The news reaches each instance within two seconds.
   void TakeOut() {
     out_since_[DomainOf(0)] = now_;
+    configuration_body body = Body();
+    body.domains[0].state = domain_state::out;
+    for (instance_state& instance : instances_)
+      instance.admission->ApplyConfiguration(body, now_);
     for (instance_state& instance : instances_)
       instance.gate->closed_from[DomainOf(0)] =
           now_ + milliseconds(random_() % 2000);
@@ -626,6 +625,9 @@
   // Its engines were restarted meanwhile and are cold.
   void BringBack() {
     out_since_.erase(DomainOf(0));
+    const configuration_body body = Body();
+    for (instance_state& instance : instances_)
+      instance.admission->ApplyConfiguration(body, now_);
     for (instance_state& instance : instances_)
       instance.gate->closed_from.erase(DomainOf(0));
     for (std::size_t i = 0; i < engines_.size(); ++i) {
--- a/bench/policy/workload.cc
+++ b/bench/policy/workload.cc
@@ -36,9 +36,8 @@
   for (const workspace_load& workspace : workspaces_)
     weights.push_back(workspace.weight);
   arrival drawn;
-  drawn.workspace =
-      std::discrete_distribution<std::size_t>(weights.begin(), weights.end())(
-          random_);
+  drawn.workspace = std::discrete_distribution<std::size_t>(
+      weights.begin(), weights.end())(random_);
   const workspace_load& own = workspaces_[drawn.workspace];
   std::lognormal_distribution<double> outputs(std::log(own.median_output),
                                               own.output_deviation);
@@ -50,9 +49,8 @@
       static_cast<std::int64_t>(prompts(random_)), 8, kMaxPrompt);
   std::uniform_real_distribution<double> chance(0, 1);
   const double prefix_draw = chance(random_);
-  const auto number =
-      static_cast<int>(random_() % static_cast<std::uint64_t>(
-                                       kPrefixesAWorkspace));
+  const auto number = static_cast<int>(
+      random_() % static_cast<std::uint64_t>(kPrefixesAWorkspace));
   if (prefix_draw < hot_prefix_part_)
     drawn.prefix = "hot";
   else if (prefix_draw < hot_prefix_part_ + kPrefixPart)
@@ -113,10 +111,9 @@
 
 double EngineCapacity(const stand_ins::engine_settings& engine,
                       const workload& load) {
-  const double running =
-      std::min(static_cast<double>(engine.max_running),
-               static_cast<double>(engine.memory_tokens) /
-                   load.MeanFootprint());
+  const double running = std::min(
+      static_cast<double>(engine.max_running),
+      static_cast<double>(engine.memory_tokens) / load.MeanFootprint());
   const double requests_a_step = running / load.MeanOutput();
   const double prefill_a_step =
       requests_a_step * LogNormalMean(kMedianPrompt, kPromptDeviation);
--- a/src/admission/admission_types.h
+++ b/src/admission/admission_types.h
@@ -66,7 +66,8 @@
 };
 
 struct admission_settings {
-  // Chance accepted that memory runs out, as the normal deviate of one minus it.
+  // Chance accepted that memory runs out, as the normal deviate of one minus
+  // it.
   double risk_deviate = 4.0;
   // Part of a target's memory that is never planned for.
   double memory_reserve = 0.02;
--- a/src/admission/i_admission.h
+++ b/src/admission/i_admission.h
@@ -14,7 +14,8 @@
  public:
   virtual ~i_admission() = default;
 
-  virtual void ApplyConfiguration(const configuration_body& body) = 0;
+  virtual void ApplyConfiguration(const configuration_body& body,
+                                  timestamp now) = 0;
 
   // Queues a request; Pump decides on it.
   virtual request_number Submit(const admission_request& request,
--- a/src/admission/internal/baseline_admission.cc
+++ b/src/admission/internal/baseline_admission.cc
@@ -19,7 +19,7 @@
                      std::uint64_t seed)
       : policy_(policy), gate_(std::move(gate)), random_(seed) {}
 
-  void ApplyConfiguration(const configuration_body& body) override {
+  void ApplyConfiguration(const configuration_body& body, timestamp) override {
     for (const target_spec& spec : body.targets)
       targets_[spec.id].spec = spec;
     rules_.clear();
@@ -27,8 +27,7 @@
       rules_[{rule.workspace, rule.service}] = rule.targets;
   }
 
-  request_number Submit(const admission_request& request,
-                        timestamp) override {
+  request_number Submit(const admission_request& request, timestamp) override {
     waiting_.push_back({++last_number_, request});
     return last_number_;
   }
@@ -45,8 +44,7 @@
       target_state& target = targets_[*chosen];
       ++target.outstanding;
       running_[number] = *chosen;
-      events.push_back(
-          request_admitted{number, *chosen, target.report.cold});
+      events.push_back(request_admitted{number, *chosen, target.report.cold});
     }
     waiting_.clear();
     return events;
@@ -123,11 +121,10 @@
       case baseline_policy::round_robin:
         return usable[next_++ % usable.size()];
       case baseline_policy::least_outstanding:
-        return *std::min_element(usable.begin(), usable.end(),
-                                 [&](const auto& a, const auto& b) {
-                                   return targets_[a].outstanding <
-                                          targets_[b].outstanding;
-                                 });
+        return *std::min_element(
+            usable.begin(), usable.end(), [&](const auto& a, const auto& b) {
+              return targets_[a].outstanding < targets_[b].outstanding;
+            });
       case baseline_policy::two_choices:
         return TwoChoices(usable);
     }
--- a/src/admission/internal/fair_queue.cc
+++ b/src/admission/internal/fair_queue.cc
@@ -64,13 +64,12 @@
 }
 
 void fair_queue::Order(std::vector<flow_key>& flows) {
-  std::stable_sort(flows.begin(), flows.end(),
-                   [&](const flow_key& a, const flow_key& b) {
-                     if (a.priority != b.priority)
-                       return a.priority < b.priority;
-                     return AccountOf(a.workspace).served <
-                            AccountOf(b.workspace).served;
-                   });
+  std::stable_sort(
+      flows.begin(), flows.end(), [&](const flow_key& a, const flow_key& b) {
+        if (a.priority != b.priority)
+          return a.priority < b.priority;
+        return AccountOf(a.workspace).served < AccountOf(b.workspace).served;
+      });
 }
 
 std::vector<fair_queue::flow_key> fair_queue::OrderedFlows() {
--- a/src/admission/internal/fair_queue.h
+++ b/src/admission/internal/fair_queue.h
@@ -32,7 +32,8 @@
   // Offers the first request of each flow (workspace, service, priority) in
   // order. A taken one is removed and its flow goes on with the next; a
   // blocked flow is left for this time.
-  void OfferAll(const std::function<offer_answer(const queued_request&)>& offer);
+  void OfferAll(
+      const std::function<offer_answer(const queued_request&)>& offer);
 
   // Charges tokens that a workspace was served.
   void Charge(const workspace_id& workspace, double tokens);
--- a/src/admission/internal/forecast_admission.cc
+++ b/src/admission/internal/forecast_admission.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <optional>
+#include <set>
 #include <unordered_map>
 
 #include "admission/admission_module.h"
@@ -30,10 +31,11 @@
         self_(self),
         domain_(domain) {}
 
-  void ApplyConfiguration(const configuration_body& body) override {
+  void ApplyConfiguration(const configuration_body& body,
+                          timestamp now) override {
     for (const workspace_spec& workspace : body.workspaces)
       queue_.SetShare(workspace.id, workspace.share_permille);
-    UpdateTargets(body);
+    UpdateTargets(body, now);
     rules_.clear();
     for (const rule_spec& rule : body.rules)
       rules_[{rule.workspace, rule.service}] = Subset(rule);
@@ -52,6 +54,8 @@
   std::vector<admission_event> Pump(timestamp now) override {
     std::vector<admission_event> events;
     events.swap(decided_);
+    for (const auto& [id, book] : targets_)
+      book->WatchPace(now);
     ShedLate(now, events);
     queue_.OfferAll([&](const queued_request& queued) {
       return TryAdmit(queued, now, events) ? fair_queue::offer_answer::taken
@@ -71,6 +75,7 @@
     running_generation& running = found->second;
     if (running.out == 0 && tokens_out > 0)
       NoteFirstToken(now - running.sent_at);
+    running.target->OnToken(now);
     running.lengths->OnGrowth(running.out, tokens_out);
     running.service_lengths->OnGrowth(running.out, tokens_out);
     running.out = tokens_out;
@@ -105,9 +110,9 @@
       book->OnReport(report);
   }
 
-  void OnTargetFailure(const target_id& target, timestamp) override {
+  void OnTargetFailure(const target_id& target, timestamp now) override {
     if (target_book* book = Find(target))
-      book->OnFailure();
+      book->OnFailure(now);
   }
 
   std::vector<target_id> UsedTargets() const override { return used_targets_; }
@@ -153,14 +158,25 @@
     double planned_share = 0;
   };
 
-  void UpdateTargets(const configuration_body& body) {
+  void UpdateTargets(const configuration_body& body, timestamp now) {
+    std::set<domain_id> out_domains;
+    for (const domain_spec& domain : body.domains) {
+      if (domain.state == domain_state::out)
+        out_domains.insert(domain.id);
+    }
     for (const target_spec& spec : body.targets) {
       if (spec.kind != service_kind::generation)
         continue;
-      if (target_book* known = Find(spec.id))
-        known->SetSpec(spec);
-      else
+      if (!Find(spec.id))
         targets_.emplace(spec.id, std::make_unique<target_book>(spec));
+      target_book& book = *Find(spec.id);
+      book.SetSpec(spec);
+      const bool away = spec.state == target_state::leaving ||
+                        out_domains.contains(spec.domain);
+      if (away)
+        away_.insert(spec.id);
+      else if (away_.erase(spec.id) > 0)
+        book.OnReturn(now);
     }
     // NOTE: targets that were removed stay while generations run on them; no
     // rule leads there any more.
@@ -254,9 +270,9 @@
     running.forecast = added;
     running.sent_at = now;
     running_[queued.number] = running;
-    queue_.Charge(request.workspace,
-                  static_cast<double>(request.prompt_tokens) +
-                      lengths.MeanLength());
+    queue_.Charge(
+        request.workspace,
+        static_cast<double>(request.prompt_tokens) + lengths.MeanLength());
     NoteAdmission(now);
     events.push_back(
         request_admitted{queued.number, target.spec().id, target.cold()});
@@ -276,8 +292,8 @@
         continue;
       if (!best || *share < best->planned_share)
         best = candidate{book, *share};
-      const bool holds = !request.prefix.empty() &&
-                         book->HoldsPrefix(request.prefix, now);
+      const bool holds =
+          !request.prefix.empty() && book->HoldsPrefix(request.prefix, now);
       if (holds && (!cached || *share < cached->planned_share))
         cached = candidate{book, *share};
     }
@@ -313,8 +329,8 @@
     if (settings_.max_running_a_target > 0 &&
         running >= settings_.max_running_a_target)
       return std::nullopt;
-    const double share = book->PlannedShare(added, lengths, settings_,
-                                            instance_count_, now);
+    const double share =
+        book->PlannedShare(added, lengths, settings_, instance_count_, now);
     if (share > 1 && running > 0)
       return std::nullopt;
     return share;
@@ -339,21 +355,20 @@
   }
 
   void NoteFirstToken(microseconds span) {
-    const auto change = (span - first_token_mean_).count() * kMeanWeight;
-    first_token_mean_ += microseconds(static_cast<std::int64_t>(change));
+    MoveTowards(first_token_mean_, span);
   }
 
   void NoteAdmission(timestamp now) {
-    if (last_admission_) {
-      const auto change = (now - *last_admission_ - admission_interval_mean_)
-                              .count() *
-                          kMeanWeight;
-      admission_interval_mean_ +=
-          microseconds(static_cast<std::int64_t>(change));
-    }
+    if (last_admission_)
+      MoveTowards(admission_interval_mean_, now - *last_admission_);
     last_admission_ = now;
   }
 
+  static void MoveTowards(microseconds& mean, microseconds observed) {
+    const auto change = static_cast<double>((observed - mean).count());
+    mean += microseconds(static_cast<std::int64_t>(change * kMeanWeight));
+  }
+
   const admission_settings settings_;
   const std::shared_ptr<const i_target_gate> gate_;
   const instance_id self_;
@@ -361,6 +376,7 @@
   int instance_count_ = 1;
 
   std::unordered_map<target_id, std::unique_ptr<target_book>> targets_;
+  std::set<target_id> away_;
   std::vector<target_id> used_targets_;
   std::map<rule_key, std::vector<target_id>> rules_;
   std::map<service_id, std::unique_ptr<length_model>> service_lengths_;
--- a/src/admission/internal/length_model.cc
+++ b/src/admission/internal/length_model.cc
@@ -99,8 +99,8 @@
   const auto end = static_cast<double>(LowerEnd(bucket + 1));
   if (end <= begin)
     return log_survival_[index];
-  const double part =
-      std::clamp((static_cast<double>(length) - begin) / (end - begin), 0.0, 1.0);
+  const double part = std::clamp(
+      (static_cast<double>(length) - begin) / (end - begin), 0.0, 1.0);
   return log_survival_[index] +
          part * (log_survival_[index + 1] - log_survival_[index]);
 }
--- a/src/admission/internal/target_book.cc
+++ b/src/admission/internal/target_book.cc
@@ -9,6 +9,12 @@
 constexpr std::size_t kHistoryLength = 256;
 constexpr std::size_t kPrefixesKept = 64;
 
+// A gap between tokens of all generations together that is longer than both
+// of these raises doubt.
+constexpr milliseconds kShortestDoubtfulGap{40};
+constexpr int kDoubtfulGapTenths = 25;
+constexpr double kGapWeight = 0.05;
+
 // An instance that has nothing on a target tells so this often.
 constexpr milliseconds kIdleTallyInterval{1000};
 constexpr double kLeastDemand = 0.01;
@@ -35,7 +41,6 @@
   if (report_ && report.taken_at <= report_->taken_at)
     return;
   report_ = report;
-  failed_ = false;
 }
 
 void target_book::OnGrant(const quota_grant& grant) {
@@ -43,7 +48,32 @@
 }
 
 bool target_book::Usable(timestamp now, milliseconds report_validity) const {
-  return report_ && !failed_ && now < report_->taken_at + report_validity;
+  if (!report_ || now >= report_->taken_at + report_validity)
+    return false;
+  return !doubt_since_ || report_->taken_at > *doubt_since_;
+}
+
+void target_book::OnToken(timestamp now) {
+  if (last_token_at_) {
+    // Long gaps are left out, so that a slow target does not become usual.
+    const microseconds gap = std::min(now - *last_token_at_, 2 * usual_gap_);
+    usual_gap_ += microseconds(static_cast<std::int64_t>(
+        kGapWeight * static_cast<double>((gap - usual_gap_).count())));
+  }
+  last_token_at_ = now;
+}
+
+void target_book::WatchPace(timestamp now) {
+  if (own_running_ == 0) {
+    last_token_at_.reset();
+    return;
+  }
+  if (!last_token_at_)
+    return;
+  const microseconds limit = std::max<microseconds>(
+      kShortestDoubtfulGap, usual_gap_ * kDoubtfulGapTenths / 10);
+  if (now > *last_token_at_ + limit)
+    doubt_since_ = *last_token_at_ + limit;
 }
 
 void target_book::AddOwn(const memory_forecast& forecast, timestamp now) {
@@ -102,27 +132,26 @@
                                               int instance_count) const {
   const own_sample then = OwnAt(report_->taken_at);
   const double count = std::max(
-      0.0, static_cast<double>(report_->running + report_->waiting -
-                               then.running));
-  const double held = std::max(
-      0.0, static_cast<double>(report_->memory_used) - then.memory);
+      0.0,
+      static_cast<double>(report_->running + report_->waiting - then.running));
+  const double held =
+      std::max(0.0, static_cast<double>(report_->memory_used) - then.memory);
   memory_forecast others;
   if (count > 0) {
-    const auto typical_out = static_cast<std::int64_t>(lengths.MeanLength() / 2);
-    const auto prompt =
-        std::max<std::int64_t>(0, static_cast<std::int64_t>(held / count) -
-                                      typical_out);
+    const auto typical_out =
+        static_cast<std::int64_t>(lengths.MeanLength() / 2);
+    const auto prompt = std::max<std::int64_t>(
+        0, static_cast<std::int64_t>(held / count) - typical_out);
     const memory_forecast typical = ForecastOf(lengths, prompt, typical_out);
     for (std::size_t i = 0; i < others.mean.size(); ++i) {
       others.mean[i] = count * typical.mean[i];
       others.variance[i] = count * typical.variance[i];
     }
   }
-  const double added = std::max(
-      0.0, static_cast<double>(own_running_ - then.running));
-  const double scale = added_count_since_tally_ > 0
-                           ? added / added_count_since_tally_
-                           : 0.0;
+  const double added =
+      std::max(0.0, static_cast<double>(own_running_ - then.running));
+  const double scale =
+      added_count_since_tally_ > 0 ? added / added_count_since_tally_ : 0.0;
   for (std::size_t i = 0; i < others.mean.size(); ++i) {
     others.mean[i] += scale * (instance_count - 1) * added_since_tally_.mean[i];
     others.variance[i] +=
@@ -144,8 +173,7 @@
   double worst = 0;
   for (std::size_t i = 0; i < total.mean.size(); ++i) {
     const double deviation = std::sqrt(std::max(0.0, total.variance[i]));
-    worst = std::max(worst,
-                     total.mean[i] + settings.risk_deviate * deviation);
+    worst = std::max(worst, total.mean[i] + settings.risk_deviate * deviation);
   }
   const double usable =
       static_cast<double>(spec_.memory_tokens) * (1 - settings.memory_reserve);
--- a/src/admission/internal/target_book.h
+++ b/src/admission/internal/target_book.h
@@ -26,12 +26,28 @@
   void SetSpec(const target_spec& spec) { spec_ = spec; }
 
   void OnReport(const target_report& report);
-  void OnFailure() { failed_ = true; }
+
+  // Nothing goes there until a report that was taken later.
+  void OnFailure(timestamp now) { doubt_since_ = now; }
+
+  // It was away and comes back: it counts as cold until a report that was
+  // taken later says that it is warm.
+  void OnReturn(timestamp now) { returned_at_ = now; }
+
+  // A token of one of this instance's generations came.
+  void OnToken(timestamp now);
+
+  // Doubts a target whose tokens stopped coming at their usual pace: it may
+  // have turned cold or frozen, and its reports lag.
+  void WatchPace(timestamp now);
+
   void OnGrant(const quota_grant& grant);
 
   // Whether there is a recent report and no failure after it.
   bool Usable(timestamp now, milliseconds report_validity) const;
-  bool cold() const { return report_ && report_->cold; }
+  bool cold() const {
+    return report_ && (report_->cold || report_->taken_at < returned_at_);
+  }
   int own_running() const { return own_running_; }
 
   void AddOwn(const memory_forecast& forecast, timestamp now);
@@ -63,9 +79,7 @@
     double memory = 0;
   };
 
-  bool Granted(timestamp now) const {
-    return grant_ && now < grant_->deadline;
-  }
+  bool Granted(timestamp now) const { return grant_ && now < grant_->deadline; }
   memory_forecast OthersFromGrant() const;
   memory_forecast OthersFromReport(const length_model& lengths,
                                    int instance_count) const;
@@ -74,7 +88,10 @@
 
   target_spec spec_;
   std::optional<target_report> report_;
-  bool failed_ = false;
+  std::optional<timestamp> doubt_since_;
+  timestamp returned_at_;
+  std::optional<timestamp> last_token_at_;
+  microseconds usual_gap_{20'000};
   memory_forecast own_;
   std::int32_t own_running_ = 0;
   std::deque<own_sample> own_history_;
--- a/src/admission/tests/forecast_admission_test.cc
+++ b/src/admission/tests/forecast_admission_test.cc
@@ -24,7 +24,7 @@
 
 struct fixture {
   fixture() {
-    admission->ApplyConfiguration(SampleBody());
+    admission->ApplyConfiguration(SampleBody(), kStart);
     Report("engine-1", 0, false);
     Report("engine-2", 0, false);
   }
@@ -111,7 +111,42 @@
   admission->OnTargetFailure(target_id("engine-1"), now);
   admission->OnTargetFailure(target_id("engine-2"), now);
   CHECK(Admitted(1, 100) == 0);
+  // A lagging report from before the failure does not clear it.
   Report("engine-1", 0, false);
+  CHECK(Admitted(0, 100) == 0);
+  report_at = now;
+  Report("engine-1", 0, false);
+  CHECK(Admitted(0, 100) == 1);
+}
+
+TEST_CASE_METHOD(fixture, "a target that returns is cold until it says warm") {
+  configuration_body out = SampleBody();
+  out.domains[0].state = domain_state::out;
+  out.domains[1].state = domain_state::out;
+  admission->ApplyConfiguration(out, now);
+  admission->ApplyConfiguration(SampleBody(), now);
+  CHECK(Admitted(3, 100) == 0);
+  gate->cold_allowance = 1;
+  CHECK(Admitted(0, 100) == 2);
+  report_at = now;
+  Report("engine-1", 0, false);
+  CHECK(Admitted(0, 100) == 1);
+}
+
+TEST_CASE_METHOD(fixture, "a target whose tokens stop coming is doubted") {
+  Report("engine-2", 39000, false);
+  const request_number running = Submit(100);
+  admission->Pump(now);
+  for (int i = 1; i <= 20; ++i) {
+    now += milliseconds(15);
+    admission->OnProgress(running, i, now);
+  }
+  now += milliseconds(30);
+  CHECK(Admitted(1, 100) == 1);
+  now += milliseconds(30);
+  CHECK(Admitted(1, 100) == 0);
+  report_at = now;
+  Report("engine-1", 1000, false);
   CHECK(Admitted(0, 100) == 1);
 }
 
--- a/src/claims/internal/claim_batcher.cc
+++ b/src/claims/internal/claim_batcher.cc
@@ -125,9 +125,8 @@
     std::uint64_t revision) {
   std::vector<completed_operation> completed;
   std::erase_if(state.pending, [&](const pending_operation& pending) {
-    const bool carried =
-        std::find(state.carried.begin(), state.carried.end(),
-                  pending.number) != state.carried.end();
+    const bool carried = std::find(state.carried.begin(), state.carried.end(),
+                                   pending.number) != state.carried.end();
     if (!carried)
       return false;
     claim_bucket scratch = state.proposed;
--- a/src/claims/internal/claim_batcher.h
+++ b/src/claims/internal/claim_batcher.h
@@ -29,8 +29,7 @@
 
 // The service could not be reached; the call had no effect.
 struct store_unavailable {};
-using store_answer =
-    std::variant<kv_entry, kv_swap_result, store_unavailable>;
+using store_answer = std::variant<kv_entry, kv_swap_result, store_unavailable>;
 
 struct completed_operation {
   operation_number number = 0;
@@ -88,7 +87,8 @@
   };
 
   bool Ready(const bucket_state& state, timestamp now) const;
-  store_call MakeCall(const std::string& key, bucket_state& state,
+  store_call MakeCall(const std::string& key,
+                      bucket_state& state,
                       timestamp now);
   std::vector<completed_operation> OnValue(bucket_state& state,
                                            const kv_entry& entry,
--- a/src/claims/internal/claim_registry.cc
+++ b/src/claims/internal/claim_registry.cc
@@ -106,8 +106,8 @@
     const timestamp deadline = clock_->Now() + kCallLimit;
     try {
       if (const auto* swap = std::get_if<bucket_swap>(&call))
-        return store_->CompareAndSwap(swap->bucket, swap->expected,
-                                      swap->value, deadline);
+        return store_->CompareAndSwap(swap->bucket, swap->expected, swap->value,
+                                      deadline);
       return store_->Read(BucketOf(call), deadline);
     } catch (const kv_unavailable&) {
       return store_unavailable{};
--- a/src/claims/tests/claim_batcher_test.cc
+++ b/src/claims/tests/claim_batcher_test.cc
@@ -99,8 +99,7 @@
   const store_answer answer = MakeCall(store, *swap);
   batcher.Expire(kStart + seconds(2));
   batcher.OnAnswer(kBucket, answer, kStart + seconds(2));
-  batcher.Submit(Claim("other", "n"), kStart + seconds(2),
-                 kStart + seconds(9));
+  batcher.Submit(Claim("other", "n"), kStart + seconds(2), kStart + seconds(9));
   RunAll(batcher, store, kStart + seconds(2));
   CHECK(DecodeBucket(store.Read(kBucket).value).records.at("k").outcome);
 }
@@ -142,8 +141,8 @@
       const std::size_t i = random() % 3;
       switch (random() % 6) {
         case 0: {
-          const auto claim = Claim("k" + std::to_string(random() % 3),
-                                   std::to_string(step));
+          const auto claim =
+              Claim("k" + std::to_string(random() % 3), std::to_string(step));
           const auto number =
               instances[i].Submit(claim, now, now + milliseconds(400));
           tickets[{i, number}] = claim.ticket;
--- a/src/claims/tests/claim_bucket_test.cc
+++ b/src/claims/tests/claim_bucket_test.cc
@@ -21,10 +21,10 @@
 }
 
 TEST_CASE("other texts are no keys") {
-  for (const char* text : {"", "booking-1",
-                           "018bcfe5-6800-4000-8000-0123456789ab",
-                           "018bcfe5-6800-7000-0000-0123456789ab",
-                           "018bcfe5x6800-7000-8000-0123456789ab"}) {
+  for (const char* text :
+       {"", "booking-1", "018bcfe5-6800-4000-8000-0123456789ab",
+        "018bcfe5-6800-7000-0000-0123456789ab",
+        "018bcfe5x6800-7000-8000-0123456789ab"}) {
     CHECK_FALSE(idempotency_key::Parse(text));
   }
 }
--- a/src/cluster/i_cluster_view.h
+++ b/src/cluster/i_cluster_view.h
@@ -19,7 +19,8 @@
 
   // Takes an answer to a call that was made at `called_at`. Ages in it count
   // from then, so that a stalled link makes word older and never younger.
-  virtual void OnAnswer(const gossip& told, timestamp called_at,
+  virtual void OnAnswer(const gossip& told,
+                        timestamp called_at,
                         timestamp now) = 0;
 
   // Takes the other side's part of a call. Its word is not used: how long the
--- a/src/cluster/internal/cluster_view.cc
+++ b/src/cluster/internal/cluster_view.cc
@@ -182,8 +182,8 @@
 
   std::vector<domain_word> LiveWords(timestamp now) const {
     std::vector<domain_word> words;
-    words.push_back({self_.domain, configuration_.version,
-                     IsIn(self_.domain), milliseconds(0)});
+    words.push_back({self_.domain, configuration_.version, IsIn(self_.domain),
+                     milliseconds(0)});
     for (const auto& [domain, word] : words_) {
       if (domain != self_.domain &&
           now < word.said_at + settings_.word_validity)
--- a/src/coldstart/coldstart_types.h
+++ b/src/coldstart/coldstart_types.h
@@ -37,6 +37,9 @@
   // Covers the drift of clocks while a permit is valid, and the time between
   // the check of a permit and the send.
   milliseconds margin{500};
+  // Within this time each instance hears that a target turned cold, and until
+  // then it may send to it as to a warm one.
+  milliseconds news_delay{1500};
   // A new process leaves its static part unused for this long: requests of its
   // predecessor may still run.
   milliseconds quiet_start{8000};
--- a/src/coldstart/internal/cold_allowance.cc
+++ b/src/coldstart/internal/cold_allowance.cc
@@ -11,8 +11,7 @@
   cold_allowance(const cold_settings& settings,
                  const domain_id& domain,
                  timestamp started_at)
-      : domain_(domain),
-        static_from_(started_at + settings.quiet_start) {}
+      : domain_(domain), static_from_(started_at + settings.quiet_start) {}
 
   void ApplyConfiguration(const configuration_body& body) override {
     std::map<domain_id, domain_spec> domains;
--- a/src/coldstart/internal/cold_steward.cc
+++ b/src/coldstart/internal/cold_steward.cc
@@ -27,11 +27,21 @@
 
   void OnReport(const target_id& target,
                 const target_report& report,
-                timestamp) override {
+                timestamp now) override {
     const auto found = targets_.find(target);
     if (found == targets_.end())
       return;
     target_state& state = found->second;
+    if (!report.cold) {
+      // What is sent to a warm target needs no permit and is not counted.
+      state.warm = true;
+      state.unaccounted.reset();
+      return;
+    }
+    if (state.warm) {
+      state.warm = false;
+      state.doubt_until = now + settings_.news_delay;
+    }
     // A report from before the last doubtful moment may miss requests.
     if (report.taken_at < state.doubt_until)
       return;
@@ -56,6 +66,7 @@
 
   struct target_state {
     std::int32_t pool = 0;
+    bool warm = false;
     // Bound on the requests that run there without a permit of this epoch;
     // nothing until a report tells.
     std::optional<std::int32_t> unaccounted;
@@ -66,7 +77,7 @@
   void StartEpoch(timestamp now) {
     for (auto& [id, state] : targets_) {
       state.unaccounted.reset();
-      state.doubt_until = now + settings_.margin;
+      state.doubt_until = now + settings_.news_delay;
       state.outstanding.clear();
     }
   }
@@ -105,17 +116,16 @@
       if (id != member)
         held_by_others += held.count;
     }
-    const std::int32_t room = std::max(
-        0, state.pool - *state.unaccounted - held_by_others);
+    const std::int32_t room =
+        std::max(0, state.pool - *state.unaccounted - held_by_others);
     const std::int32_t asked =
         std::max(0, request.running) + std::max(0, request.wanted);
     permit.count = std::min(asked, room);
     permit.epoch = lease_->fencing_number;
-    const microseconds lease_left =
-        lease_->deadline - now - settings_.margin;
-    permit.valid_for = std::min(
-        settings_.permit_validity,
-        std::chrono::duration_cast<milliseconds>(lease_left));
+    const microseconds lease_left = lease_->deadline - now - settings_.margin;
+    permit.valid_for =
+        std::min(settings_.permit_validity,
+                 std::chrono::duration_cast<milliseconds>(lease_left));
     // What runs already stays counted even where it is over the permit.
     outstanding_permit& held = state.outstanding[member];
     held.count = std::max(permit.count, request.running);
@@ -130,8 +140,7 @@
 
 }  // namespace
 
-std::unique_ptr<i_cold_steward> MakeColdSteward(
-    const cold_settings& settings) {
+std::unique_ptr<i_cold_steward> MakeColdSteward(const cold_settings& settings) {
   return std::make_unique<cold_steward>(settings);
 }
 
--- a/src/coldstart/tests/coldstart_test.cc
+++ b/src/coldstart/tests/coldstart_test.cc
@@ -33,7 +33,7 @@
 struct fixture {
   fixture() {
     steward->ApplyConfiguration(Body(4, 8));  // Everything is pooled.
-    steward->OnLease(Lease(1, kStart + seconds(20)), kStart);
+    steward->OnLease(Lease(1, kStart + seconds(20)), kStart - seconds(1));
   }
   std::int32_t Ask(const instance_id& member,
                    std::int32_t running,
@@ -90,6 +90,22 @@
   CHECK(Ask(kB, 1, 4, later + seconds(1)) == 3);
 }
 
+TEST_CASE_METHOD(fixture, "work from before a target turned cold is counted") {
+  steward->OnReport(kTarget, Report(kStart + seconds(1), 0), kStart);
+  CHECK(Ask(kA, 0, 1, kStart + seconds(1)) == 1);
+  target_report warm = Report(kStart + seconds(2), 30);
+  warm.cold = false;
+  steward->OnReport(kTarget, warm, kStart + seconds(2));
+  const timestamp cold_at = kStart + seconds(9);
+  steward->OnReport(kTarget, Report(cold_at, 30), cold_at);
+  CHECK(Ask(kA, 0, 4, cold_at) == 0);
+  // Others may send as to a warm target until they hear of it, too.
+  steward->OnReport(kTarget, Report(cold_at + seconds(1), 1), cold_at);
+  CHECK(Ask(kA, 0, 4, cold_at + seconds(1)) == 0);
+  steward->OnReport(kTarget, Report(cold_at + seconds(2), 3), cold_at);
+  CHECK(Ask(kA, 0, 4, cold_at + seconds(2)) == 1);
+}
+
 TEST_CASE_METHOD(fixture, "a lease that ran out grants nothing") {
   steward->OnReport(kTarget, Report(kStart + seconds(1), 0), kStart);
   CHECK(Ask(kA, 0, 1, kStart + milliseconds(19400)) == 1);
--- a/src/configuration/i_configuration_holder.h
+++ b/src/configuration/i_configuration_holder.h
@@ -18,8 +18,8 @@
 // Holds the highest configuration seen and never goes back. Thread-safe.
 class i_configuration_holder {
  public:
-  using subscriber = std::function<void(
-      const std::shared_ptr<const configuration_document>&)>;
+  using subscriber =
+      std::function<void(const std::shared_ptr<const configuration_document>&)>;
 
   virtual ~i_configuration_holder() = default;
 
--- a/src/configuration/internal/configuration_codec.cc
+++ b/src/configuration/internal/configuration_codec.cc
@@ -221,9 +221,8 @@
 
 template <typename Spec>
 void SortById(std::vector<Spec>& specs) {
-  std::sort(specs.begin(), specs.end(), [](const Spec& a, const Spec& b) {
-    return a.id < b.id;
-  });
+  std::sort(specs.begin(), specs.end(),
+            [](const Spec& a, const Spec& b) { return a.id < b.id; });
 }
 
 }  // namespace
--- a/src/configuration/internal/configuration_validation.cc
+++ b/src/configuration/internal/configuration_validation.cc
@@ -98,8 +98,8 @@
   void CheckRules() {
     std::set<std::pair<workspace_id, service_id>> bound;
     for (const rule_spec& rule : body_.rules) {
-      const std::string place =
-          fmt::format("rules.{}/{}", rule.workspace.text(), rule.service.text());
+      const std::string place = fmt::format(
+          "rules.{}/{}", rule.workspace.text(), rule.service.text());
       if (rule.workspace.text() != kAnyWorkspace &&
           !workspaces_.contains(rule.workspace))
         Add(place, "unknown workspace");
@@ -130,9 +130,8 @@
   void CheckSize() {
     const std::size_t size = CanonicalText(body_).size();
     if (size > kMaxDocumentBytes)
-      Add("configuration",
-          fmt::format("{} bytes, over the store's {}", size,
-                      kMaxDocumentBytes));
+      Add("configuration", fmt::format("{} bytes, over the store's {}", size,
+                                       kMaxDocumentBytes));
   }
 
   const target_spec* FindTarget(const target_id& id) const {
--- a/src/configuration/tests/configuration_holder_test.cc
+++ b/src/configuration/tests/configuration_holder_test.cc
@@ -26,9 +26,8 @@
 TEST_CASE("subscribers are told of accepted documents only") {
   const auto holder = MakeConfigurationHolder();
   std::vector<std::int64_t> told;
-  holder->Subscribe([&](const auto& document) {
-    told.push_back(document->version);
-  });
+  holder->Subscribe(
+      [&](const auto& document) { told.push_back(document->version); });
   holder->Offer(SampleDocument(2));
   holder->Offer(SampleDocument(1));
   holder->Offer(SampleDocument(3));
--- a/src/limits/internal/quarantine.cc
+++ b/src/limits/internal/quarantine.cc
@@ -76,9 +76,8 @@
 
   void DropLapsed(timestamp now) {
     for (auto it = strikes_.begin(); it != strikes_.end();) {
-      std::erase_if(it->second, [&](const auto& strike) {
-        return strike.second <= now;
-      });
+      std::erase_if(it->second,
+                    [&](const auto& strike) { return strike.second <= now; });
       it = it->second.empty() ? strikes_.erase(it) : std::next(it);
     }
   }
--- a/src/limits/tests/limits_test.cc
+++ b/src/limits/tests/limits_test.cc
@@ -77,10 +77,11 @@
     for (int i = 0; i < kInstances; ++i) {
       target_tally tally;
       tally.target = target_id("w");
-      for (const auto& demand : limiters[static_cast<std::size_t>(i)]->Demands())
+      for (const auto& demand :
+           limiters[static_cast<std::size_t>(i)]->Demands())
         tally.demand = demand.requests;
-      const auto grants = owner->Exchange(
-          instance_id(std::to_string(i)), {tally}, now);
+      const auto grants =
+          owner->Exchange(instance_id(std::to_string(i)), {tally}, now);
       limiters[static_cast<std::size_t>(i)]->OnShare(
           {workspace_id("w"), grants[0].share, grants[0].deadline});
     }
--- a/src/node/internal/admission_desk.cc
+++ b/src/node/internal/admission_desk.cc
@@ -61,7 +61,7 @@
 
 void admission_desk::ApplyConfiguration(const configuration_body& body) {
   std::lock_guard lock(mutex_);
-  admission_->ApplyConfiguration(body);
+  admission_->ApplyConfiguration(body, clock_->Now());
   targets_.clear();
   for (const target_spec& target : body.targets)
     targets_[target.id] = target;
--- a/src/node/internal/node.cc
+++ b/src/node/internal/node.cc
@@ -268,7 +268,8 @@
 
   void ExchangeTallies() {
     const auto members = cluster_->LiveMembers();
-    admission_.SetInstanceCount(std::max<int>(1, static_cast<int>(members.size())));
+    admission_.SetInstanceCount(
+        std::max<int>(1, static_cast<int>(members.size())));
     std::map<std::string, std::vector<target_tally>> by_owner;
     for (const target_tally& tally : admission_.Tallies())
       by_owner[OwnerAddress(DomainOf(tally.target), tally.target, members)]
@@ -279,7 +280,8 @@
 
   void ExchangeLimits() {
     const auto members = cluster_->LiveMembers();
-    limits_.SetInstanceCount(std::max<int>(1, static_cast<int>(members.size())));
+    limits_.SetInstanceCount(
+        std::max<int>(1, static_cast<int>(members.size())));
     std::map<std::string, std::vector<target_tally>> by_owner;
     for (const target_tally& tally : limits_.DemandTallies())
       by_owner[OwnerAddress(domain_id(kAllDomains), tally.target, members)]
--- a/src/peer_link/internal/nng_peer_link.cc
+++ b/src/peer_link/internal/nng_peer_link.cc
@@ -164,11 +164,10 @@
   }
 
   void DropLeastRecent() {
-    const auto oldest =
-        std::min_element(sockets_.begin(), sockets_.end(),
-                         [](const auto& a, const auto& b) {
-                           return a.second.used_at < b.second.used_at;
-                         });
+    const auto oldest = std::min_element(
+        sockets_.begin(), sockets_.end(), [](const auto& a, const auto& b) {
+          return a.second.used_at < b.second.used_at;
+        });
     sockets_.erase(oldest);
   }
 
@@ -187,8 +186,7 @@
                   peer_handler handler)
       : keys_(std::move(keys)), handler_(std::move(handler)) {
     Check(nng_rep0_open(&socket_), "open");
-    const int result =
-        nng_listen(socket_, Url(address).c_str(), nullptr, 0);
+    const int result = nng_listen(socket_, Url(address).c_str(), nullptr, 0);
     if (result != 0) {
       nng_close(socket_);
       Check(result, "listen on " + address);
@@ -240,10 +238,9 @@
 
 }  // namespace
 
-std::shared_ptr<i_peer_link> MakePeerLink(
-    std::shared_ptr<const i_clock> clock,
-    std::shared_ptr<const i_keyring> keys,
-    const domain_id& from) {
+std::shared_ptr<i_peer_link> MakePeerLink(std::shared_ptr<const i_clock> clock,
+                                          std::shared_ptr<const i_keyring> keys,
+                                          const domain_id& from) {
   return std::make_shared<nng_peer_link>(std::move(clock), std::move(keys),
                                          from);
 }
--- a/src/peer_link/internal/peer_codec.cc
+++ b/src/peer_link/internal/peer_codec.cc
@@ -67,8 +67,7 @@
 }
 
 json ToJson(const told_strike& s) {
-  return json::array(
-      {s.request_digest, s.target.text(), s.counts_for.count()});
+  return json::array({s.request_digest, s.target.text(), s.counts_for.count()});
 }
 
 told_strike ReadStrike(const json& j) {
@@ -158,8 +157,7 @@
 }
 
 json ToJson(const cold_permit& p) {
-  return json::array(
-      {p.target.text(), p.count, p.epoch, p.valid_for.count()});
+  return json::array({p.target.text(), p.count, p.epoch, p.valid_for.count()});
 }
 
 cold_permit ReadPermit(const json& j) {
@@ -272,9 +270,9 @@
 }
 
 std::string EncodeAnswer(const i_keyring& keys, const peer_answer& answer) {
-  return Seal(keys, kAnswerPurpose,
-              json::array({answer.index(),
-                           std::visit(answer_writer{}, answer)}));
+  return Seal(
+      keys, kAnswerPurpose,
+      json::array({answer.index(), std::visit(answer_writer{}, answer)}));
 }
 
 peer_answer DecodeAnswer(const i_keyring& keys, const std::string& bytes) {
--- a/src/peer_link/peer_link_module.h
+++ b/src/peer_link/peer_link_module.h
@@ -9,10 +9,9 @@
 
 namespace wist {
 
-std::shared_ptr<i_peer_link> MakePeerLink(
-    std::shared_ptr<const i_clock> clock,
-    std::shared_ptr<const i_keyring> keys,
-    const domain_id& from);
+std::shared_ptr<i_peer_link> MakePeerLink(std::shared_ptr<const i_clock> clock,
+                                          std::shared_ptr<const i_keyring> keys,
+                                          const domain_id& from);
 
 // Throws peer_error if the address is taken.
 std::unique_ptr<i_peer_server> MakePeerServer(
--- a/src/peer_link/tests/peer_link_test.cc
+++ b/src/peer_link/tests/peer_link_test.cc
@@ -15,8 +15,8 @@
 
 gossip SampleGossip() {
   gossip told;
-  told.self = {instance_id("a"), domain_id("rennes"), "127.0.0.1:1", 5, 6,
-               false};
+  told.self = {
+      instance_id("a"), domain_id("rennes"), "127.0.0.1:1", 5, 6, false};
   told.configuration_version = 9;
   told.members = {told.self};
   told.words = {{domain_id("brest"), 9, true, milliseconds(70)}};
@@ -30,8 +30,8 @@
 TEST_CASE("gossip survives its wire form") {
   const auto keys = MakeKeyring(kKey);
   const auto call = DecodeCall(
-      *keys, EncodeCall(*keys, {domain_id("rennes"),
-                                gossip_call{SampleGossip()}}));
+      *keys,
+      EncodeCall(*keys, {domain_id("rennes"), gossip_call{SampleGossip()}}));
   CHECK(call.from == domain_id("rennes"));
   const gossip& told = std::get<gossip_call>(call.call).told;
   CHECK(told.self == SampleGossip().self);
@@ -78,8 +78,7 @@
     std::string payload(random() % 60, '\0');
     for (char& byte : payload)
       byte = static_cast<char>(random());
-    const std::string bytes =
-        keys->Sign("peer-call", payload) + "|" + payload;
+    const std::string bytes = keys->Sign("peer-call", payload) + "|" + payload;
     CHECK_THROWS_AS(DecodeCall(*keys, bytes), peer_error);
   }
 }
--- a/src/platform/internal/http_kv_store.cc
+++ b/src/platform/internal/http_kv_store.cc
@@ -31,7 +31,8 @@
 
 kv_entry ReadEntry(const http_response& response) {
   const json answer = ParseAnswer(response);
-  return {answer.value("value", ""), answer.value("revision", std::uint64_t{0})};
+  return {answer.value("value", ""),
+          answer.value("revision", std::uint64_t{0})};
 }
 
 class http_kv_store final : public i_kv_store {
@@ -46,8 +47,8 @@
         headers_(DomainHeader(domain)) {}
 
   kv_entry Read(const std::string& key, timestamp deadline) override {
-    const http_response response =
-        CallOrThrow({.path = "/kv/" + Encode(key), .headers = headers_}, deadline);
+    const http_response response = CallOrThrow(
+        {.path = "/kv/" + Encode(key), .headers = headers_}, deadline);
     if (response.status == 404)
       return {};
     RequireStatus(response, 200);
@@ -155,7 +156,8 @@
         headers_(DomainHeader(domain)) {}
 
   std::vector<listed_instance> List(timestamp deadline) override {
-    const http_response response = Call({.path = "/instances", .headers = headers_}, deadline);
+    const http_response response =
+        Call({.path = "/instances", .headers = headers_}, deadline);
     const json answer = ParseAnswer(response);
     std::vector<listed_instance> listed;
     for (const json& entry : answer.value("instances", json::array())) {
--- a/src/settings/internal/entry_command.cc
+++ b/src/settings/internal/entry_command.cc
@@ -25,10 +25,10 @@
 std::string VariableName(const std::string& flag) {
   std::string name = kEnvironmentPrefix;
   for (const char character : flag) {
-    name.push_back(character == '-' ? '_'
-                                    : static_cast<char>(std::toupper(
-                                          static_cast<unsigned char>(
-                                              character))));
+    name.push_back(character == '-'
+                       ? '_'
+                       : static_cast<char>(std::toupper(
+                             static_cast<unsigned char>(character))));
   }
   return name;
 }
@@ -172,8 +172,10 @@
   settings.max_streams = static_cast<int>(read.Number("max-streams", 1, 5000));
   settings.max_body_bytes =
       static_cast<std::size_t>(read.Number("max-body-bytes", 1024, 64 << 20));
-  settings.start_limit = milliseconds(read.Number("start-limit-ms", 1, 600'000));
-  settings.stop_limit = milliseconds(read.Number("stop-limit-ms", 0, 3'600'000));
+  settings.start_limit =
+      milliseconds(read.Number("start-limit-ms", 1, 600'000));
+  settings.stop_limit =
+      milliseconds(read.Number("stop-limit-ms", 0, 3'600'000));
   settings.poll_interval =
       milliseconds(read.Number("poll-interval-ms", 10, 10'000));
   settings.log_caller_text = read.Flag("log-caller-text");
--- a/src/streams/tests/streams_test.cc
+++ b/src/streams/tests/streams_test.cc
@@ -69,8 +69,8 @@
 }
 
 TEST_CASE("token texts are read in both formats") {
-  CHECK(TokenText(R"({"choices":[{"text":"a"}]})",
-                  stream_format::completion) == "a");
+  CHECK(TokenText(R"({"choices":[{"text":"a"}]})", stream_format::completion) ==
+        "a");
   CHECK(TokenText(R"({"choices":[{"delta":{"content":"b"}}]})",
                   stream_format::chat) == "b");
   CHECK_THROWS_AS(TokenText("[]", stream_format::chat), stream_protocol_error);
--- a/stand_ins/engine/engine_main.cc
+++ b/stand_ins/engine/engine_main.cc
@@ -35,11 +35,11 @@
 };
 
 struct engine_faults {
-  bool refuse = false;           // Answer 503 before taking a request.
-  bool frozen = false;           // Steps stop; connections stay open.
-  bool cut = false;              // Drop each connection.
-  std::int64_t cut_at_token = 0; // Drop a stream's link once at this offset.
-  std::string crash_on;          // Crash on a prompt that holds this text.
+  bool refuse = false;            // Answer 503 before taking a request.
+  bool frozen = false;            // Steps stop; connections stay open.
+  bool cut = false;               // Drop each connection.
+  std::int64_t cut_at_token = 0;  // Drop a stream's link once at this offset.
+  std::string crash_on;           // Crash on a prompt that holds this text.
 };
 
 struct served_order {
@@ -95,8 +95,8 @@
       }
       const timestamp now = clock_->Now();
       if (*next > now) {
-        changed_.wait_for(lock, std::min<microseconds>(*next - now,
-                                                       milliseconds(50)));
+        changed_.wait_for(
+            lock, std::min<microseconds>(*next - now, milliseconds(50)));
         continue;
       }
       Apply(model_.Step());
@@ -128,12 +128,10 @@
     const timestamp now = clock_->Now();
     for (auto it = generations_.begin(); it != generations_.end();) {
       const generation_state& state = it->second;
-      const bool orphan =
-          state.readers == 0 && now > state.orphan_deadline;
+      const bool orphan = state.readers == 0 && now > state.orphan_deadline;
       if (orphan && !state.finished && !state.lost)
         model_.Cancel(it->first);
-      if (orphan &&
-          (generations_.size() > kKeptFinished || !state.finished))
+      if (orphan && (generations_.size() > kKeptFinished || !state.finished))
         it = generations_.erase(it);
       else
         ++it;
@@ -149,10 +147,9 @@
     generation.id = id.empty() ? RandomHex(8) : id;
     generation.prompt_tokens =
         1 + static_cast<std::int64_t>(prompt.size()) / kBytesPerToken;
-    generation.output_tokens =
-        std::min(body.value("max_tokens", std::int64_t{16384}),
-                 body.value("stand_in_output_tokens",
-                            std::int64_t{default_output_}));
+    generation.output_tokens = std::min(
+        body.value("max_tokens", std::int64_t{16384}),
+        body.value("stand_in_output_tokens", std::int64_t{default_output_}));
     generation.priority = std::stoi("0" + request.Header("X-Priority"));
     {
       std::lock_guard lock(mutex_);
@@ -279,15 +276,15 @@
     std::lock_guard lock(mutex_);
     const timestamp now = clock_->Now();
     const engine_report report = model_.Report(now);
-    SendJson(responder, 200,
-             {{"age_ms", static_cast<std::int64_t>(
-                             ToMilliseconds(now - report.at))},
-              {"running", report.running},
-              {"waiting", report.waiting},
-              {"memory_used", report.memory_used},
-              {"memory_total", report.memory_total},
-              {"preemptions", model_.counters().preemptions},
-              {"cold", report.cold}});
+    SendJson(
+        responder, 200,
+        {{"age_ms", static_cast<std::int64_t>(ToMilliseconds(now - report.at))},
+         {"running", report.running},
+         {"waiting", report.waiting},
+         {"memory_used", report.memory_used},
+         {"memory_total", report.memory_total},
+         {"preemptions", model_.counters().preemptions},
+         {"cold", report.cold}});
   }
 
   void TakeOrder(const http_server_request& request,
@@ -295,8 +292,7 @@
     const json body = ParseObject(request.body);
     const auto number = body.value("fencing_number", std::uint64_t{0});
     std::lock_guard lock(mutex_);
-    const bool old =
-        !orders_.empty() && number < orders_.back().fencing_number;
+    const bool old = !orders_.empty() && number < orders_.back().fencing_number;
     if (settings_.checks_fencing && old)
       return SendJson(responder, 409, {{"error", "old fencing number"}});
     orders_.push_back({number, body.value("order", "")});
--- a/stand_ins/engine/engine_model.cc
+++ b/stand_ins/engine/engine_model.cc
@@ -79,8 +79,8 @@
 void engine_model::Decode(sequence& running,
                           std::vector<engine_event>& events,
                           timestamp at) {
-  events.push_back({engine_event_kind::token, running.request.id,
-                    running.generated, at});
+  events.push_back(
+      {engine_event_kind::token, running.request.id, running.generated, at});
   ++running.generated;
   ++running.memory;
   ++memory_used_;
@@ -175,10 +175,9 @@
 std::int64_t engine_model::CachedTokens(const generation_request& request) {
   if (request.prefix.empty())
     return 0;
-  const auto found =
-      std::find_if(cache_.begin(), cache_.end(), [&](const auto& cached) {
-        return cached.prefix == request.prefix;
-      });
+  const auto found = std::find_if(
+      cache_.begin(), cache_.end(),
+      [&](const auto& cached) { return cached.prefix == request.prefix; });
   if (found == cache_.end())
     return 0;
   cache_.splice(cache_.begin(), cache_, found);
@@ -213,14 +212,13 @@
 
 void engine_model::TurnCold(timestamp now) {
   SetCold();
-  Record(now);
+  reports_.push_back(Snapshot(now));
 }
 
 std::vector<engine_event> engine_model::Crash(timestamp now) {
   std::vector<engine_event> events;
   const auto lose = [&](const sequence& s) {
-    events.push_back(
-        {engine_event_kind::lost, s.request.id, s.generated, now});
+    events.push_back({engine_event_kind::lost, s.request.id, s.generated, now});
   };
   std::for_each(running_.begin(), running_.end(), lose);
   std::for_each(waiting_.begin(), waiting_.end(), lose);
@@ -252,17 +250,20 @@
       step_end_)
     return;
   reports_.push_back(Snapshot(at));
-  while (reports_.size() > 2 &&
-         reports_[1].at <= at - settings_.report_lag)
+  while (reports_.size() > 2 && reports_[1].at <= at - settings_.report_lag)
     reports_.pop_front();
 }
 
 engine_report engine_model::Report(timestamp now) const {
+  const timestamp shown_until = now - settings_.report_lag;
   engine_report shown = reports_.front();
   for (const engine_report& report : reports_) {
-    if (report.at <= now - settings_.report_lag)
+    if (report.at <= shown_until)
       shown = report;
   }
+  // An idle engine goes on telling the same load.
+  if (!step_end_ && shown.at == reports_.back().at)
+    shown.at = std::max(shown.at, shown_until);
   return shown;
 }
 
--- a/stand_ins/engine/tests/engine_model_test.cc
+++ b/stand_ins/engine/tests/engine_model_test.cc
@@ -80,6 +80,12 @@
   CHECK(model.Report(now).at <= now - milliseconds(500));
 }
 
+TEST_CASE("an idle engine goes on reporting") {
+  engine_model model({.report_lag = milliseconds(500)}, kStart);
+  const timestamp now = kStart + seconds(60);
+  CHECK(model.Report(now).at == now - milliseconds(500));
+}
+
 TEST_CASE("a cached prefix shortens the prefill") {
   const auto time_to_finish = [](bool warm_cache) {
     engine_model model({}, kStart);
--- a/stand_ins/platform/platform_main.cc
+++ b/stand_ins/platform/platform_main.cc
@@ -68,8 +68,7 @@
     const json body = ParseObject(request.body);
     std::lock_guard lock(mutex_);
     faults_.down = body.value("down", faults_.down);
-    faults_.delay =
-        milliseconds(body.value("delay_ms", faults_.delay.count()));
+    faults_.delay = milliseconds(body.value("delay_ms", faults_.delay.count()));
     faults_.lose_write_answers =
         body.value("lose_write_answers", faults_.lose_write_answers);
     if (body.contains("cut_domains"))
@@ -183,10 +182,10 @@
       model_.Withdraw(id, clock_->Now());
     } else {
       const json body = ParseObject(request.body);
-      model_.Announce({id, body.value("domain", ""),
-                       body.value("peer_address", ""),
-                       body.value("leaving", false)},
-                      clock_->Now());
+      model_.Announce(
+          {id, body.value("domain", ""), body.value("peer_address", ""),
+           body.value("leaving", false)},
+          clock_->Now());
     }
     SendJson(responder, 200, json::object());
   }
