--- a/src/configuration/tests/mocks/sample_configuration.h
+++ b/src/configuration/tests/mocks/sample_configuration.h
@@ -36,12 +36,11 @@
   deposits.kind = service_kind::plain;
   deposits.repeatable = false;
   body.services = {briefs, deposits};
-  body.rules = {{workspace_id("*"),
-                 service_id("briefs"),
-                 {target_id("engine-1"), target_id("engine-2")}},
-                {workspace_id("*"),
-                 service_id("deposits"),
-                 {target_id("desk-1")}}};
+  body.rules = {
+      {workspace_id("*"),
+       service_id("briefs"),
+       {target_id("engine-1"), target_id("engine-2")}},
+      {workspace_id("*"), service_id("deposits"), {target_id("desk-1")}}};
   return body;
 }
 
--- a/src/framework/http/internal/http_types.cc
+++ b/src/framework/http/internal/http_types.cc
@@ -1,8 +1,8 @@
 #include "framework/http/http_types.h"
 
 #include <algorithm>
-#include <charconv>
 #include <cctype>
+#include <charconv>
 
 namespace wist {
 namespace {
--- a/src/framework/http/internal/poco_http_client.cc
+++ b/src/framework/http/internal/poco_http_client.cc
@@ -22,8 +22,7 @@
 constexpr milliseconds kShortestTimeout{1};
 
 Poco::Timespan ToTimespan(microseconds span) {
-  return Poco::Timespan(
-      std::max<microseconds>(span, kShortestTimeout).count());
+  return Poco::Timespan(std::max<microseconds>(span, kShortestTimeout).count());
 }
 
 // Runs `step`, turning the library's errors into http_error.
@@ -134,8 +133,8 @@
   int status() const override { return exchange_.response().getStatus(); }
 
   bool ReadLine(std::string& line) override {
-    const bool read = Guarded(
-        true, [&] { return !!std::getline(exchange_.body(), line); });
+    const bool read =
+        Guarded(true, [&] { return !!std::getline(exchange_.body(), line); });
     if (!read || exchange_.body().eof()) {
       exchange_.CheckEnded();
       if (!read)
--- a/src/framework/http/internal/poco_http_server.cc
+++ b/src/framework/http/internal/poco_http_server.cc
@@ -162,8 +162,7 @@
   const std::shared_ptr<const shared_handler> shared_;
 };
 
-class poco_handler_factory final
-    : public Poco::Net::HTTPRequestHandlerFactory {
+class poco_handler_factory final : public Poco::Net::HTTPRequestHandlerFactory {
  public:
   explicit poco_handler_factory(std::shared_ptr<const shared_handler> shared)
       : shared_(std::move(shared)) {}
--- a/src/framework/http/tests/http_types_test.cc
+++ b/src/framework/http/tests/http_types_test.cc
@@ -6,8 +6,8 @@
 
 TEST_CASE("an address is a host and a port") {
   CHECK(ParseHttpAddress("127.0.0.1:80") == http_address{"127.0.0.1", 80});
-  for (const char* text : {"", "host", ":80", "host:", "host:0", "host:65536",
-                           "host:8x"}) {
+  for (const char* text :
+       {"", "host", ":80", "host:", "host:0", "host:65536", "host:8x"}) {
     CHECK_THROWS_AS(ParseHttpAddress(text), std::invalid_argument);
   }
 }
--- a/src/framework/keys/internal/hmac_keyring.cc
+++ b/src/framework/keys/internal/hmac_keyring.cc
@@ -26,7 +26,8 @@
     throw std::invalid_argument("a key's secret is not hexadecimal");
   std::string bytes;
   for (std::size_t i = 0; i < hex.size(); i += 2)
-    bytes.push_back(static_cast<char>(std::stoi(hex.substr(i, 2), nullptr, 16)));
+    bytes.push_back(
+        static_cast<char>(std::stoi(hex.substr(i, 2), nullptr, 16)));
   return bytes;
 }
 
--- a/src/framework/logging/internal/stderr_logger.cc
+++ b/src/framework/logging/internal/stderr_logger.cc
@@ -30,11 +30,10 @@
 
 std::string CalendarText() {
   const auto now = std::chrono::system_clock::now();
-  const auto millis =
-      std::chrono::duration_cast<std::chrono::milliseconds>(
-          now.time_since_epoch())
-          .count() %
-      1000;
+  const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(
+                          now.time_since_epoch())
+                          .count() %
+                      1000;
   return fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z",
                      fmt::gmtime(std::chrono::system_clock::to_time_t(now)),
                      millis);
@@ -80,8 +79,8 @@
 }  // namespace
 
 log_level ParseLogLevel(const std::string& text) {
-  for (log_level level : {log_level::debug, log_level::info,
-                          log_level::warning, log_level::error}) {
+  for (log_level level : {log_level::debug, log_level::info, log_level::warning,
+                          log_level::error}) {
     if (LevelName(level) == text)
       return level;
   }
--- a/stand_ins/engine/engine_model.h
+++ b/stand_ins/engine/engine_model.h
@@ -64,7 +64,9 @@
   void Preempt(std::list<sequence>::iterator victim,
                std::vector<engine_event>& events,
                timestamp at);
-  void Decode(sequence& running, std::vector<engine_event>& events, timestamp at);
+  void Decode(sequence& running,
+              std::vector<engine_event>& events,
+              timestamp at);
   void NoteWarmUp(timestamp at);
   void SetCold();
   void Record(timestamp at);
--- a/stand_ins/engine/tests/engine_model_test.cc
+++ b/stand_ins/engine/tests/engine_model_test.cc
@@ -71,8 +71,7 @@
 
 TEST_CASE("reports lag") {
   engine_model model({.report_lag = milliseconds(500)}, kStart);
-  model.Submit({.id = "a", .prompt_tokens = 100, .output_tokens = 200},
-               kStart);
+  model.Submit({.id = "a", .prompt_tokens = 100, .output_tokens = 200}, kStart);
   for (int i = 0; i < 100; ++i)
     model.Step();
   const timestamp now = *model.NextStepAt();
