--- a/models/cold_permits.pml
+++ b/models/cold_permits.pml
@@ -8,9 +8,9 @@
  *   NO_LAPSE       a permit that lapsed is taken for unused
  */
 #define BEAR 1
-#define LEASE 3
-#define PERMIT 2
-#define LAST 7
+#define LEASE 2
+#define PERMIT 1
+#define LAST 4
 #define UNKNOWN 99
 #define NOBODY 9
 
@@ -87,7 +87,8 @@
        fi;
        doubt_until[me] = now;
 #endif
-       granted[me * 2] = 0
+       granted[me * 2] = 0;
+       granted_until[me * 2] = 0
      }
   :: atomic {
        (granted[me * 2 + 1] > 0 && granted_until[me * 2 + 1] <= now) ->
@@ -98,7 +99,8 @@
        fi;
        doubt_until[me] = now;
 #endif
-       granted[me * 2 + 1] = 0
+       granted[me * 2 + 1] = 0;
+       granted_until[me * 2 + 1] = 0
      }
   :: /* a member asks; the steward may pause before it answers */
      atomic {
@@ -128,7 +130,8 @@
 #endif
           fi
        :: else -> skip
-       fi
+       fi;
+       member = 0; other = 0; asked_at = 0
      }
   od
 }
@@ -150,7 +153,8 @@
        (run_of[me] > 0) ->
        running--;
        run_of[me]--;
-       permit[me] = 0
+       permit[me] = 0;
+       permit_until[me] = 0
      }
   od
 }
