Run scenarios against real processes under faults

Cause: what must always hold was shown on virtual clocks only. A runner with embedded Lua starts the processes and kills, freezes, cuts and slows them; each scenario ends with an audit of its own logs.

--- /dev/null
+++ b/scenarios/main.cc
@@ -0,0 +1,71 @@
+#include <signal.h>
+
+#include <algorithm>
+#include <boost/program_options.hpp>
+#include <filesystem>
+#include <iostream>
+
+#include "scenarios/runner.h"
+
+namespace po = boost::program_options;
+
+namespace {
+
+constexpr int kFirstPort = 20000;
+constexpr int kPortsAScenario = 100;
+
+std::vector<std::string> AllNames(const std::string& directory) {
+  std::vector<std::string> names;
+  for (const auto& file : std::filesystem::directory_iterator(directory)) {
+    if (file.path().extension() == ".lua" &&
+        file.path().stem() != "library")
+      names.push_back(file.path().stem());
+  }
+  std::sort(names.begin(), names.end());
+  return names;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  signal(SIGPIPE, SIG_IGN);
+  std::string directory = "scenarios";
+  std::string build = "build";
+  std::string name = "all";
+  int seed = 1;
+  po::options_description options("runs scenarios against real processes");
+  auto add = options.add_options();
+  add("help", "print this text");
+  add("directory", po::value(&directory), "where the scripts are");
+  add("build", po::value(&build), "build directory");
+  add("seed", po::value(&seed), "seed");
+  add("name", po::value(&name), "a scenario, or all");
+  po::positional_options_description positional;
+  positional.add("name", 1);
+  po::variables_map values;
+  po::store(po::command_line_parser(argc, argv)
+                .options(options)
+                .positional(positional)
+                .run(),
+            values);
+  po::notify(values);
+  if (values.count("help")) {
+    std::cout << options;
+    return 0;
+  }
+  const auto names =
+      name == "all" ? AllNames(directory) : std::vector<std::string>{name};
+  int passed = 0;
+  int port = kFirstPort;
+  for (const std::string& scenario : names) {
+    const std::string failure =
+        wist::scenarios::RunScenario(directory, build, scenario, seed, port);
+    port += kPortsAScenario;
+    std::cout << scenario << ": " << (failure.empty() ? "passed" : failure)
+              << std::endl;
+    passed += failure.empty() ? 1 : 0;
+  }
+  const int failed = static_cast<int>(names.size()) - passed;
+  std::cout << passed << " passed, " << failed << " failed" << std::endl;
+  return failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/scenarios/runner.cc
@@ -0,0 +1,326 @@
+#include "scenarios/runner.h"
+
+#include <lua.hpp>
+#include <signal.h>
+#include <stdlib.h>
+
+#include <chrono>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <random>
+
+#include "framework/base/system_clock.h"
+#include "framework/http/http_module.h"
+#include "record/record_module.h"
+#include "scenarios/background_streams.h"
+#include "scenarios/process_group.h"
+
+namespace wist::scenarios {
+namespace {
+
+using json = nlohmann::json;
+
+constexpr seconds kCallLimit{20};
+
+// What the functions of a script work on.
+struct script_state {
+  explicit script_state(const std::string& logs)
+      : processes(logs), streams(http, clock) {}
+
+  std::shared_ptr<const i_clock> clock = MakeSystemClock();
+  std::shared_ptr<i_http_client> http = MakeHttpClient(clock);
+  process_group processes;
+  background_streams streams;
+  std::mt19937_64 random;
+};
+
+script_state& State(lua_State* lua) {
+  return *static_cast<script_state*>(
+      lua_touserdata(lua, lua_upvalueindex(1)));
+}
+
+// Runs a function's body; an exception becomes an error of the script.
+template <typename Body>
+int Guarded(lua_State* lua, Body body) {
+  std::string error;
+  try {
+    return body();
+  } catch (const std::exception& failure) {
+    error = failure.what();
+  }
+  lua_pushlstring(lua, error.data(), error.size());
+  return lua_error(lua);
+}
+
+std::string Text(lua_State* lua, int index) {
+  std::size_t size = 0;
+  const char* text = luaL_checklstring(lua, index, &size);
+  return {text, size};
+}
+
+void PushText(lua_State* lua, const std::string& text) {
+  lua_pushlstring(lua, text.data(), text.size());
+}
+
+void PushJson(lua_State* lua, const json& value) {
+  if (value.is_boolean()) {
+    lua_pushboolean(lua, value.get<bool>());
+  } else if (value.is_number_integer()) {
+    lua_pushinteger(lua, value.get<lua_Integer>());
+  } else if (value.is_number()) {
+    lua_pushnumber(lua, value.get<double>());
+  } else if (value.is_string()) {
+    PushText(lua, value.get<std::string>());
+  } else if (value.is_array()) {
+    lua_newtable(lua);
+    lua_Integer index = 0;
+    for (const json& item : value) {
+      PushJson(lua, item);
+      lua_rawseti(lua, -2, ++index);
+    }
+  } else if (value.is_object()) {
+    lua_newtable(lua);
+    for (const auto& [name, item] : value.items()) {
+      PushJson(lua, item);
+      lua_setfield(lua, -2, name.c_str());
+    }
+  } else {
+    lua_pushnil(lua);
+  }
+}
+
+http_request ReadRequest(lua_State* lua, int first) {
+  http_request request;
+  request.method = Text(lua, first);
+  request.path = Text(lua, first + 1);
+  request.body = luaL_optstring(lua, first + 2, "");
+  if (lua_istable(lua, first + 3)) {
+    lua_pushnil(lua);
+    while (lua_next(lua, first + 3) != 0) {
+      request.headers.push_back({Text(lua, -2), Text(lua, -1)});
+      lua_pop(lua, 1);
+    }
+  }
+  return request;
+}
+
+http_address ReadAddress(lua_State* lua, int index) {
+  return {"127.0.0.1", static_cast<std::uint16_t>(luaL_checkinteger(lua, index))};
+}
+
+// start(name, {program, argument...})
+int Start(lua_State* lua) {
+  return Guarded(lua, [&] {
+    std::vector<std::string> command;
+    const lua_Integer count = luaL_len(lua, 2);
+    for (lua_Integer i = 1; i <= count; ++i) {
+      lua_rawgeti(lua, 2, i);
+      command.push_back(Text(lua, -1));
+      lua_pop(lua, 1);
+    }
+    State(lua).processes.Start(Text(lua, 1), command);
+    return 0;
+  });
+}
+
+// signal(name, "KILL" | "STOP" | "CONT" | "TERM")
+int Signal(lua_State* lua) {
+  return Guarded(lua, [&] {
+    const std::string name = Text(lua, 2);
+    const int number = name == "KILL"   ? SIGKILL
+                       : name == "STOP" ? SIGSTOP
+                       : name == "CONT" ? SIGCONT
+                                        : SIGTERM;
+    State(lua).processes.Signal(Text(lua, 1), number);
+    return 0;
+  });
+}
+
+// exit_code(name): nil while it runs
+int ExitCode(lua_State* lua) {
+  return Guarded(lua, [&] {
+    const int code = State(lua).processes.ExitCode(Text(lua, 1));
+    if (code < 0)
+      return 0;
+    lua_pushinteger(lua, code);
+    return 1;
+  });
+}
+
+// http(port, method, path, body, headers): status and body; nil if no answer
+int Http(lua_State* lua) {
+  return Guarded(lua, [&] {
+    script_state& state = State(lua);
+    try {
+      const http_response response =
+          state.http->Call(ReadAddress(lua, 1), ReadRequest(lua, 2),
+                           state.clock->Now() + kCallLimit);
+      lua_pushinteger(lua, response.status);
+      PushText(lua, response.body);
+      return 2;
+    } catch (const http_error&) {
+      lua_pushnil(lua);
+      return 1;
+    }
+  });
+}
+
+// open_stream(port, method, path, body, headers): number
+int OpenStream(lua_State* lua) {
+  return Guarded(lua, [&] {
+    const std::size_t number =
+        State(lua).streams.Open(ReadAddress(lua, 1), ReadRequest(lua, 2));
+    lua_pushinteger(lua, static_cast<lua_Integer>(number));
+    return 1;
+  });
+}
+
+// resume_stream(number, port, method, path, body, headers)
+int ResumeStream(lua_State* lua) {
+  return Guarded(lua, [&] {
+    State(lua).streams.Resume(
+        static_cast<std::size_t>(luaL_checkinteger(lua, 1)),
+        ReadAddress(lua, 2), ReadRequest(lua, 3));
+    return 0;
+  });
+}
+
+// stream(number): its state as a table
+int Stream(lua_State* lua) {
+  return Guarded(lua, [&] {
+    const stream_state state = State(lua).streams.State(
+        static_cast<std::size_t>(luaL_checkinteger(lua, 1)));
+    PushJson(lua, {{"status", state.status},
+                   {"tokens", state.texts.size()},
+                   {"text", [&] {
+                      std::string all;
+                      for (const std::string& text : state.texts)
+                        all += text;
+                      return all;
+                    }()},
+                   {"last_event_id", state.last_event_id},
+                   {"done", state.done},
+                   {"ended", state.ended},
+                   {"error", state.error},
+                   {"error_body", state.error_body}});
+    return 1;
+  });
+}
+
+// json(text): table; nil if it is not JSON
+int ParseJson(lua_State* lua) {
+  return Guarded(lua, [&] {
+    const json value = json::parse(Text(lua, 1), nullptr, false);
+    if (value.is_discarded())
+      return 0;
+    PushJson(lua, value);
+    return 1;
+  });
+}
+
+// sleep(milliseconds)
+int Sleep(lua_State* lua) {
+  std::this_thread::sleep_for(milliseconds(luaL_checkinteger(lua, 1)));
+  return 0;
+}
+
+// now(): milliseconds
+int Now(lua_State* lua) {
+  lua_pushinteger(
+      lua, std::chrono::duration_cast<milliseconds>(
+               State(lua).clock->Now().time_since_epoch())
+               .count());
+  return 1;
+}
+
+// key(): a new idempotency key; key(age_ms): one issued that long ago
+int Key(lua_State* lua) {
+  script_state& state = State(lua);
+  const auto millis =
+      static_cast<std::uint64_t>(
+          state.clock->CalendarNow().time_since_epoch().count()) -
+      static_cast<std::uint64_t>(luaL_optinteger(lua, 1, 0));
+  char text[100];
+  std::snprintf(text, sizeof text, "%08llx-%04llx-7%03llx-8%03llx-%012llx",
+                static_cast<unsigned long long>(millis >> 16),
+                static_cast<unsigned long long>(millis & 0xffff),
+                static_cast<unsigned long long>(state.random() & 0xfff),
+                static_cast<unsigned long long>(state.random() & 0xfff),
+                static_cast<unsigned long long>(state.random() &
+                                                0xffffffffffff));
+  lua_pushstring(lua, text);
+  return 1;
+}
+
+// audit(name...): number of findings and their text over these logs
+int RunAudit(lua_State* lua) {
+  return Guarded(lua, [&] {
+    std::vector<std::string> lines;
+    for (int i = 1; i <= lua_gettop(lua); ++i) {
+      std::ifstream file(State(lua).processes.LogPath(Text(lua, i)));
+      for (std::string line; std::getline(file, line);)
+        lines.push_back(line);
+    }
+    constexpr std::int64_t kGraceMs = 3000;
+    const audit_report report = Audit(lines, kGraceMs);
+    std::string text;
+    for (const audit_finding& finding : report.findings)
+      text += std::string(FindingName(finding.kind)) + " " + finding.subject +
+              ": " + finding.text + "\n";
+    lua_pushinteger(lua, static_cast<lua_Integer>(report.findings.size()));
+    PushText(lua, text);
+    return 2;
+  });
+}
+
+void Register(lua_State* lua, script_state& state) {
+  const luaL_Reg functions[] = {{"start", Start},
+                                {"signal", Signal},
+                                {"exit_code", ExitCode},
+                                {"http", Http},
+                                {"open_stream", OpenStream},
+                                {"resume_stream", ResumeStream},
+                                {"stream", Stream},
+                                {"json", ParseJson},
+                                {"sleep", Sleep},
+                                {"now", Now},
+                                {"key", Key},
+                                {"audit", RunAudit}};
+  for (const luaL_Reg& function : functions) {
+    lua_pushlightuserdata(lua, &state);
+    lua_pushcclosure(lua, function.func, 1);
+    lua_setglobal(lua, function.name);
+  }
+}
+
+}  // namespace
+
+std::string RunScenario(const std::string& directory,
+                        const std::string& build_directory,
+                        const std::string& name,
+                        int seed,
+                        int first_port) {
+  char log_template[] = "/tmp/wist-scenario-XXXXXX";
+  const std::string logs = mkdtemp(log_template);
+  script_state state(logs);
+  state.random.seed(static_cast<std::uint64_t>(seed));
+  lua_State* lua = luaL_newstate();
+  luaL_openlibs(lua);
+  Register(lua, state);
+  lua_pushinteger(lua, first_port);
+  lua_setglobal(lua, "first_port");
+  lua_pushinteger(lua, seed);
+  lua_setglobal(lua, "seed");
+  PushText(lua, build_directory);
+  lua_setglobal(lua, "build_directory");
+  std::string failure;
+  const std::string library = directory + "/library.lua";
+  const std::string script = directory + "/" + name + ".lua";
+  if (luaL_dofile(lua, library.c_str()) != LUA_OK ||
+      luaL_dofile(lua, script.c_str()) != LUA_OK)
+    failure = std::string(lua_tostring(lua, -1)) + " (logs in " + logs + ")";
+  lua_close(lua);
+  return failure;
+}
+
+}  // namespace wist::scenarios
--- a/src/apps/wisteriatally/main.cc
+++ b/src/apps/wisteriatally/main.cc
@@ -101,7 +101,7 @@
                 keys, logger});
   const auto entry = MakeEntryService(
       {settings.instance, settings.domain, settings.start_limit,
-       settings.log_caller_text},
+       settings.test_hooks},
       {clock, http, keys, logger, MakePrometheusMetrics(), claims, node});
   const auto server = MakeHttpServer(
       ToServerSettings(settings),
--- a/src/entry/entry_module.h
+++ b/src/entry/entry_module.h
@@ -18,7 +18,8 @@
   std::string instance;
   std::string domain;
   milliseconds start_limit{10'000};
-  bool log_caller_text = false;
+  // Whether the paths under /test/ exist.
+  bool test_hooks = false;
 };
 
 struct entry_services {
--- a/src/entry/internal/entry_service.cc
+++ b/src/entry/internal/entry_service.cc
@@ -37,6 +37,8 @@
       return SendMetrics(responder);
     if (request.path == "/status")
       return SendStatus(responder);
+    if (settings_.test_hooks && request.path == "/test/cut")
+      return Cut(request, responder);
     HandleCaller(request, responder);
   }
 
@@ -190,6 +192,17 @@
     SendRefusal(error, record.request_id, *services_.clock, responder);
   }
 
+  void Cut(const http_server_request& request, i_http_responder& responder) {
+    const auto body = nlohmann::json::parse(request.body, nullptr, false);
+    std::vector<domain_id> domains;
+    if (body.is_object()) {
+      for (const auto& name : body.value("domains", nlohmann::json::array()))
+        domains.emplace_back(name.get<std::string>());
+    }
+    services_.node->CutFrom(domains);
+    responder.Send({200, {}, "{}"}, kJsonType);
+  }
+
   void SendReadiness(i_http_responder& responder) const {
     const bool ready = !stopping_ && services_.node->status().Ready();
     responder.Send(
--- a/src/node/i_node.h
+++ b/src/node/i_node.h
@@ -18,6 +18,10 @@
   virtual i_plain_router& plain_router() = 0;
   virtual i_node_status& status() = 0;
 
+  // Refuses peers of these failure domains, as if the links were cut. For
+  // tests only.
+  virtual void CutFrom(const std::vector<domain_id>& domains) = 0;
+
   // Leaves the platform's list and hands duties over; requests go on.
   virtual void BeginLeaving() = 0;
 };
--- a/src/node/internal/node.cc
+++ b/src/node/internal/node.cc
@@ -1,6 +1,8 @@
 #include <algorithm>
 #include <atomic>
 #include <map>
+#include <mutex>
+#include <set>
 
 #include "configuration/configuration_module.h"
 #include "configuration/configuration_text.h"
@@ -86,6 +88,11 @@
   i_plain_router& plain_router() override { return plain_router_; }
   i_node_status& status() override { return *this; }
 
+  void CutFrom(const std::vector<domain_id>& domains) override {
+    std::lock_guard lock(cut_mutex_);
+    cut_domains_ = {domains.begin(), domains.end()};
+  }
+
   void BeginLeaving() override {
     leaving_ = true;
     cluster_->SetLeaving();
@@ -249,9 +256,16 @@
         return permit_answer{self.cluster_->ExchangePermits(call)};
       }
     };
+    if (IsCutFrom(addressed.from))
+      return refusal_answer{};
     return std::visit(visitor{*this}, addressed.call);
   }
 
+  bool IsCutFrom(const domain_id& domain) const {
+    std::lock_guard lock(cut_mutex_);
+    return cut_domains_.contains(domain);
+  }
+
   // Tallies and permits ------------------------------------------------------
 
   void ExchangeTalliesWhenDue() {
@@ -482,6 +496,8 @@
   std::unique_ptr<i_peer_server> server_;
   std::atomic<bool> leaving_ = false;
   std::atomic<bool> heard_peer_ = false;
+  mutable std::mutex cut_mutex_;
+  std::set<domain_id> cut_domains_;
   bool announced_ = false;
   timestamp next_tallies_at_;
   std::vector<std::unique_ptr<periodic_thread>> threads_;
--- a/src/settings/internal/entry_command.cc
+++ b/src/settings/internal/entry_command.cc
@@ -64,7 +64,7 @@
   add("stop-limit-ms", text("30000"),
       "longest time a planned stop waits for requests in flight");
   add("poll-interval-ms", text("250"), "time between load reports");
-  add("log-caller-text", text("false"), "true to log prompts and answers");
+  add("test-hooks", text("false"), "true to let tests cut peer links");
   return options;
 }
 
@@ -178,7 +178,7 @@
       milliseconds(read.Number("stop-limit-ms", 0, 3'600'000));
   settings.poll_interval =
       milliseconds(read.Number("poll-interval-ms", 10, 10'000));
-  settings.log_caller_text = read.Flag("log-caller-text");
+  settings.test_hooks = read.Flag("test-hooks");
   read.ThrowIfFaulty();
   return settings;
 }
--- a/src/settings/settings_types.h
+++ b/src/settings/settings_types.h
@@ -27,7 +27,7 @@
   milliseconds start_limit{10'000};
   milliseconds stop_limit{30'000};
   milliseconds poll_interval{250};
-  bool log_caller_text = false;
+  bool test_hooks = false;
 
   auto operator<=>(const entry_settings&) const = default;
 };
