--- a/src/framework/http/internal/poco_http_server.cc
+++ b/src/framework/http/internal/poco_http_server.cc
@@ -26,16 +26,28 @@
 constexpr int kListenBacklog = 512;
 constexpr int kStackBytes = 128 * 1024;
 constexpr int kIdleThreadSeconds = 30;
+constexpr std::size_t kMostDroppedBytes = 16 << 20;
 
 Poco::Timespan ToTimespan(milliseconds span) {
   return Poco::Timespan(microseconds(span).count());
 }
 
+// Reads what is left of a body and drops it. A connection that is closed with
+// unread bytes is reset, and the answer may be lost with it.
+void DropBody(std::istream& in) {
+  std::array<char, 4096> buffer{};
+  std::size_t dropped = 0;
+  while (dropped < kMostDroppedBytes &&
+         (in.read(buffer.data(), buffer.size()) || in.gcount() > 0))
+    dropped += static_cast<std::size_t>(in.gcount());
+}
+
 void ReadBody(HTTPServerRequest& request,
               std::size_t max_bytes,
               http_server_request& out) {
   if (request.getContentLength64() > static_cast<Poco::Int64>(max_bytes)) {
     out.body_too_large = true;
+    DropBody(request.stream());
     return;
   }
   std::array<char, 4096> buffer{};
@@ -44,6 +56,7 @@
     out.body.append(buffer.data(), static_cast<std::size_t>(in.gcount()));
     if (out.body.size() > max_bytes) {
       out.body_too_large = true;
+      DropBody(in);
       return;
     }
   }
--- a/stand_ins/platform/platform_main.cc
+++ b/stand_ins/platform/platform_main.cc
@@ -128,12 +128,15 @@
     if (!model_.AdmitRead(clock_->Now()))
       return SendJson(responder, 429, json::object());
     while (model_.Read(key).revision == known && !faults_.down &&
+           !faults_.cut_domains.contains(request.Header("X-Domain")) &&
            clock_->Now() < deadline)
       changed_.wait_for(lock, deadline - clock_->Now());
     const kv_entry entry = model_.Read(key);
-    const bool down = faults_.down;
+    const bool cut =
+        faults_.down ||
+        faults_.cut_domains.contains(request.Header("X-Domain"));
     lock.unlock();
-    if (down)
+    if (cut)
       return responder.Abort();
     if (entry.revision == known)
       return responder.Send({204, {}, ""}, "application/json");
