--- /dev/null
+++ b/bench/core/main.cc
@@ -0,0 +1,220 @@
+// Processor time and memory of the decisions at the two-year size: 770 targets
+// and 360 workspaces before one instance.
+
+#include <fmt/format.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <deque>
+#include <fstream>
+#include <random>
+
+#include "admission/admission_module.h"
+#include "cluster/cluster_module.h"
+#include "framework/keys/keys_module.h"
+#include "peer_link/internal/peer_codec.h"
+
+namespace wist::bench {
+namespace {
+
+constexpr int kTargets = 770;
+constexpr int kWorkspaces = 360;
+constexpr int kDomains = 6;
+constexpr int kRequests = 20'000;
+constexpr int kRunningAtOnce = 110;
+constexpr std::int64_t kOutputTokens = 270;
+constexpr timestamp kStart{seconds(1000)};
+
+class open_gate final : public i_target_gate {
+ public:
+  bool MayDispatch(const target_spec&, timestamp) const override {
+    return true;
+  }
+  std::int32_t ColdAllowance(const target_spec&, timestamp) const override {
+    return 1;
+  }
+};
+
+configuration_body LargeBody() {
+  configuration_body body;
+  for (int i = 0; i < kDomains; ++i)
+    body.domains.push_back({domain_id(fmt::format("domain-{}", i)),
+                            i < 3 ? "west" : "east", domain_state::in, 72});
+  rule_spec rule{workspace_id("*"), service_id("model-0"), {}};
+  for (int i = 0; i < kTargets; ++i) {
+    target_spec target;
+    target.id = target_id(fmt::format("target-{}", i));
+    target.domain = body.domains[static_cast<std::size_t>(i % kDomains)].id;
+    target.host = "127.0.0.1";
+    target.port = 9000;
+    target.memory_tokens = 40'000;
+    body.targets.push_back(target);
+    rule.targets.push_back(target.id);
+  }
+  for (int i = 0; i < kWorkspaces; ++i)
+    body.workspaces.push_back(
+        {workspace_id(fmt::format("workspace-{}", i)), 2, 10'000, 1});
+  service_spec service;
+  service.id = service_id("model-0");
+  body.services = {service};
+  body.rules = {rule};
+  return body;
+}
+
+double ProcessorSeconds() {
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  const auto seconds_of = [](const timeval& time) {
+    return static_cast<double>(time.tv_sec) +
+           static_cast<double>(time.tv_usec) / 1e6;
+  };
+  return seconds_of(usage.ru_utime) + seconds_of(usage.ru_stime);
+}
+
+double ResidentMegabytes() {
+  std::ifstream file("/proc/self/statm");
+  std::size_t total = 0;
+  std::size_t resident = 0;
+  file >> total >> resident;
+  return static_cast<double>(resident) *
+         static_cast<double>(sysconf(_SC_PAGESIZE)) / 1e6;
+}
+
+struct running_request {
+  request_number number = 0;
+  std::int64_t tokens = 0;
+};
+
+void MeasureRouting() {
+  const double memory_before = ResidentMegabytes();
+  const configuration_body body = LargeBody();
+  const auto admission = MakeForecastAdmission(
+      {}, std::make_shared<open_gate>(), instance_id("i"), domain_id("domain-0"));
+  admission->ApplyConfiguration(body, kStart);
+  admission->SetInstanceCount(410);
+  std::mt19937_64 random(1);
+  timestamp now = kStart;
+  std::deque<running_request> running;
+  std::int64_t tokens = 0;
+  int admitted = 0;
+  double decision_seconds = 0;
+  double progress_seconds = 0;
+  for (int i = 0; i < kRequests; ++i) {
+    now += milliseconds(85);
+    if (i % 3 == 0) {
+      for (const target_id& target : admission->UsedTargets()) {
+        target_report report;
+        report.taken_at = now;
+        report.running = 20;
+        report.memory_used = 15'000;
+        admission->OnReport(target, report, now);
+      }
+    }
+    admission_request request;
+    request.workspace =
+        workspace_id(fmt::format("workspace-{}", random() % kWorkspaces));
+    request.service = service_id("model-0");
+    request.prompt_tokens = 500;
+    request.start_deadline = now + seconds(2);
+    const double begun = ProcessorSeconds();
+    const request_number number = admission->Submit(request, now);
+    for (const admission_event& event : admission->Pump(now)) {
+      if (std::holds_alternative<request_admitted>(event)) {
+        running.push_back({number, 0});
+        ++admitted;
+      }
+    }
+    const double decided = ProcessorSeconds();
+    decision_seconds += decided - begun;
+    for (running_request& one : running)
+      admission->OnProgress(one.number, ++one.tokens, now);
+    tokens += static_cast<std::int64_t>(running.size());
+    progress_seconds += ProcessorSeconds() - decided;
+    if (running.size() > kRunningAtOnce) {
+      admission->OnEnd(running.front().number, generation_end::finished, now);
+      running.pop_front();
+    }
+    admission->Tallies(now);
+  }
+  fmt::print(
+      "routing: {} targets, {} workspaces, {} of {} admitted, {:.2f} us a "
+      "decision, {:.3f} us a token, {:.1f} MB more resident\n",
+      kTargets, kWorkspaces, admitted, kRequests,
+      decision_seconds / kRequests * 1e6,
+      progress_seconds / static_cast<double>(tokens) * 1e6,
+      ResidentMegabytes() - memory_before);
+}
+
+// One exchange of gossip a side, encoded and decoded, by number of members.
+void MeasureGossip() {
+  const auto keys = MakeKeyring("k:000102030405060708090a0b0c0d0e0f");
+  for (const int members : {3, 9, 30, 60, 68, 410}) {
+    member_record self;
+    self.id = instance_id("instance-000");
+    self.domain = domain_id("domain-0");
+    self.address = "10.0.0.1:8081";
+    auto view = MakeClusterView({}, self, 1);
+    for (int i = 1; i < members; ++i) {
+      gossip told;
+      told.self = self;
+      told.self.id = instance_id(fmt::format("instance-{:03}", i));
+      told.self.address = fmt::format("10.0.{}.{}:8081", i / 250, i % 250);
+      told.self.domain = domain_id(fmt::format("domain-{}", i % kDomains));
+      told.self.heartbeat = 100;
+      view->OnCall(told, kStart);
+    }
+    view->OnStoreRead(1, kStart);
+    constexpr int kRounds = 2000;
+    const double begun = ProcessorSeconds();
+    std::size_t bytes = 0;
+    for (int i = 0; i < kRounds; ++i) {
+      const std::string call = EncodeCall(
+          *keys, {domain_id("domain-0"), gossip_call{view->Tell(kStart)}});
+      bytes = call.size();
+      const auto decoded = DecodeCall(*keys, call);
+      view->OnCall(std::get<gossip_call>(decoded.call).told, kStart);
+    }
+    const double microseconds_a_round =
+        (ProcessorSeconds() - begun) / kRounds * 1e6;
+    fmt::print("gossip: {} members, {} bytes a message, {:.1f} us to make and "
+               "take one\n",
+               members, bytes, microseconds_a_round);
+  }
+}
+
+void MeasureTallies() {
+  const auto keys = MakeKeyring("k:000102030405060708090a0b0c0d0e0f");
+  for (const int targets : {1, 4, 16}) {
+    tally_call call;
+    call.member = instance_id("instance-000");
+    std::vector<quota_grant> grants;
+    for (int i = 0; i < targets; ++i) {
+      target_tally tally;
+      tally.target = target_id(fmt::format("target-{}", i));
+      tally.running = 8;
+      tally.forecast.mean.fill(7000);
+      tally.forecast.variance.fill(1e6);
+      tally.demand = 2;
+      call.tallies.push_back(tally);
+      quota_grant grant;
+      grant.target = tally.target;
+      grant.others = tally.forecast;
+      grant.share = 0.1;
+      grants.push_back(grant);
+    }
+    fmt::print("tallies: {} targets, {} bytes a call, {} bytes an answer\n",
+               targets, EncodeCall(*keys, {domain_id("domain-0"), call}).size(),
+               EncodeAnswer(*keys, tally_answer{grants}).size());
+  }
+}
+
+}  // namespace
+}  // namespace wist::bench
+
+int main() {
+  wist::bench::MeasureRouting();
+  wist::bench::MeasureGossip();
+  wist::bench::MeasureTallies();
+  return 0;
+}
