Write each claim bucket through one instance

Cause: nine instances that write the same buckets lose most swaps to each other: 100 confirmations/s cost 1158 store calls/s (bench/claims). Operations go to the bucket's writer by rendezvous hashing over the live members, many in one message; without an answer the claimant writes itself with the same nonce.

Found on the way: a writer that gave up another instance's claim would have withdrawn it, though the claimant may dispatch meanwhile: only the claimant withdraws (test and planted fault claim_withdrawn_by_writer).

--- a/bench/claims/main.cc
+++ b/bench/claims/main.cc
@@ -57,8 +57,8 @@
     ScheduleArrival();
     Repeat(kStart);
     const timestamp end =
-        kStart + microseconds(
-                     static_cast<std::int64_t>(settings_.seconds * 1e6));
+        kStart +
+        microseconds(static_cast<std::int64_t>(settings_.seconds * 1e6));
     while (!queue_.empty() && queue_.top().at <= end) {
       const store_event next = queue_.top();
       queue_.pop();
@@ -117,12 +117,12 @@
 
   void ScheduleArrival() {
     std::exponential_distribution<double> wait(settings_.rate);
-    Schedule(now_ + microseconds(
-                        static_cast<std::int64_t>(wait(random_) * 1e6)),
-             [this] {
-               Arrive();
-               ScheduleArrival();
-             });
+    Schedule(
+        now_ + microseconds(static_cast<std::int64_t>(wait(random_) * 1e6)),
+        [this] {
+          Arrive();
+          ScheduleArrival();
+        });
   }
 
   // Keys are issued when they are sent.
--- a/bench/core/main.cc
+++ b/bench/core/main.cc
@@ -89,8 +89,9 @@
 void MeasureRouting() {
   const double memory_before = ResidentMegabytes();
   const configuration_body body = LargeBody();
-  const auto admission = MakeForecastAdmission(
-      {}, std::make_shared<open_gate>(), instance_id("i"), domain_id("domain-0"));
+  const auto admission =
+      MakeForecastAdmission({}, std::make_shared<open_gate>(), instance_id("i"),
+                            domain_id("domain-0"));
   admission->ApplyConfiguration(body, kStart);
   admission->SetInstanceCount(410);
   std::mt19937_64 random(1);
@@ -177,9 +178,10 @@
     }
     const double microseconds_a_round =
         (ProcessorSeconds() - begun) / kRounds * 1e6;
-    fmt::print("gossip: {} members, {} bytes a message, {:.1f} us to make and "
-               "take one\n",
-               members, bytes, microseconds_a_round);
+    fmt::print(
+        "gossip: {} members, {} bytes a message, {:.1f} us to make and "
+        "take one\n",
+        members, bytes, microseconds_a_round);
   }
 }
 
--- a/bench/relay/main.cc
+++ b/bench/relay/main.cc
@@ -129,8 +129,8 @@
       tokens += relayed.size();
       // The first tokens came before the direct reader was there.
       constexpr std::size_t kSkipped = 20;
-      for (std::size_t t = kSkipped; t < std::min(direct.size(), relayed.size());
-           ++t)
+      for (std::size_t t = kSkipped;
+           t < std::min(direct.size(), relayed.size()); ++t)
         added_ms.push_back(ToMilliseconds(relayed[t] - direct[t]));
     });
   }
@@ -140,20 +140,19 @@
     reader.join();
   const double took = ToMilliseconds(clock->Now() - begun_at) / 1000;
   const process_use after = UseOf(settings.pid);
-  return {{"streams", settings.streams},
-          {"tokens", tokens},
-          {"tokens_per_second", static_cast<double>(tokens) / took},
-          {"processor_seconds",
-           after.processor_seconds - before.processor_seconds},
-          {"cores", (after.processor_seconds - before.processor_seconds) / took},
-          {"processor_us_a_token",
-           (after.processor_seconds - before.processor_seconds) * 1e6 /
-               static_cast<double>(std::max<std::size_t>(1, tokens))},
-          {"resident_kb_a_stream",
-           (during.resident_kb - before.resident_kb) / settings.streams},
-          {"added_ms",
-           {{"p50", Quantile(added_ms, 0.5)},
-            {"p99", Quantile(added_ms, 0.99)}}}};
+  return {
+      {"streams", settings.streams},
+      {"tokens", tokens},
+      {"tokens_per_second", static_cast<double>(tokens) / took},
+      {"processor_seconds", after.processor_seconds - before.processor_seconds},
+      {"cores", (after.processor_seconds - before.processor_seconds) / took},
+      {"processor_us_a_token",
+       (after.processor_seconds - before.processor_seconds) * 1e6 /
+           static_cast<double>(std::max<std::size_t>(1, tokens))},
+      {"resident_kb_a_stream",
+       (during.resident_kb - before.resident_kb) / settings.streams},
+      {"added_ms",
+       {{"p50", Quantile(added_ms, 0.5)}, {"p99", Quantile(added_ms, 0.99)}}}};
 }
 
 }  // namespace
--- a/scenarios/background_streams.h
+++ b/scenarios/background_streams.h
@@ -19,8 +19,8 @@
   std::string generation;
   std::vector<std::string> texts;
   std::string last_event_id;
-  bool done = false;    // The last event came.
-  bool ended = false;   // Nothing more will come.
+  bool done = false;   // The last event came.
+  bool ended = false;  // Nothing more will come.
   std::string error;
   std::string error_body;
 };
--- a/scenarios/main.cc
+++ b/scenarios/main.cc
@@ -17,8 +17,7 @@
 std::vector<std::string> AllNames(const std::string& directory) {
   std::vector<std::string> names;
   for (const auto& file : std::filesystem::directory_iterator(directory)) {
-    if (file.path().extension() == ".lua" &&
-        file.path().stem() != "library")
+    if (file.path().extension() == ".lua" && file.path().stem() != "library")
       names.push_back(file.path().stem());
   }
   std::sort(names.begin(), names.end());
--- a/scenarios/process_group.cc
+++ b/scenarios/process_group.cc
@@ -60,8 +60,8 @@
   if (waitpid(child.pid, &status, wait ? 0 : WNOHANG) != child.pid)
     return;
   child.ended = true;
-  child.exit_code = WIFEXITED(status) ? WEXITSTATUS(status)
-                                      : 128 + WTERMSIG(status);
+  child.exit_code =
+      WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
 }
 
 std::string process_group::LogPath(const std::string& name) const {
--- a/scenarios/runner.cc
+++ b/scenarios/runner.cc
@@ -1,8 +1,8 @@
 #include "scenarios/runner.h"
 
-#include <lua.hpp>
 #include <signal.h>
 #include <stdlib.h>
+#include <lua.hpp>
 
 #include <chrono>
 #include <fstream>
@@ -35,8 +35,7 @@
 };
 
 script_state& State(lua_State* lua) {
-  return *static_cast<script_state*>(
-      lua_touserdata(lua, lua_upvalueindex(1)));
+  return *static_cast<script_state*>(lua_touserdata(lua, lua_upvalueindex(1)));
 }
 
 // Runs a function's body; an exception becomes an error of the script.
@@ -105,7 +104,8 @@
 }
 
 http_address ReadAddress(lua_State* lua, int index) {
-  return {"127.0.0.1", static_cast<std::uint16_t>(luaL_checkinteger(lua, index))};
+  return {"127.0.0.1",
+          static_cast<std::uint16_t>(luaL_checkinteger(lua, index))};
 }
 
 // start(name, {program, argument...})
@@ -192,7 +192,8 @@
         static_cast<std::size_t>(luaL_checkinteger(lua, 1)));
     PushJson(lua, {{"status", state.status},
                    {"tokens", state.texts.size()},
-                   {"text", [&] {
+                   {"text",
+                    [&] {
                       std::string all;
                       for (const std::string& text : state.texts)
                         all += text;
@@ -226,10 +227,9 @@
 
 // now(): milliseconds
 int Now(lua_State* lua) {
-  lua_pushinteger(
-      lua, std::chrono::duration_cast<milliseconds>(
-               State(lua).clock->Now().time_since_epoch())
-               .count());
+  lua_pushinteger(lua, std::chrono::duration_cast<milliseconds>(
+                           State(lua).clock->Now().time_since_epoch())
+                           .count());
   return 1;
 }
 
@@ -241,13 +241,13 @@
           state.clock->CalendarNow().time_since_epoch().count()) -
       static_cast<std::uint64_t>(luaL_optinteger(lua, 1, 0));
   char text[100];
-  std::snprintf(text, sizeof text, "%08llx-%04llx-7%03llx-8%03llx-%012llx",
-                static_cast<unsigned long long>(millis >> 16),
-                static_cast<unsigned long long>(millis & 0xffff),
-                static_cast<unsigned long long>(state.random() & 0xfff),
-                static_cast<unsigned long long>(state.random() & 0xfff),
-                static_cast<unsigned long long>(state.random() &
-                                                0xffffffffffff));
+  std::snprintf(
+      text, sizeof text, "%08llx-%04llx-7%03llx-8%03llx-%012llx",
+      static_cast<unsigned long long>(millis >> 16),
+      static_cast<unsigned long long>(millis & 0xffff),
+      static_cast<unsigned long long>(state.random() & 0xfff),
+      static_cast<unsigned long long>(state.random() & 0xfff),
+      static_cast<unsigned long long>(state.random() & 0xffffffffffff));
   lua_pushstring(lua, text);
   return 1;
 }
--- a/src/apps/wisteriatally/main.cc
+++ b/src/apps/wisteriatally/main.cc
@@ -96,7 +96,7 @@
       MakeClaimRegistry(store, clock, {});
   const std::shared_ptr<i_node> node =
       MakeNode(ToNodeSettings(settings),
-               {clock, http, store,
+               {clock, http, store, claims,
                 MakeHttpInstanceList(http, settings.platform, settings.domain),
                 keys, logger});
   const auto entry = MakeEntryService(
--- a/src/claims/claim_types.h
+++ b/src/claims/claim_types.h
@@ -71,6 +71,22 @@
                                   claim_too_old,
                                   claim_unavailable>;
 
+// Changes to what the store keeps of a key. Applying one twice has the effect
+// of applying it once.
+struct claim_operation {
+  claim_ticket ticket;
+  std::string body_digest;
+};
+struct outcome_operation {
+  claim_ticket ticket;
+  recorded_outcome outcome;
+};
+struct withdraw_operation {
+  claim_ticket ticket;
+};
+using bucket_operation =
+    std::variant<claim_operation, outcome_operation, withdraw_operation>;
+
 }  // namespace wist
 
 #endif  // CLAIMS_CLAIM_TYPES_H_
--- a/src/claims/claims_module.h
+++ b/src/claims/claims_module.h
@@ -17,7 +17,7 @@
   // A key issued further ahead than this is refused.
   seconds max_clock_skew{300};
   // Shortest time between two writes of one bucket by one process.
-  milliseconds write_interval{0};
+  milliseconds write_interval{60};
 };
 
 // Returns a registry over the platform's key-value service.
--- a/src/claims/i_claim_registry.h
+++ b/src/claims/i_claim_registry.h
@@ -1,9 +1,12 @@
 #ifndef CLAIMS_I_CLAIM_REGISTRY_H_
 #define CLAIMS_I_CLAIM_REGISTRY_H_
 
+#include <memory>
 #include <string>
+#include <vector>
 
 #include "claims/claim_types.h"
+#include "claims/i_claim_forwarder.h"
 
 namespace wist {
 
@@ -24,6 +27,14 @@
                              const recorded_outcome& outcome,
                              timestamp deadline) = 0;
 
+  // Applies operations of other instances to buckets that this one writes.
+  virtual std::vector<claim_result> RunForwarded(
+      const std::vector<bucket_operation>& operations,
+      timestamp deadline) = 0;
+
+  // From now on operations go to the writers that `forwarder` names.
+  virtual void SetForwarder(std::shared_ptr<i_claim_forwarder> forwarder) = 0;
+
   // Gives up a claim whose request was never dispatched, so that a resend may
   // run. The holder must not dispatch afterwards.
   virtual void Withdraw(const claim_ticket& ticket, timestamp deadline) = 0;
--- a/src/claims/internal/claim_batcher.cc
+++ b/src/claims/internal/claim_batcher.cc
@@ -18,12 +18,13 @@
 
 operation_number claim_batcher::Submit(bucket_operation operation,
                                        timestamp now,
-                                       timestamp deadline) {
+                                       timestamp deadline,
+                                       operation_origin origin) {
   const claim_ticket& ticket = TicketOf(operation);
   bucket_state& state =
       buckets_[BucketKey(settings_, ticket.key, ticket.issued_at)];
   state.pending.push_back(
-      {++last_number_, std::move(operation), now, deadline});
+      {++last_number_, std::move(operation), now, deadline, origin});
   return last_number_;
 }
 
@@ -148,7 +149,8 @@
     std::erase_if(state.pending, [&](const pending_operation& pending) {
       if (pending.deadline > now)
         return false;
-      if (const auto* claim = std::get_if<claim_operation>(&pending.operation))
+      const auto* claim = std::get_if<claim_operation>(&pending.operation);
+      if (claim && pending.origin == operation_origin::own)
         withdrawals.push_back({claim->ticket});
       completed.push_back({pending.number, claim_unavailable{}});
       return true;
--- a/src/claims/internal/claim_batcher.h
+++ b/src/claims/internal/claim_batcher.h
@@ -31,6 +31,10 @@
 struct store_unavailable {};
 using store_answer = std::variant<kv_entry, kv_swap_result, store_unavailable>;
 
+// Whose operation it is. Only the claimant itself may withdraw a claim: it
+// alone knows that the request was never dispatched.
+enum class operation_origin { own, forwarded };
+
 struct completed_operation {
   operation_number number = 0;
   claim_result result;
@@ -46,7 +50,8 @@
   // Queues an operation that is given up at `deadline`.
   operation_number Submit(bucket_operation operation,
                           timestamp now,
-                          timestamp deadline);
+                          timestamp deadline,
+                          operation_origin origin = operation_origin::own);
 
   // Returns the next call to make, if any bucket is ready for one.
   std::optional<store_call> NextCall(timestamp now);
@@ -68,6 +73,7 @@
     bucket_operation operation;
     timestamp submitted_at;
     timestamp deadline;
+    operation_origin origin = operation_origin::own;
   };
 
   struct bucket_state {
--- a/src/claims/internal/claim_bucket.h
+++ b/src/claims/internal/claim_bucket.h
@@ -29,21 +29,6 @@
   auto operator<=>(const claim_bucket&) const = default;
 };
 
-// Changes to a bucket. Applying one twice has the effect of applying it once.
-struct claim_operation {
-  claim_ticket ticket;
-  std::string body_digest;
-};
-struct outcome_operation {
-  claim_ticket ticket;
-  recorded_outcome outcome;
-};
-struct withdraw_operation {
-  claim_ticket ticket;
-};
-using bucket_operation =
-    std::variant<claim_operation, outcome_operation, withdraw_operation>;
-
 // What an operation gives once the bucket it left is in the store.
 struct operation_effect {
   claim_result result;
--- a/src/claims/internal/claim_registry.cc
+++ b/src/claims/internal/claim_registry.cc
@@ -2,6 +2,7 @@
 #include <condition_variable>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <thread>
 
@@ -17,6 +18,11 @@
 constexpr milliseconds kCallLimit{1000};
 constexpr milliseconds kIdleWait{200};
 
+// Calls to other writers under way at once, and how long one may take before
+// this instance writes itself.
+constexpr int kForwarders = 4;
+constexpr milliseconds kForwardLimit{600};
+
 const std::string& BucketOf(const store_call& call) {
   return std::visit(
       [](const auto& c) -> const std::string& { return c.bucket; }, call);
@@ -34,6 +40,8 @@
         batcher_(settings) {
     for (int i = 0; i < kWorkers; ++i)
       workers_.emplace_back([this] { Work(); });
+    for (int i = 0; i < kForwarders; ++i)
+      workers_.emplace_back([this] { ForwardQueued(); });
   }
 
   ~claim_registry() override {
@@ -42,6 +50,7 @@
       stopping_ = true;
     }
     work_.notify_all();
+    outgoing_ready_.notify_all();
     for (std::thread& worker : workers_)
       worker.join();
   }
@@ -54,6 +63,28 @@
     return Run(claim_operation{ticket, body_digest}, deadline);
   }
 
+  std::vector<claim_result> RunForwarded(
+      const std::vector<bucket_operation>& operations,
+      timestamp deadline) override {
+    std::unique_lock lock(mutex_);
+    std::vector<operation_number> numbers;
+    for (const bucket_operation& operation : operations) {
+      numbers.push_back(batcher_.Submit(operation, clock_->Now(), deadline,
+                                        operation_origin::forwarded));
+      awaited_.insert(numbers.back());
+    }
+    work_.notify_one();
+    std::vector<claim_result> results;
+    for (const operation_number number : numbers)
+      results.push_back(TakeResult(lock, number));
+    return results;
+  }
+
+  void SetForwarder(std::shared_ptr<i_claim_forwarder> forwarder) override {
+    std::lock_guard lock(mutex_);
+    forwarder_ = std::move(forwarder);
+  }
+
   bool RecordOutcome(const claim_ticket& ticket,
                      const recorded_outcome& outcome,
                      timestamp deadline) override {
@@ -67,17 +98,106 @@
   }
 
  private:
-  claim_result Run(bucket_operation operation, timestamp deadline) {
+  // An operation on its way to a bucket's writer.
+  struct outgoing_operation {
+    bucket_operation operation;
+    timestamp deadline;
+    std::optional<claim_result> result;
+    bool answered = false;
+  };
+  struct outgoing_queue {
+    std::vector<outgoing_operation*> waiting;
+    bool in_flight = false;
+  };
+
+  claim_result Run(const bucket_operation& operation, timestamp deadline) {
     std::unique_lock lock(mutex_);
+    if (const auto result = RunAtWriter(lock, operation, deadline))
+      return *result;
+    // NOTE: the writer may have done it, or may yet. The nonce is the same, so
+    // doing it here as well settles it.
     const operation_number number =
-        batcher_.Submit(std::move(operation), clock_->Now(), deadline);
+        batcher_.Submit(operation, clock_->Now(), deadline);
     awaited_.insert(number);
     work_.notify_one();
+    return TakeResult(lock, number);
+  }
+
+  claim_result TakeResult(std::unique_lock<std::mutex>& lock,
+                          operation_number number) {
     settled_.wait(lock, [&] { return results_.contains(number); });
     auto node = results_.extract(number);
     return std::move(node.mapped());
   }
 
+  // Returns nothing if this instance is the writer or the writer did not
+  // settle the operation.
+  std::optional<claim_result> RunAtWriter(std::unique_lock<std::mutex>& lock,
+                                          const bucket_operation& operation,
+                                          timestamp deadline) {
+    if (!forwarder_)
+      return std::nullopt;
+    const claim_ticket& ticket = TicketOf(operation);
+    const std::string writer = forwarder_->WriterOf(
+        BucketKey(settings_, ticket.key, ticket.issued_at));
+    if (writer.empty())
+      return std::nullopt;
+    outgoing_operation outgoing{operation, deadline, std::nullopt, false};
+    outgoing_[writer].waiting.push_back(&outgoing);
+    outgoing_ready_.notify_one();
+    settled_.wait(lock, [&] { return outgoing.answered; });
+    if (outgoing.result &&
+        std::holds_alternative<claim_unavailable>(*outgoing.result))
+      return std::nullopt;
+    return outgoing.result;
+  }
+
+  void ForwardQueued() {
+    std::unique_lock lock(mutex_);
+    while (!stopping_) {
+      const auto ready = std::find_if(
+          outgoing_.begin(), outgoing_.end(), [](const auto& entry) {
+            return !entry.second.in_flight && !entry.second.waiting.empty();
+          });
+      if (ready == outgoing_.end()) {
+        outgoing_ready_.wait_for(lock, kIdleWait);
+        continue;
+      }
+      ForwardAll(lock, ready->first, ready->second);
+    }
+    for (auto& [writer, queue] : outgoing_)
+      Answer(queue.waiting, std::nullopt);
+  }
+
+  void ForwardAll(std::unique_lock<std::mutex>& lock,
+                  const std::string& writer,
+                  outgoing_queue& queue) {
+    std::vector<outgoing_operation*> batch;
+    batch.swap(queue.waiting);
+    queue.in_flight = true;
+    std::vector<bucket_operation> operations;
+    for (const outgoing_operation* outgoing : batch)
+      operations.push_back(outgoing->operation);
+    const auto forwarder = forwarder_;
+    lock.unlock();
+    const auto results =
+        forwarder->Forward(writer, operations, clock_->Now() + kForwardLimit);
+    lock.lock();
+    queue.in_flight = false;
+    Answer(batch, results);
+    outgoing_ready_.notify_one();
+  }
+
+  void Answer(const std::vector<outgoing_operation*>& batch,
+              const std::optional<std::vector<claim_result>>& results) {
+    for (std::size_t i = 0; i < batch.size(); ++i) {
+      if (results && i < results->size())
+        batch[i]->result = (*results)[i];
+      batch[i]->answered = true;
+    }
+    settled_.notify_all();
+  }
+
   void Work() {
     std::unique_lock lock(mutex_);
     while (!stopping_) {
@@ -132,6 +252,9 @@
   std::condition_variable work_;
   std::condition_variable settled_;
   claim_batcher batcher_;
+  std::condition_variable outgoing_ready_;
+  std::shared_ptr<i_claim_forwarder> forwarder_;
+  std::map<std::string, outgoing_queue> outgoing_;
   std::set<operation_number> awaited_;
   std::map<operation_number, claim_result> results_;
   bool stopping_ = false;
--- a/src/claims/tests/claim_batcher_test.cc
+++ b/src/claims/tests/claim_batcher_test.cc
@@ -13,7 +13,8 @@
 
 constexpr timestamp kStart{seconds(100)};
 const calendar_time kIssued{seconds(1'700'000'000)};
-const claim_settings kSettings{.buckets_a_slice = 1};
+const claim_settings kSettings{.buckets_a_slice = 1,
+                               .write_interval = milliseconds(0)};
 
 claim_operation Claim(const std::string& key, const std::string& nonce) {
   return {{key, nonce, kIssued}, "body"};
@@ -87,6 +88,21 @@
   CHECK(std::holds_alternative<claim_granted>(settled[0].result));
 }
 
+TEST_CASE("a writer does not withdraw the claim of another instance") {
+  platform_model store;
+  claim_batcher writer(kSettings);
+  const claim_operation claim = Claim("k", "n");
+  writer.Submit(claim, kStart, kStart + seconds(1),
+                operation_origin::forwarded);
+  writer.Expire(kStart + seconds(1));
+  // The claimant heard nothing, writes itself and dispatches.
+  claim_batcher claimant(kSettings);
+  claimant.Submit(claim, kStart + seconds(1), kStart + seconds(9));
+  RunAll(claimant, store, kStart + seconds(1));
+  RunAll(writer, store, kStart + seconds(2));
+  CHECK(DecodeBucket(store.Read(kBucket).value).records.contains("k"));
+}
+
 TEST_CASE("an operation given up during its swap leaves the cache whole") {
   platform_model store;
   claim_batcher batcher(kSettings);
--- a/src/node/internal/node.cc
+++ b/src/node/internal/node.cc
@@ -9,6 +9,7 @@
 #include "framework/base/hashing.h"
 #include "framework/base/periodic_thread.h"
 #include "node/internal/admission_desk.h"
+#include "node/internal/claim_forwarder.h"
 #include "node/internal/cluster_desk.h"
 #include "node/internal/limit_desk.h"
 #include "node/internal/load_poller.h"
@@ -34,6 +35,7 @@
 constexpr milliseconds kDutyPause{2000};
 constexpr milliseconds kPumpPause{20};
 constexpr milliseconds kPeerCallLimit{400};
+constexpr milliseconds kForwardedClaimLimit{500};
 constexpr milliseconds kStoreCallLimit{1000};
 constexpr milliseconds kColdLeaseValidity{10'000};
 
@@ -74,6 +76,8 @@
     server_ = MakePeerServer(
         settings.peer_address, services.keys,
         [this](const addressed_call& call) { return Answer(call); });
+    services.claims->SetForwarder(
+        std::make_shared<claim_forwarder>(settings.instance, cluster_, link_));
     StartThreads();
   }
 
@@ -255,6 +259,10 @@
       peer_answer operator()(const permit_call& call) const {
         return permit_answer{self.cluster_->ExchangePermits(call)};
       }
+      peer_answer operator()(const claim_call& call) const {
+        return claim_answer{self.services_.claims->RunForwarded(
+            call.operations, self.Limit(kForwardedClaimLimit))};
+      }
     };
     if (IsCutFrom(addressed.from))
       return refusal_answer{};
--- a/src/node/node_module.h
+++ b/src/node/node_module.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "claims/i_claim_registry.h"
 #include "framework/base/i_clock.h"
 #include "framework/http/i_http_client.h"
 #include "framework/keys/i_keyring.h"
@@ -30,6 +31,7 @@
   std::shared_ptr<const i_clock> clock;
   std::shared_ptr<i_http_client> http;
   std::shared_ptr<i_kv_store> store;
+  std::shared_ptr<i_claim_registry> claims;
   std::shared_ptr<i_instance_list> instance_list;
   std::shared_ptr<const i_keyring> keys;
   std::shared_ptr<i_logger> logger;
--- a/src/peer_link/internal/nng_peer_link.cc
+++ b/src/peer_link/internal/nng_peer_link.cc
@@ -15,7 +15,8 @@
 namespace wist {
 namespace {
 
-constexpr int kServerContexts = 4;
+// Forwarded claims are answered when the store did; gossip goes on meanwhile.
+constexpr int kServerContexts = 16;
 constexpr std::size_t kMostSockets = 64;
 constexpr nng_duration kReconnectMinMs = 50;
 constexpr nng_duration kReconnectMaxMs = 500;
--- a/src/peer_link/internal/peer_codec.cc
+++ b/src/peer_link/internal/peer_codec.cc
@@ -24,6 +24,8 @@
 json ToJson(const quota_grant& g);
 json ToJson(const cold_request& r);
 json ToJson(const cold_permit& p);
+json ToJson(const bucket_operation& operation);
+json ToJson(const claim_result& result);
 
 template <typename Item>
 json ToJsonList(const std::vector<Item>& items) {
@@ -166,6 +168,78 @@
           milliseconds(j.at(3).get<std::uint32_t>())};
 }
 
+json ToJson(const claim_ticket& t) {
+  return json::array({t.key, t.nonce, t.issued_at.time_since_epoch().count()});
+}
+
+claim_ticket ReadTicket(const json& j) {
+  return {j.at(0).get<std::string>(), j.at(1).get<std::string>(),
+          calendar_time(milliseconds(j.at(2).get<std::int64_t>()))};
+}
+
+json ToJson(const recorded_outcome& o) {
+  return json::array({o.status, o.body});
+}
+
+recorded_outcome ReadOutcome(const json& j) {
+  return {j.at(0).get<int>(), j.at(1).get<std::string>()};
+}
+
+json ToJson(const bucket_operation& operation) {
+  struct writer {
+    json operator()(const claim_operation& o) const {
+      return json::array({0, ToJson(o.ticket), o.body_digest});
+    }
+    json operator()(const outcome_operation& o) const {
+      return json::array({1, ToJson(o.ticket), ToJson(o.outcome)});
+    }
+    json operator()(const withdraw_operation& o) const {
+      return json::array({2, ToJson(o.ticket)});
+    }
+  };
+  return std::visit(writer{}, operation);
+}
+
+bucket_operation ReadOperation(const json& j) {
+  const claim_ticket ticket = ReadTicket(j.at(1));
+  switch (j.at(0).get<int>()) {
+    case 0:
+      return claim_operation{ticket, j.at(2).get<std::string>()};
+    case 1:
+      return outcome_operation{ticket, ReadOutcome(j.at(2))};
+    case 2:
+      return withdraw_operation{ticket};
+    default:
+      throw peer_error("a claim operation is of an unknown kind");
+  }
+}
+
+json ToJson(const claim_result& result) {
+  json payload = json::array();
+  if (const auto* granted = std::get_if<claim_granted>(&result))
+    payload = ToJson(granted->ticket);
+  else if (const auto* replayed = std::get_if<claim_replayed>(&result))
+    payload = ToJson(replayed->outcome);
+  return json::array({result.index(), payload});
+}
+
+claim_result ReadClaimResult(const json& j) {
+  switch (j.at(0).get<std::size_t>()) {
+    case 0:
+      return claim_granted{ReadTicket(j.at(1))};
+    case 1:
+      return claim_replayed{ReadOutcome(j.at(1))};
+    case 2:
+      return claim_undecided{};
+    case 3:
+      return claim_mismatch{};
+    case 4:
+      return claim_too_old{};
+    default:
+      return claim_unavailable{};
+  }
+}
+
 struct call_writer {
   json operator()(const gossip_call& c) const { return ToJson(c.told); }
   json operator()(const configuration_call&) const { return json::array(); }
@@ -175,6 +249,9 @@
   json operator()(const permit_call& c) const {
     return json::array({c.member.text(), ToJsonList(c.requests)});
   }
+  json operator()(const claim_call& c) const {
+    return ToJsonList(c.operations);
+  }
 };
 
 peer_call ReadCall(std::size_t kind, const json& j) {
@@ -189,6 +266,8 @@
     case 3:
       return permit_call{instance_id(j.at(0).get<std::string>()),
                          ReadList(j.at(1), ReadColdRequest)};
+    case 4:
+      return claim_call{ReadList(j, ReadOperation)};
     default:
       throw peer_error("a peer's call is of an unknown kind");
   }
@@ -201,6 +280,7 @@
   json operator()(const permit_answer& a) const {
     return ToJsonList(a.permits);
   }
+  json operator()(const claim_answer& a) const { return ToJsonList(a.results); }
   json operator()(const refusal_answer&) const { return json::array(); }
 };
 
@@ -215,6 +295,8 @@
     case 3:
       return permit_answer{ReadList(j, ReadPermit)};
     case 4:
+      return claim_answer{ReadList(j, ReadClaimResult)};
+    case 5:
       return refusal_answer{};
     default:
       throw peer_error("a peer's answer is of an unknown kind");
--- a/src/peer_link/peer_types.h
+++ b/src/peer_link/peer_types.h
@@ -6,6 +6,7 @@
 #include <variant>
 #include <vector>
 
+#include "claims/claim_types.h"
 #include "cluster/cluster_types.h"
 #include "coldstart/coldstart_types.h"
 #include "quota/quota_types.h"
@@ -26,8 +27,15 @@
   instance_id member;
   std::vector<cold_request> requests;
 };
-using peer_call =
-    std::variant<gossip_call, configuration_call, tally_call, permit_call>;
+// Operations on claim buckets that the callee writes.
+struct claim_call {
+  std::vector<bucket_operation> operations;
+};
+using peer_call = std::variant<gossip_call,
+                               configuration_call,
+                               tally_call,
+                               permit_call,
+                               claim_call>;
 
 // A call with the failure domain that it comes from.
 struct addressed_call {
@@ -49,12 +57,16 @@
 struct permit_answer {
   std::vector<cold_permit> permits;
 };
+struct claim_answer {
+  std::vector<claim_result> results;
+};
 // The callee does not do this.
 struct refusal_answer {};
 using peer_answer = std::variant<gossip_answer,
                                  configuration_answer,
                                  tally_answer,
                                  permit_answer,
+                                 claim_answer,
                                  refusal_answer>;
 
 // A peer could not be reached, or its message was not understood.
--- a/stand_ins/platform/platform_main.cc
+++ b/stand_ins/platform/platform_main.cc
@@ -132,9 +132,8 @@
            clock_->Now() < deadline)
       changed_.wait_for(lock, deadline - clock_->Now());
     const kv_entry entry = model_.Read(key);
-    const bool cut =
-        faults_.down ||
-        faults_.cut_domains.contains(request.Header("X-Domain"));
+    const bool cut = faults_.down ||
+                     faults_.cut_domains.contains(request.Header("X-Domain"));
     lock.unlock();
     if (cut)
       return responder.Abort();
