Give orders to engines under a lease with a fencing number

Cause: two issuers, one of them paused, could tell an engine opposite things. One holds the target's lease; targets that ignore the fencing number are waited out for what may still be on its way.

Ruled out: the lease alone, numbers alone (docs/design/09-orders.md).

--- a/src/apps/wistctl/main.cc
+++ b/src/apps/wistctl/main.cc
@@ -10,6 +10,7 @@
 #include "apps/wistctl/audit_command.h"
 #include "apps/wistctl/configuration_commands.h"
 #include "apps/wistctl/control_command.h"
+#include "apps/wistctl/order_command.h"
 #include "apps/wistctl/status_command.h"
 #include "configuration/configuration_text.h"
 #include "operator_api/operator_types.h"
@@ -42,6 +43,9 @@
       {"status", {"status HOST:PORT...: ask instances", RunStatus}},
       {"domain", {"domain out|in NAME: take out or bring back", RunDomain}},
       {"target", {"target leave|return NAME", RunTarget}},
+      {"order",
+       {"order TARGET load-model M V | load-adapter A | change-role R",
+        RunOrder}},
       {"burn",
        {"burn --instances HOST:PORT,... : service-level burn", RunBurn}},
       {"audit", {"audit LOG...: check the logs of all instances", RunAudit}},
--- /dev/null
+++ b/src/apps/wistctl/order_command.h
@@ -0,0 +1,13 @@
+#ifndef APPS_WISTCTL_ORDER_COMMAND_H_
+#define APPS_WISTCTL_ORDER_COMMAND_H_
+
+#include "apps/wistctl/control_command.h"
+
+namespace wist {
+
+// Gives one order to an engine; returns 0 if the engine took it.
+int RunOrder(const control_command& command);
+
+}  // namespace wist
+
+#endif  // APPS_WISTCTL_ORDER_COMMAND_H_
--- /dev/null
+++ b/src/orders/order_types.h
@@ -0,0 +1,50 @@
+#ifndef ORDERS_ORDER_TYPES_H_
+#define ORDERS_ORDER_TYPES_H_
+
+#include <string>
+#include <variant>
+
+#include "configuration/configuration_types.h"
+
+namespace wist {
+
+// What an engine is told to do.
+struct load_model_order {
+  std::string model;
+  std::string version;
+  auto operator<=>(const load_model_order&) const = default;
+};
+struct load_adapter_order {
+  std::string adapter;
+  auto operator<=>(const load_adapter_order&) const = default;
+};
+struct change_role_order {
+  std::string role;
+  auto operator<=>(const change_role_order&) const = default;
+};
+using engine_order =
+    std::variant<load_model_order, load_adapter_order, change_role_order>;
+
+// Outcomes of an order.
+struct order_taken {};
+// Another issuer holds the target's lease.
+struct order_held_back {};
+// The target refused the fencing number: a newer issuer came meanwhile.
+struct order_outdated {};
+// The lease ran out before the order could be sent.
+struct order_not_sent {
+  std::string reason;
+};
+// It was sent and got no answer.
+struct order_in_doubt {
+  std::string reason;
+};
+using order_result = std::variant<order_taken,
+                                  order_held_back,
+                                  order_outdated,
+                                  order_not_sent,
+                                  order_in_doubt>;
+
+}  // namespace wist
+
+#endif  // ORDERS_ORDER_TYPES_H_
