--- a/src/claims/claims_module.h
+++ b/src/claims/claims_module.h
@@ -4,6 +4,7 @@
 #include <memory>
 
 #include "claims/i_claim_registry.h"
+#include "claims/i_claim_sweeper.h"
 #include "framework/base/i_clock.h"
 #include "platform/i_kv_store.h"
 
@@ -26,8 +27,17 @@
     std::shared_ptr<const i_clock> clock,
     const claim_settings& settings);
 
+// Keys are refused as too old once their records were closed, this long after
+// they were issued.
+inline constexpr std::chrono::hours kClaimRetention{24};
+
+std::unique_ptr<i_claim_sweeper> MakeClaimSweeper(
+    std::shared_ptr<i_kv_store> store,
+    const claim_settings& settings);
+
 // Closes the bucket `bucket` of the slice that holds `issued_at`: its records
-// are dropped and each key of it is refused from then on.
+// are dropped and each key of it is refused from then on. A bucket without
+// records is left as it is: none of its keys was ever claimed.
 void CloseClaimBucket(i_kv_store& store,
                       const claim_settings& settings,
                       calendar_time issued_at,
--- a/src/claims/internal/claim_registry.cc
+++ b/src/claims/internal/claim_registry.cc
@@ -279,7 +279,7 @@
   const std::string key = BucketKey(settings, issued_at, bucket);
   const std::string closed = EncodeBucket({.closed = true});
   kv_entry entry = store.Read(key, deadline);
-  while (entry.value != closed) {
+  while (!entry.value.empty() && entry.value != closed) {
     const auto result =
         store.CompareAndSwap(key, entry.revision, closed, deadline);
     if (!std::holds_alternative<kv_conflict>(result))
--- a/src/node/internal/node.cc
+++ b/src/node/internal/node.cc
@@ -4,6 +4,7 @@
 #include <mutex>
 #include <set>
 
+#include "claims/claims_module.h"
 #include "configuration/configuration_module.h"
 #include "configuration/configuration_text.h"
 #include "framework/base/hashing.h"
@@ -69,7 +70,8 @@
                   holder_,
                   cluster_,
                   services.logger),
-        link_(MakePeerLink(services.clock, services.keys, settings.domain)) {
+        link_(MakePeerLink(services.clock, services.keys, settings.domain)),
+        sweeper_(MakeClaimSweeper(services.store, {})) {
     for (const std::string& peer : settings.seed_peers)
       cluster_->AddSeed(peer);
     holder_->Subscribe([this](const auto& document) { Apply(*document); });
@@ -444,6 +446,9 @@
         ReadInstanceList();
       if (!leaving_ && HasDuty(ColdLeaseName(), kStewardCandidates))
         AcquireColdLease();
+      // One a domain: closing a bucket twice does no harm.
+      if (HasDuty("sweep/", 1))
+        sweeper_->Sweep(services_.clock->CalendarNow(), Limit(kStoreCallLimit));
     } catch (const kv_unavailable& error) {
       LogUnavailable("duties", error);
     }
@@ -501,6 +506,7 @@
   wist::plain_router plain_router_;
   store_follower follower_;
   const std::shared_ptr<i_peer_link> link_;
+  const std::unique_ptr<i_claim_sweeper> sweeper_;
   std::unique_ptr<i_peer_server> server_;
   std::atomic<bool> leaving_ = false;
   std::atomic<bool> heard_peer_ = false;
