--- a/bench/claims/main.cc
+++ b/bench/claims/main.cc
@@ -12,6 +12,7 @@
 #include <random>
 
 #include "claims/internal/claim_batcher.h"
+#include "stand_ins/common/option_parsing.h"
 #include "stand_ins/platform/platform_model.h"
 
 namespace wist::bench {
@@ -225,13 +226,8 @@
       "shortest time between two writes of a bucket by one instance");
   add("seconds", po::value(&settings.seconds), "simulated time");
   add("seed", po::value(&settings.seed), "seed");
-  po::variables_map values;
-  po::store(po::parse_command_line(argc, argv, options), values);
-  po::notify(values);
-  if (values.count("help")) {
-    std::cout << options;
+  if (!wist::stand_ins::ParseOptions(argc, argv, options))
     return 0;
-  }
   settings.claims.write_interval = wist::milliseconds(interval_ms);
   std::cout << wist::bench::claim_run(settings).Run().dump() << "\n";
   return 0;
--- a/bench/policy/fleet.cc
+++ b/bench/policy/fleet.cc
@@ -11,6 +11,7 @@
 #include <stdexcept>
 
 #include "admission/admission_module.h"
+#include "bench/policy/bench_gate.h"
 #include "bench/policy/workload.h"
 #include "coldstart/coldstart_module.h"
 #include "quota/quota_module.h"
@@ -58,34 +59,6 @@
   throw std::invalid_argument("no policy '" + policy + "'");
 }
 
-// What one instance may send, as its node would tell it.
-class bench_gate final : public i_target_gate {
- public:
-  bench_gate(const domain_id& domain, timestamp started_at)
-      : domain_(domain), allowance(MakeColdAllowance({}, domain, started_at)) {}
-
-  bool MayDispatch(const target_spec& target, timestamp now) const override {
-    const auto closed = closed_from.find(target.domain);
-    if (closed != closed_from.end() && now >= closed->second)
-      return false;
-    return !cut_off || target.domain == domain_;
-  }
-
-  std::int32_t ColdAllowance(const target_spec& target,
-                             timestamp now) const override {
-    return guards_cold ? allowance->Allowance(target.id, now) : 1'000'000;
-  }
-
- private:
-  const domain_id domain_;
-
- public:
-  std::unique_ptr<i_cold_allowance> allowance;
-  std::map<domain_id, timestamp> closed_from;
-  bool cut_off = false;
-  bool guards_cold = true;
-};
-
 struct request_state {
   arrival drawn;
   std::size_t instance = 0;
--- a/bench/policy/main.cc
+++ b/bench/policy/main.cc
@@ -2,6 +2,7 @@
 #include <iostream>
 
 #include "bench/policy/fleet.h"
+#include "stand_ins/common/option_parsing.h"
 
 namespace po = boost::program_options;
 
@@ -29,13 +30,8 @@
   add("max-running", po::value(&settings.admission.max_running_a_target),
       "bound of running generations a target, 0 for none");
   try {
-    po::variables_map values;
-    po::store(po::parse_command_line(argc, argv, options), values);
-    po::notify(values);
-    if (values.count("help")) {
-      std::cout << options;
+    if (!wist::stand_ins::ParseOptions(argc, argv, options))
       return 0;
-    }
     settings.tally_interval = wist::milliseconds(tally_interval_ms);
     nlohmann::json result = ToJson(RunFleet(settings));
     result["deployment"] = settings.deployment;
--- a/bench/relay/main.cc
+++ b/bench/relay/main.cc
@@ -15,6 +15,7 @@
 
 #include "framework/base/system_clock.h"
 #include "framework/http/http_module.h"
+#include "stand_ins/common/option_parsing.h"
 
 namespace wist::bench {
 namespace {
@@ -168,13 +169,8 @@
   add("pid", po::value(&settings.pid), "process of the instance");
   add("streams", po::value(&settings.streams), "parallel streams");
   add("tokens", po::value(&settings.tokens), "tokens a stream");
-  po::variables_map values;
-  po::store(po::parse_command_line(argc, argv, options), values);
-  po::notify(values);
-  if (values.count("help")) {
-    std::cout << options;
+  if (!wist::stand_ins::ParseOptions(argc, argv, options))
     return 0;
-  }
   std::cout << wist::bench::Run(settings).dump() << "\n";
   return 0;
 }
--- a/scenarios/main.cc
+++ b/scenarios/main.cc
@@ -32,12 +32,14 @@
   std::string build = "build";
   std::string name = "all";
   int seed = 1;
+  int port = kFirstPort;
   po::options_description options("runs scenarios against real processes");
   auto add = options.add_options();
   add("help", "print this text");
   add("directory", po::value(&directory), "where the scripts are");
   add("build", po::value(&build), "build directory");
   add("seed", po::value(&seed), "seed");
+  add("first-port", po::value(&port), "first port used on loopback");
   add("name", po::value(&name), "a scenario, or all");
   po::positional_options_description positional;
   positional.add("name", 1);
@@ -55,7 +57,6 @@
   const auto names =
       name == "all" ? AllNames(directory) : std::vector<std::string>{name};
   int passed = 0;
-  int port = kFirstPort;
   for (const std::string& scenario : names) {
     const std::string failure =
         wist::scenarios::RunScenario(directory, build, scenario, seed, port);
--- a/src/burn/internal/burn_report.cc
+++ b/src/burn/internal/burn_report.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "burn/burn_module.h"
+#include "burn/internal/objective_lookup.h"
 
 namespace wist {
 namespace {
@@ -11,15 +12,6 @@
 constexpr double kBarWidthPixels = 240;
 constexpr double kFullBarBurn = 4;
 
-objective_spec ObjectiveOf(const std::vector<service_spec>& services,
-                           const std::string& service) {
-  for (const service_spec& spec : services) {
-    if (spec.id.text() == service)
-      return spec.objective;
-  }
-  return {};
-}
-
 // Part of the observations that missed the limit over the part that may.
 double Burn(double total, double in_time, const objective_spec& objective) {
   if (total <= 0)
--- a/src/burn/internal/metrics_text.cc
+++ b/src/burn/internal/metrics_text.cc
@@ -3,6 +3,7 @@
 #include <sstream>
 
 #include "burn/burn_module.h"
+#include "burn/internal/objective_lookup.h"
 
 namespace wist {
 namespace {
@@ -76,15 +77,6 @@
   double count_ = 0;
 };
 
-objective_spec ObjectiveOf(const std::vector<service_spec>& services,
-                           const std::string& service) {
-  for (const service_spec& spec : services) {
-    if (spec.id.text() == service)
-      return spec.objective;
-  }
-  return {};
-}
-
 }  // namespace
 
 void AddMetrics(const std::string& metrics_text,
--- a/src/node/internal/node.cc
+++ b/src/node/internal/node.cc
@@ -1,37 +1,29 @@
-#include <algorithm>
 #include <atomic>
-#include <map>
 #include <mutex>
 #include <set>
 
 #include "claims/claims_module.h"
 #include "configuration/configuration_module.h"
 #include "configuration/configuration_text.h"
-#include "framework/base/hashing.h"
 #include "framework/base/periodic_thread.h"
 #include "node/internal/admission_desk.h"
 #include "node/internal/claim_forwarder.h"
 #include "node/internal/cluster_desk.h"
+#include "node/internal/duty_ranking.h"
 #include "node/internal/limit_desk.h"
 #include "node/internal/load_poller.h"
+#include "node/internal/peer_exchange.h"
 #include "node/internal/plain_router.h"
 #include "node/internal/store_follower.h"
 #include "node/node_module.h"
 #include "peer_link/peer_link_module.h"
-#include "quota/quota_module.h"
 
 namespace wist {
 namespace {
 
 constexpr milliseconds kGossipPause{400};
 constexpr milliseconds kExchangePause{1000};
-
-// Tallies are exchanged at this interval for each member of the own failure
-// domain, so that the bytes a second an owner moves stay bounded.
-constexpr milliseconds kTallyPauseAMember{15};
-constexpr milliseconds kShortestTallyPause{50};
-constexpr milliseconds kLongestTallyPause{1000};
-
+constexpr milliseconds kTallyCheckPause{50};
 constexpr milliseconds kStorePause{50};
 constexpr milliseconds kDutyPause{2000};
 constexpr milliseconds kPumpPause{20};
@@ -43,17 +35,13 @@
 // A new instance serves without word from its peers after this time.
 constexpr milliseconds kPeerWordLimit{3000};
 
-// Members of a failure domain that watch the store, and that ask for its
-// lease on cold targets.
+// Members of a failure domain that watch the store.
 constexpr std::size_t kWatchersADomain = 2;
-constexpr std::size_t kStewardCandidates = 2;
 
 // Threads that ask targets for their load; one frozen target holds up those
 // of its own thread only.
 constexpr std::size_t kPollThreads = 4;
 
-constexpr char kAllDomains[] = "*";
-
 class node final : public i_node, private i_node_status {
  public:
   node(const node_settings& settings, const node_services& services)
@@ -71,6 +59,15 @@
                   cluster_,
                   services.logger),
         link_(MakePeerLink(services.clock, services.keys, settings.domain)),
+        duties_(settings, cluster_),
+        exchange_(settings,
+                  services.clock,
+                  holder_,
+                  cluster_,
+                  link_,
+                  admission_,
+                  limits_,
+                  duties_),
         sweeper_(MakeClaimSweeper(services.store, {})) {
     for (const std::string& peer : settings.seed_peers)
       cluster_->AddSeed(peer);
@@ -108,9 +105,9 @@
       LogUnavailable("withdraw", error);
     }
     if (cluster_->HoldsLease()) {
-      services_.store->ReleaseLease(
-          {ColdLeaseName(), settings_.instance.text(), 0, timestamp()},
-          Limit(kStoreCallLimit));
+      services_.store->ReleaseLease({ColdLeaseName(settings_.domain),
+                                     settings_.instance.text(), 0, timestamp()},
+                                    Limit(kStoreCallLimit));
     }
   }
 
@@ -141,9 +138,9 @@
 
   void StartThreads() {
     Start(kGossipPause, [this] { Gossip(); });
-    Start(kShortestTallyPause, [this] { ExchangeTalliesWhenDue(); });
-    Start(kExchangePause, [this] { ExchangeLimits(); });
-    Start(kExchangePause, [this] { ExchangePermits(); });
+    Start(kTallyCheckPause, [this] { exchange_.TalliesWhenDue(); });
+    Start(kExchangePause, [this] { exchange_.Limits(); });
+    Start(kExchangePause, [this] { exchange_.Permits(); });
     Start(kStorePause, [this] { FollowStore(); });
     Start(kDutyPause, [this] { DoPlatformDuties(); });
     Start(kPumpPause, [this] { admission_.Pump(); });
@@ -178,26 +175,6 @@
                              {"out_domains", out}});
   }
 
-  // Returns the live members of `domain` ordered by their rank for `duty`.
-  std::vector<member_record> Ranked(const std::string& duty) const {
-    auto members = cluster_->LiveMembersOf(settings_.domain);
-    std::sort(members.begin(), members.end(),
-              [&](const member_record& a, const member_record& b) {
-                return StableHash(duty + a.id.text()) <
-                       StableHash(duty + b.id.text());
-              });
-    return members;
-  }
-
-  bool HasDuty(const std::string& duty, std::size_t holders) const {
-    const auto ranked = Ranked(duty);
-    for (std::size_t i = 0; i < std::min(holders, ranked.size()); ++i) {
-      if (ranked[i].id == settings_.instance)
-        return true;
-    }
-    return false;
-  }
-
   // Gossip -------------------------------------------------------------------
 
   void Gossip() {
@@ -276,151 +253,11 @@
     return cut_domains_.contains(domain);
   }
 
-  // Tallies and permits ------------------------------------------------------
-
-  void ExchangeTalliesWhenDue() {
-    const timestamp now = services_.clock->Now();
-    if (now < next_tallies_at_)
-      return;
-    const auto neighbours =
-        static_cast<int>(cluster_->LiveMembersOf(settings_.domain).size());
-    next_tallies_at_ =
-        now + std::clamp(kTallyPauseAMember * neighbours, kShortestTallyPause,
-                         kLongestTallyPause);
-    ExchangeTallies();
-  }
-
-  void ExchangeTallies() {
-    const auto members = cluster_->LiveMembers();
-    admission_.SetInstanceCount(
-        std::max<int>(1, static_cast<int>(members.size())));
-    std::map<std::string, std::vector<target_tally>> by_owner;
-    for (const target_tally& tally : admission_.Tallies())
-      by_owner[OwnerAddress(DomainOf(tally.target), tally.target, members)]
-          .push_back(tally);
-    for (const auto& [address, tallies] : by_owner)
-      ExchangeWith(address, tallies);
-  }
-
-  void ExchangeLimits() {
-    const auto members = cluster_->LiveMembers();
-    limits_.SetInstanceCount(
-        std::max<int>(1, static_cast<int>(members.size())));
-    std::map<std::string, std::vector<target_tally>> by_owner;
-    for (const target_tally& tally : limits_.DemandTallies())
-      by_owner[OwnerAddress(domain_id(kAllDomains), tally.target, members)]
-          .push_back(tally);
-    for (const auto& [address, tallies] : by_owner)
-      ExchangeWith(address, tallies);
-  }
-
-  domain_id DomainOf(const target_id& target) const {
-    const auto held = holder_->Current();
-    if (held) {
-      for (const target_spec& spec : held->body.targets) {
-        if (spec.id == target)
-          return spec.domain;
-      }
-    }
-    return settings_.domain;
-  }
-
-  static std::string OwnerAddress(const domain_id& domain,
-                                  const target_id& name,
-                                  const std::vector<member_record>& members) {
-    std::vector<instance_id> ids;
-    for (const member_record& member : members) {
-      if (domain.text() == kAllDomains || member.domain == domain)
-        ids.push_back(member.id);
-    }
-    const instance_id owner = BlockOwner(domain, BlockOf(name), ids);
-    for (const member_record& member : members) {
-      if (member.id == owner)
-        return member.address;
-    }
-    return {};
-  }
-
-  void ExchangeWith(const std::string& address,
-                    const std::vector<target_tally>& tallies) {
-    if (address.empty())
-      return;
-    const tally_call call{settings_.instance, tallies};
-    if (address == settings_.peer_address)
-      return TakeGrants(cluster_->ExchangeTallies(call));
-    const timestamp called_at = services_.clock->Now();
-    try {
-      const peer_answer answer =
-          link_->Call(address, call, called_at + kPeerCallLimit);
-      const auto* granted = std::get_if<tally_answer>(&answer);
-      if (!granted)
-        return;
-      std::vector<quota_grant> grants = granted->grants;
-      for (quota_grant& grant : grants)
-        grant.deadline = called_at + kQuotaValidity;
-      TakeGrants(grants);
-    } catch (const peer_error&) {
-      // The grants held lapse, and with them this owner's word.
-    }
-  }
-
-  void TakeGrants(const std::vector<quota_grant>& grants) {
-    admission_.OnGrants(grants);
-    limits_.OnGrants(grants);
-  }
-
-  std::string ColdLeaseName() const {
-    return "wisteriatally/cold/" + settings_.domain.text();
-  }
-
-  void ExchangePermits() {
-    std::vector<cold_request> requests;
-    for (const cold_load& load : admission_.ColdLoads()) {
-      if (DomainOf(load.target) == settings_.domain)
-        requests.push_back(
-            cluster_->AskFor(load.target, load.running, load.wanted + 1));
-    }
-    if (requests.empty())
-      return;
-    const auto ranked = Ranked(ColdLeaseName());
-    for (std::size_t i = 0; i < std::min(kStewardCandidates, ranked.size());
-         ++i) {
-      if (AskSteward(ranked[i], requests))
-        return;
-    }
-  }
-
-  // Returns whether `member` holds the lease and answered.
-  bool AskSteward(const member_record& member,
-                  const std::vector<cold_request>& requests) {
-    const permit_call call{settings_.instance, requests};
-    const timestamp called_at = services_.clock->Now();
-    std::vector<cold_permit> permits;
-    if (member.id == settings_.instance) {
-      permits = cluster_->ExchangePermits(call);
-    } else {
-      try {
-        const peer_answer answer =
-            link_->Call(member.address, call, called_at + kPeerCallLimit);
-        if (const auto* granted = std::get_if<permit_answer>(&answer))
-          permits = granted->permits;
-      } catch (const peer_error&) {
-        return false;
-      }
-    }
-    bool is_steward = false;
-    for (const cold_permit& permit : permits) {
-      cluster_->OnPermit(permit, called_at);
-      is_steward |= permit.epoch != 0;
-    }
-    return is_steward;
-  }
-
   // Platform -----------------------------------------------------------------
 
   void FollowStore() {
     const bool needed = !holder_->Current() || !cluster_->StoreIsFresh();
-    if (!needed && !HasDuty("watch/", kWatchersADomain))
+    if (!needed && !duties_.Has("watch/", kWatchersADomain))
       return;
     try {
       follower_.Follow();
@@ -442,12 +279,13 @@
         announced_ = true;
       }
       if (cluster_->LiveMembers().size() < 2 ||
-          HasDuty("list/", kWatchersADomain))
+          duties_.Has("list/", kWatchersADomain))
         ReadInstanceList();
-      if (!leaving_ && HasDuty(ColdLeaseName(), kStewardCandidates))
+      if (!leaving_ &&
+          duties_.Has(ColdLeaseName(settings_.domain), kStewardCandidates))
         AcquireColdLease();
       // One a domain: closing a bucket twice does no harm.
-      if (HasDuty("sweep/", 1))
+      if (duties_.Has("sweep/", 1))
         sweeper_->Sweep(services_.clock->CalendarNow(), Limit(kStoreCallLimit));
     } catch (const kv_unavailable& error) {
       LogUnavailable("duties", error);
@@ -464,8 +302,8 @@
 
   void AcquireColdLease() {
     const auto lease = services_.store->AcquireLease(
-        ColdLeaseName(), settings_.instance.text(), kColdLeaseValidity,
-        Limit(kStoreCallLimit));
+        ColdLeaseName(settings_.domain), settings_.instance.text(),
+        kColdLeaseValidity, Limit(kStoreCallLimit));
     if (lease)
       cluster_->OnLease(*lease);
   }
@@ -506,6 +344,8 @@
   wist::plain_router plain_router_;
   store_follower follower_;
   const std::shared_ptr<i_peer_link> link_;
+  const duty_ranking duties_;
+  peer_exchange exchange_;
   const std::unique_ptr<i_claim_sweeper> sweeper_;
   std::unique_ptr<i_peer_server> server_;
   std::atomic<bool> leaving_ = false;
@@ -513,7 +353,6 @@
   mutable std::mutex cut_mutex_;
   std::set<domain_id> cut_domains_;
   bool announced_ = false;
-  timestamp next_tallies_at_;
   std::vector<std::unique_ptr<periodic_thread>> threads_;
 };
 
--- a/stand_ins/engine/engine_main.cc
+++ b/stand_ins/engine/engine_main.cc
@@ -1,12 +1,12 @@
 #include <boost/program_options.hpp>
 #include <condition_variable>
-#include <iostream>
 #include <map>
 #include <mutex>
 #include <thread>
 
 #include "framework/base/hashing.h"
 #include "framework/base/system_clock.h"
+#include "stand_ins/common/option_parsing.h"
 #include "stand_ins/common/stand_in_server.h"
 #include "stand_ins/engine/engine_model.h"
 
@@ -379,13 +379,8 @@
       "checks-fencing", po::bool_switch(&settings.checks_fencing),
       "refuse orders with an old fencing number")(
       "output-tokens", po::value(&default_output), "length of an answer");
-  po::variables_map values;
-  po::store(po::parse_command_line(argc, argv, options), values);
-  po::notify(values);
-  if (values.count("help")) {
-    std::cout << options;
+  if (!wist::stand_ins::ParseOptions(argc, argv, options))
     return 0;
-  }
   settings.step_base = wist::microseconds(step_base_us);
   settings.step_per_sequence = wist::microseconds(step_per_sequence_us);
   settings.report_lag = wist::milliseconds(report_lag_ms);
--- a/stand_ins/plain_service/plain_service_main.cc
+++ b/stand_ins/plain_service/plain_service_main.cc
@@ -1,9 +1,9 @@
 #include <boost/program_options.hpp>
-#include <iostream>
 #include <map>
 #include <mutex>
 #include <thread>
 
+#include "stand_ins/common/option_parsing.h"
 #include "stand_ins/common/stand_in_server.h"
 
 namespace wist::stand_ins {
@@ -83,13 +83,8 @@
   po::options_description options("plain service stand-in");
   options.add_options()("help", "print this text")(
       "port", po::value(&port)->default_value(0), "port, 0 for any");
-  po::variables_map values;
-  po::store(po::parse_command_line(argc, argv, options), values);
-  po::notify(values);
-  if (values.count("help")) {
-    std::cout << options;
+  if (!wist::stand_ins::ParseOptions(argc, argv, options))
     return 0;
-  }
   wist::stand_ins::plain_service_server server;
   return wist::stand_ins::ServeUntilSignal(
       "127.0.0.1", port, [&](const auto& request, auto& responder) {
--- a/stand_ins/platform/platform_main.cc
+++ b/stand_ins/platform/platform_main.cc
@@ -1,11 +1,11 @@
 #include <boost/program_options.hpp>
 #include <condition_variable>
-#include <iostream>
 #include <mutex>
 #include <set>
 #include <thread>
 
 #include "framework/base/system_clock.h"
+#include "stand_ins/common/option_parsing.h"
 #include "stand_ins/common/stand_in_server.h"
 #include "stand_ins/platform/platform_model.h"
 
@@ -224,13 +224,8 @@
       po::value(&settings.max_writes_per_second)->default_value(300), "rate")(
       "reads-per-second",
       po::value(&settings.max_reads_per_second)->default_value(2000), "rate");
-  po::variables_map values;
-  po::store(po::parse_command_line(argc, argv, options), values);
-  po::notify(values);
-  if (values.count("help")) {
-    std::cout << options;
+  if (!wist::stand_ins::ParseOptions(argc, argv, options))
     return 0;
-  }
   settings.list_lag = wist::milliseconds(list_lag_ms);
   platform_server server(settings);
   return ServeUntilSignal("127.0.0.1", port,
