--- a/src/node/internal/limit_desk.cc
+++ b/src/node/internal/limit_desk.cc
@@ -48,9 +48,19 @@
 
 void limit_desk::AddStrike(const std::string& request_digest,
                            const target_id& target) {
-  std::lock_guard lock(mutex_);
   const timestamp now = clock_->Now();
-  quarantine_->AddStrike({request_digest, target, now + kStrikeValidity}, now);
+  bool added = false;
+  {
+    std::lock_guard lock(mutex_);
+    added = quarantine_->AddStrike(
+        {request_digest, target, now + kStrikeValidity}, now);
+  }
+  if (added && on_strike_)
+    on_strike_();
+}
+
+void limit_desk::SubscribeToStrikes(std::function<void()> on_strike) {
+  on_strike_ = std::move(on_strike);
 }
 
 void limit_desk::ApplyConfiguration(const configuration_body& body) {
--- a/src/node/internal/limit_desk.h
+++ b/src/node/internal/limit_desk.h
@@ -1,6 +1,7 @@
 #ifndef NODE_INTERNAL_LIMIT_DESK_H_
 #define NODE_INTERNAL_LIMIT_DESK_H_
 
+#include <functional>
 #include <memory>
 #include <mutex>
 
@@ -27,6 +28,10 @@
   void AddStrike(const std::string& request_digest,
                  const target_id& target) override;
 
+  // Calls `on_strike` for each new strike seen here, without the lock. Set
+  // before the first request.
+  void SubscribeToStrikes(std::function<void()> on_strike);
+
   void ApplyConfiguration(const configuration_body& body);
   void SetInstanceCount(int count);
 
@@ -43,6 +48,7 @@
   std::unique_ptr<i_workspace_limiter> limiter_;
   std::unique_ptr<i_retry_budget> retry_budget_;
   std::unique_ptr<i_quarantine> quarantine_;
+  std::function<void()> on_strike_;
 };
 
 // Whether a tally's name is a workspace's.
--- a/src/node/internal/node.cc
+++ b/src/node/internal/node.cc
@@ -28,6 +28,7 @@
 constexpr milliseconds kDutyPause{2000};
 constexpr milliseconds kPumpPause{20};
 constexpr milliseconds kPeerCallLimit{400};
+constexpr milliseconds kStrikeCallLimit{100};
 constexpr milliseconds kForwardedClaimLimit{500};
 constexpr milliseconds kStoreCallLimit{1000};
 constexpr milliseconds kColdLeaseValidity{10'000};
@@ -71,6 +72,7 @@
         sweeper_(MakeClaimSweeper(services.store, {})) {
     for (const std::string& peer : settings.seed_peers)
       cluster_->AddSeed(peer);
+    limits_.SubscribeToStrikes([this] { TellNeighbours(); });
     holder_->Subscribe([this](const auto& document) { Apply(*document); });
     server_ = MakePeerServer(
         settings.peer_address, services.keys,
@@ -201,6 +203,23 @@
     }
   }
 
+  // Tells the whole domain of a crash at once. The request that caused it waits
+  // for this, so its caller cannot be quicker at another instance.
+  void TellNeighbours() {
+    gossip told = cluster_->Tell();
+    told.strikes = limits_.StrikesToTell();
+    for (const member_record& member :
+         cluster_->LiveMembersOf(settings_.domain)) {
+      if (member.id == settings_.instance)
+        continue;
+      try {
+        link_->Call(member.address, gossip_call{told}, Limit(kStrikeCallLimit));
+      } catch (const peer_error&) {
+        // It hears of it by gossip.
+      }
+    }
+  }
+
   void FetchIfNewer(const std::string& peer, std::int64_t version) {
     const auto held = holder_->Current();
     if (version <= (held ? held->version : 0))
