--- a/src/node/internal/node.cc
+++ b/src/node/internal/node.cc
@@ -28,7 +28,7 @@
 constexpr milliseconds kDutyPause{2000};
 constexpr milliseconds kPumpPause{20};
 constexpr milliseconds kPeerCallLimit{400};
-constexpr milliseconds kStrikeCallLimit{100};
+constexpr milliseconds kStrikeCallLimit{300};
 constexpr milliseconds kForwardedClaimLimit{500};
 constexpr milliseconds kStoreCallLimit{1000};
 constexpr milliseconds kColdLeaseValidity{10'000};
