Add an event loop, channels and a strict HTTP codec; rename src/platform to src/store

Cause: on the users' machines a blocked thread cannot see that a caller left, and costs two wake-ups an event. The one folder that speaks the users' pages is to bear the name platform.

Ruled out: POCO's HTTP server (a thread a connection) for the relay; Boost.Asio and Beast's parsers are the nearest kin.

--- a/src/apps/wistctl/main.cc
+++ b/src/apps/wistctl/main.cc
@@ -14,7 +14,7 @@
 #include "apps/wistctl/status_command.h"
 #include "configuration/configuration_text.h"
 #include "operator_api/operator_types.h"
-#include "platform/platform_types.h"
+#include "store/store_types.h"
 
 namespace wist {
 namespace {
--- a/src/apps/wisteriatally/main.cc
+++ b/src/apps/wisteriatally/main.cc
@@ -13,7 +13,7 @@
 #include "framework/logging/logging_module.h"
 #include "metrics/metrics_module.h"
 #include "node/node_module.h"
-#include "platform/platform_module.h"
+#include "store/store_module.h"
 #include "settings/settings_module.h"
 
 namespace wist {
--- a/src/claims/claims_module.h
+++ b/src/claims/claims_module.h
@@ -6,7 +6,7 @@
 #include "claims/i_claim_registry.h"
 #include "claims/i_claim_sweeper.h"
 #include "framework/base/i_clock.h"
-#include "platform/i_kv_store.h"
+#include "store/i_kv_store.h"
 
 namespace wist {
 
--- a/src/claims/internal/claim_batcher.h
+++ b/src/claims/internal/claim_batcher.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "claims/internal/claim_bucket.h"
-#include "platform/platform_types.h"
+#include "store/store_types.h"
 
 namespace wist {
 
--- a/src/claims/tests/claim_sweeper_test.cc
+++ b/src/claims/tests/claim_sweeper_test.cc
@@ -2,7 +2,7 @@
 
 #include "claims/internal/claim_bucket.h"
 #include "framework/base/tests/mocks/virtual_clock.h"
-#include "platform/tests/mocks/model_kv_store.h"
+#include "store/tests/mocks/model_kv_store.h"
 
 namespace wist {
 namespace {
--- a/src/coldstart/i_cold_steward.h
+++ b/src/coldstart/i_cold_steward.h
@@ -5,7 +5,7 @@
 
 #include "admission/admission_types.h"
 #include "coldstart/coldstart_types.h"
-#include "platform/platform_types.h"
+#include "store/store_types.h"
 
 namespace wist {
 
--- /dev/null
+++ b/src/framework/net/i_event_loop.h
@@ -0,0 +1,39 @@
+#ifndef FRAMEWORK_NET_I_EVENT_LOOP_H_
+#define FRAMEWORK_NET_I_EVENT_LOOP_H_
+
+#include <functional>
+#include <memory>
+#include <string_view>
+
+#include "framework/base/i_clock.h"
+#include "framework/net/i_channel.h"
+#include "framework/net/i_scheduler.h"
+
+namespace wist {
+
+using accept_handler = std::function<void(std::shared_ptr<i_channel>)>;
+using datagram_handler =
+    std::function<void(std::string_view bytes, const http_address& from)>;
+
+// One thread that waits for sockets, signals and timers.
+class i_event_loop : public i_scheduler, public i_connector {
+ public:
+  // Throws std::runtime_error if the address is taken. The accepted channel
+  // starts to read once it has callbacks.
+  virtual void Listen(const http_address& address, accept_handler handler) = 0;
+  virtual std::unique_ptr<i_datagram_port> OpenDatagramPort(
+      const http_address& address,
+      datagram_handler handler) = 0;
+  virtual void OnSignal(int signal, std::function<void()> handler) = 0;
+
+  // Runs until Stop is called.
+  virtual void Run() = 0;
+  virtual void Stop() = 0;
+};
+
+std::unique_ptr<i_event_loop> MakeEventLoop(
+    std::shared_ptr<const i_clock> clock);
+
+}  // namespace wist
+
+#endif  // FRAMEWORK_NET_I_EVENT_LOOP_H_
--- /dev/null
+++ b/src/framework/net/internal/asio_event_loop.cc
@@ -0,0 +1,214 @@
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <list>
+
+#include "framework/net/i_event_loop.h"
+#include "framework/net/internal/tcp_channel.h"
+
+namespace wist {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using asio::ip::udp;
+
+// Largest datagram taken, in bytes.
+constexpr std::size_t kDatagramBytes = 64 * 1024;
+
+// How long accepting rests after it failed, e.g. for want of descriptors.
+constexpr milliseconds kAcceptPause{50};
+
+class asio_timer final : public i_timer {
+ public:
+  asio_timer(asio::io_context& context,
+             std::shared_ptr<const i_clock> clock,
+             timestamp deadline,
+             std::function<void()> task)
+      : state_(std::make_shared<shared_state>(context,
+                                              std::move(clock),
+                                              deadline,
+                                              std::move(task))) {
+    Arm(state_);
+  }
+
+  ~asio_timer() override {
+    state_->task = nullptr;
+    state_->timer.cancel();
+  }
+
+ private:
+  struct shared_state {
+    shared_state(asio::io_context& context,
+                 std::shared_ptr<const i_clock> used_clock,
+                 timestamp fire_deadline,
+                 std::function<void()> used_task)
+        : timer(context),
+          clock(std::move(used_clock)),
+          deadline(fire_deadline),
+          task(std::move(used_task)) {}
+
+    asio::steady_timer timer;
+    std::shared_ptr<const i_clock> clock;
+    timestamp deadline;
+    std::function<void()> task;
+  };
+
+  static void Arm(const std::shared_ptr<shared_state>& state) {
+    state->timer.expires_after(state->deadline - state->clock->Now());
+    state->timer.async_wait([state](const boost::system::error_code& error) {
+      if (error || !state->task)
+        return;
+      if (state->clock->Now() < state->deadline)
+        return Arm(state);
+      const auto task = std::move(state->task);
+      state->task = nullptr;
+      task();
+    });
+  }
+
+  const std::shared_ptr<shared_state> state_;
+};
+
+udp::endpoint ToUdp(const http_address& address) {
+  return {asio::ip::make_address(address.host), address.port};
+}
+
+tcp::endpoint ToTcp(const http_address& address) {
+  return {asio::ip::make_address(address.host), address.port};
+}
+
+class asio_datagram_port final : public i_datagram_port {
+ public:
+  asio_datagram_port(asio::io_context& context,
+                     const http_address& address,
+                     datagram_handler handler)
+      : socket_(context, ToUdp(address)), handler_(std::move(handler)) {
+    socket_.non_blocking(true);
+    buffer_.resize(kDatagramBytes);
+    Receive();
+  }
+
+  void Send(const http_address& to, const std::string& bytes) override {
+    boost::system::error_code error;
+    // A datagram that can't be sent is lost, as any may be.
+    socket_.send_to(asio::buffer(bytes), ToUdp(to), 0, error);
+  }
+
+ private:
+  void Receive() {
+    socket_.async_receive_from(
+        asio::buffer(buffer_), from_,
+        [this](const boost::system::error_code& error, std::size_t size) {
+          if (error == asio::error::operation_aborted)
+            return;
+          if (!error) {
+            handler_({buffer_.data(), size},
+                     {from_.address().to_string(), from_.port()});
+          }
+          Receive();
+        });
+  }
+
+  udp::socket socket_;
+  datagram_handler handler_;
+  std::string buffer_;
+  udp::endpoint from_;
+};
+
+class asio_event_loop final : public i_event_loop {
+ public:
+  explicit asio_event_loop(std::shared_ptr<const i_clock> clock)
+      : clock_(std::move(clock)), context_(1) {}
+
+  timestamp Now() const override { return clock_->Now(); }
+
+  std::unique_ptr<i_timer> RunAt(timestamp deadline,
+                                 std::function<void()> task) override {
+    return std::make_unique<asio_timer>(context_, clock_, deadline,
+                                        std::move(task));
+  }
+
+  std::shared_ptr<i_channel> Connect(const http_address& address,
+                                     timestamp deadline,
+                                     channel_callbacks callbacks) override {
+    auto channel = std::make_shared<tcp_channel>(tcp::socket(context_));
+    channel->Connect(ToTcp(address), deadline - Now(), std::move(callbacks));
+    return channel;
+  }
+
+  void Listen(const http_address& address, accept_handler handler) override {
+    listeners_.emplace_back(context_, ToTcp(address), std::move(handler));
+    Accept(listeners_.back());
+  }
+
+  std::unique_ptr<i_datagram_port> OpenDatagramPort(
+      const http_address& address,
+      datagram_handler handler) override {
+    return std::make_unique<asio_datagram_port>(context_, address,
+                                                std::move(handler));
+  }
+
+  void OnSignal(int signal, std::function<void()> handler) override {
+    signals_.emplace_back(context_, signal);
+    WaitForSignal(signals_.back(), std::move(handler));
+  }
+
+  void Run() override { context_.run(); }
+  void Stop() override { context_.stop(); }
+
+ private:
+  struct listener {
+    listener(asio::io_context& context,
+             const tcp::endpoint& endpoint,
+             accept_handler accept)
+        : acceptor(context, endpoint, true), handler(std::move(accept)) {}
+
+    tcp::acceptor acceptor;
+    accept_handler handler;
+    std::unique_ptr<i_timer> pause;
+  };
+
+  void Accept(listener& used) {
+    used.acceptor.async_accept(
+        [this, &used](const boost::system::error_code& error,
+                      tcp::socket socket) {
+          if (error == asio::error::operation_aborted)
+            return;
+          if (error) {
+            used.pause =
+                RunAt(Now() + kAcceptPause, [this, &used] { Accept(used); });
+            return;
+          }
+          auto channel = std::make_shared<tcp_channel>(std::move(socket));
+          channel->Open();
+          used.handler(std::move(channel));
+          Accept(used);
+        });
+  }
+
+  void WaitForSignal(asio::signal_set& set, std::function<void()> handler) {
+    set.async_wait([this, &set, handler = std::move(handler)](
+                       const boost::system::error_code& error, int) {
+      if (error)
+        return;
+      handler();
+      WaitForSignal(set, handler);
+    });
+  }
+
+  const std::shared_ptr<const i_clock> clock_;
+  asio::io_context context_;
+  std::list<listener> listeners_;
+  std::list<asio::signal_set> signals_;
+};
+
+}  // namespace
+
+std::unique_ptr<i_event_loop> MakeEventLoop(
+    std::shared_ptr<const i_clock> clock) {
+  return std::make_unique<asio_event_loop>(std::move(clock));
+}
+
+}  // namespace wist
--- /dev/null
+++ b/src/framework/net/internal/http_codec.cc
@@ -0,0 +1,322 @@
+#include "framework/net/http_codec.h"
+
+#include <fmt/format.h>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http.hpp>
+
+namespace wist {
+namespace {
+
+namespace http = boost::beast::http;
+namespace asio = boost::asio;
+
+// Bodies of answers are taken out as they arrive, so no limit of the parser
+// is needed; the reader of the answer bounds what it keeps.
+constexpr std::uint64_t kNoLimit = std::numeric_limits<std::uint64_t>::max();
+
+constexpr std::string_view kHeadEnd = "\r\n\r\n";
+
+// Beast joins folded lines; this product refuses them, since other readers of
+// the same bytes may take the second line for a header of its own.
+bool HasFoldedLine(std::string_view head) {
+  for (std::size_t at = head.find('\n'); at != std::string_view::npos;
+       at = head.find('\n', at + 1)) {
+    if (at + 1 < head.size() && (head[at + 1] == ' ' || head[at + 1] == '\t'))
+      return true;
+  }
+  return false;
+}
+
+template <typename Fields>
+std::vector<http_header> CopyHeaders(const Fields& fields) {
+  std::vector<http_header> headers;
+  for (const auto& field : fields) {
+    headers.push_back(
+        {std::string(field.name_string()),
+         std::string(field.value().data(), field.value().size())});
+  }
+  return headers;
+}
+
+std::string_view FindHeader(const std::vector<http_header>& headers,
+                            std::string_view name) {
+  for (const http_header& header : headers) {
+    if (SameHeaderName(header.name, name))
+      return header.value;
+  }
+  return {};
+}
+
+http_read_fault ToFault(const boost::system::error_code& error) {
+  if (error == http::error::header_limit)
+    return http_read_fault::header_too_large;
+  if (error == http::error::body_limit)
+    return http_read_fault::body_too_large;
+  return http_read_fault::malformed;
+}
+
+class request_reader final : public i_http_request_reader {
+ public:
+  explicit request_reader(const http_reader_limits& limits) : limits_(limits) {
+    Restart();
+  }
+
+  void Feed(std::string_view bytes) override { buffer_.append(bytes); }
+
+  std::optional<http_request_message> Next() override {
+    if (fault_ || !ReadHead())
+      return std::nullopt;
+    boost::system::error_code error;
+    while (!buffer_.empty() && !parser_->is_done()) {
+      const std::size_t used = parser_->put(asio::buffer(buffer_), error);
+      buffer_.erase(0, used);
+      if (error == http::error::need_more)
+        break;
+      if (error) {
+        fault_ = ToFault(error);
+        return std::nullopt;
+      }
+      if (used == 0)
+        break;
+    }
+    if (!parser_->is_done())
+      return std::nullopt;
+    http_request_message request = Take();
+    Restart();
+    return request;
+  }
+
+  std::optional<http_read_fault> fault() const override { return fault_; }
+
+  bool Begun() const override { return !buffer_.empty() || head_read_; }
+
+ private:
+  void Restart() {
+    parser_.emplace();
+    parser_->header_limit(static_cast<std::uint32_t>(limits_.max_header_bytes));
+    parser_->body_limit(limits_.max_body_bytes);
+    parser_->eager(true);
+    head_read_ = false;
+  }
+
+  // Returns whether the head is whole and was given to the parser.
+  bool ReadHead() {
+    if (head_read_)
+      return true;
+    // Empty lines between requests are allowed.
+    while (buffer_.starts_with("\r\n"))
+      buffer_.erase(0, 2);
+    const std::size_t end = buffer_.find(kHeadEnd);
+    if (end == std::string::npos) {
+      if (buffer_.size() > limits_.max_header_bytes)
+        fault_ = http_read_fault::header_too_large;
+      return false;
+    }
+    const std::string head = buffer_.substr(0, end + kHeadEnd.size());
+    if (HasFoldedLine(head)) {
+      fault_ = http_read_fault::malformed;
+      return false;
+    }
+    boost::system::error_code error;
+    const std::size_t used = parser_->put(asio::buffer(head), error);
+    if (error && error != http::error::need_more) {
+      fault_ = ToFault(error);
+      return false;
+    }
+    if (used != head.size() || !parser_->is_header_done()) {
+      fault_ = http_read_fault::malformed;
+      return false;
+    }
+    buffer_.erase(0, used);
+    head_read_ = true;
+    return true;
+  }
+
+  http_request_message Take() {
+    auto& message = parser_->get();
+    http_request_message request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    request.headers = CopyHeaders(message);
+    request.keep_alive = message.keep_alive();
+    request.body = std::move(message.body());
+    return request;
+  }
+
+  const http_reader_limits limits_;
+  std::string buffer_;
+  std::optional<http::request_parser<http::string_body>> parser_;
+  std::optional<http_read_fault> fault_;
+  bool head_read_ = false;
+};
+
+class answer_reader final : public i_http_answer_reader {
+ public:
+  explicit answer_reader(std::size_t max_header_bytes) {
+    parser_.header_limit(static_cast<std::uint32_t>(max_header_bytes));
+    parser_.body_limit(kNoLimit);
+    parser_.eager(true);
+  }
+
+  std::size_t Feed(std::string_view bytes) override {
+    if (state_ == answer_state::complete || state_ == answer_state::malformed)
+      return 0;
+    if (state_ == answer_state::head_missing)
+      return FeedHead(bytes);
+    return FeedBody(bytes);
+  }
+
+  void FeedEnd() override {
+    if (state_ != answer_state::body_missing)
+      return;
+    boost::system::error_code error;
+    parser_.put_eof(error);
+    state_ = error ? answer_state::malformed : answer_state::complete;
+  }
+
+  answer_state state() const override { return state_; }
+  const http_answer_head& head() const override { return head_; }
+
+  std::string TakeBody() override {
+    std::string taken;
+    taken.swap(parser_.get().body());
+    return taken;
+  }
+
+ private:
+  // The parser wants the head in one piece.
+  std::size_t FeedHead(std::string_view bytes) {
+    const std::size_t had = head_bytes_.size();
+    head_bytes_.append(bytes);
+    boost::system::error_code error;
+    const std::size_t used = parser_.put(asio::buffer(head_bytes_), error);
+    if (error && error != http::error::need_more) {
+      state_ = answer_state::malformed;
+      return bytes.size();
+    }
+    if (!parser_.is_header_done())
+      return bytes.size();
+    head_.status = static_cast<int>(parser_.get().result_int());
+    head_.headers = CopyHeaders(parser_.get());
+    head_.keep_alive = parser_.get().keep_alive();
+    state_ =
+        parser_.is_done() ? answer_state::complete : answer_state::body_missing;
+    head_bytes_.clear();
+    const std::size_t taken = used > had ? used - had : 0;
+    if (state_ == answer_state::complete)
+      return taken;
+    return taken + FeedBody(bytes.substr(taken));
+  }
+
+  std::size_t FeedBody(std::string_view bytes) {
+    std::string_view rest = bytes;
+    if (!pending_.empty()) {
+      pending_.append(bytes);
+      rest = pending_;
+    }
+    std::size_t total = 0;
+    while (total < rest.size() && !parser_.is_done()) {
+      boost::system::error_code error;
+      const std::size_t used = parser_.put(
+          asio::buffer(rest.data() + total, rest.size() - total), error);
+      total += used;
+      if (error && error != http::error::need_more) {
+        state_ = answer_state::malformed;
+        return bytes.size();
+      }
+      if (used == 0 || error == http::error::need_more)
+        break;
+    }
+    if (parser_.is_done()) {
+      state_ = answer_state::complete;
+      const std::size_t left = rest.size() - total;
+      return bytes.size() - left;
+    }
+    pending_ = std::string(rest.substr(total));
+    return bytes.size();
+  }
+
+  http::response_parser<http::string_body> parser_;
+  answer_state state_ = answer_state::head_missing;
+  http_answer_head head_;
+  std::string head_bytes_;
+  std::string pending_;  // Bytes of a chunk's head that is not whole yet.
+};
+
+std::string EncodeHead(int status, const std::vector<http_header>& headers) {
+  std::string head = fmt::format(
+      "HTTP/1.1 {} {}\r\n", status,
+      std::string(http::obsolete_reason(static_cast<http::status>(status))));
+  for (const http_header& header : headers)
+    head += fmt::format("{}: {}\r\n", header.name, header.value);
+  return head;
+}
+
+}  // namespace
+
+bool SameHeaderName(std::string_view left, std::string_view right) {
+  return boost::beast::iequals({left.data(), left.size()},
+                               {right.data(), right.size()});
+}
+
+std::string_view http_request_message::Header(std::string_view name) const {
+  return FindHeader(headers, name);
+}
+
+std::size_t http_request_message::CountHeader(std::string_view name) const {
+  std::size_t count = 0;
+  for (const http_header& header : headers)
+    count += SameHeaderName(header.name, name) ? 1 : 0;
+  return count;
+}
+
+std::string_view http_answer_head::Header(std::string_view name) const {
+  return FindHeader(headers, name);
+}
+
+std::unique_ptr<i_http_request_reader> MakeHttpRequestReader(
+    const http_reader_limits& limits) {
+  return std::make_unique<request_reader>(limits);
+}
+
+std::unique_ptr<i_http_answer_reader> MakeHttpAnswerReader(
+    std::size_t max_header_bytes) {
+  return std::make_unique<answer_reader>(max_header_bytes);
+}
+
+std::string EncodeHttpRequest(const http_request_message& request) {
+  std::string text =
+      fmt::format("{} {} HTTP/1.1\r\n", request.method, request.target);
+  for (const http_header& header : request.headers)
+    text += fmt::format("{}: {}\r\n", header.name, header.value);
+  if (!request.body.empty() || request.method != "GET")
+    text += fmt::format("Content-Length: {}\r\n", request.body.size());
+  text += "\r\n";
+  text += request.body;
+  return text;
+}
+
+std::string EncodeHttpAnswer(int status,
+                             const std::vector<http_header>& headers,
+                             std::string_view body) {
+  std::string text = EncodeHead(status, headers);
+  text += fmt::format("Content-Length: {}\r\n\r\n", body.size());
+  text += body;
+  return text;
+}
+
+std::string EncodeChunkedAnswerHead(int status,
+                                    const std::vector<http_header>& headers) {
+  return EncodeHead(status, headers) + "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string EncodeChunk(std::string_view bytes) {
+  return fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes);
+}
+
+std::string_view LastChunk() {
+  return "0\r\n\r\n";
+}
+
+}  // namespace wist
--- /dev/null
+++ b/src/framework/net/internal/tcp_channel.h
@@ -0,0 +1,64 @@
+#ifndef FRAMEWORK_NET_INTERNAL_TCP_CHANNEL_H_
+#define FRAMEWORK_NET_INTERNAL_TCP_CHANNEL_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <deque>
+
+#include "framework/net/i_channel.h"
+
+namespace wist {
+
+// An i_channel over a socket. Pending operations keep it alive.
+class tcp_channel final : public i_channel,
+                          public std::enable_shared_from_this<tcp_channel> {
+ public:
+  explicit tcp_channel(boost::asio::ip::tcp::socket socket);
+
+  // Starts to connect; `deadline` is in the timer's clock.
+  void Connect(const boost::asio::ip::tcp::endpoint& endpoint,
+               boost::asio::steady_timer::duration limit,
+               channel_callbacks callbacks);
+
+  // Takes a socket that is open already.
+  void Open();
+
+  // i_channel:
+  void SetCallbacks(channel_callbacks callbacks) override;
+  void Write(std::string bytes) override;
+  std::size_t UnsentBytes() const override { return unsent_bytes_; }
+  bool SentAny() const override { return sent_any_; }
+  void Close() override;
+  void Abort() override;
+
+ private:
+  enum class state { connecting, open, closing, ended };
+
+  void SetOptions();
+  void OnConnected(const boost::system::error_code& error);
+  void Read();
+  void OnRead(const boost::system::error_code& error, std::size_t size);
+  void Flush();
+  void OnWritten(const boost::system::error_code& error, std::size_t size);
+  void BeginLinger();
+  void End(channel_end end);
+  void CloseSocket();
+
+  boost::asio::ip::tcp::socket socket_;
+  boost::asio::steady_timer timer_;
+  channel_callbacks callbacks_;
+  state state_ = state::connecting;
+  bool reading_ = false;
+  bool sent_any_ = false;
+  bool write_pending_ = false;
+  bool lingering_ = false;
+  std::size_t unsent_bytes_ = 0;
+  std::string writing_;
+  std::string queued_;
+};
+
+}  // namespace wist
+
+#endif  // FRAMEWORK_NET_INTERNAL_TCP_CHANNEL_H_
--- /dev/null
+++ b/src/framework/net/tests/tcp_channel_test.cc
@@ -0,0 +1,80 @@
+#include <catch2/catch.hpp>
+
+#include <optional>
+
+#include "framework/base/system_clock.h"
+#include "framework/net/i_event_loop.h"
+
+using namespace wist;
+
+namespace {
+
+// Below the range of ephemeral ports.
+constexpr std::uint16_t kPort = 23871;
+constexpr std::uint16_t kClosedPort = 23872;
+
+// Ends a test that hangs; no assertion depends on it.
+constexpr seconds kHangLimit{20};
+
+}  // namespace
+
+TEST_CASE("channels carry bytes both ways and end in order") {
+  const auto loop = MakeEventLoop(MakeSystemClock());
+  std::shared_ptr<i_channel> accepted;
+  std::string got;
+  std::string answered;
+  bool ended = false;
+  const auto hang =
+      loop->RunAt(loop->Now() + kHangLimit, [&] { loop->Stop(); });
+  loop->Listen({"127.0.0.1", kPort}, [&](std::shared_ptr<i_channel> channel) {
+    accepted = std::move(channel);
+    accepted->SetCallbacks({[&](std::string_view bytes) {
+                              got += bytes;
+                              accepted->Write("pong");
+                              accepted->Close();
+                            },
+                            nullptr});
+  });
+  const auto channel =
+      loop->Connect({"127.0.0.1", kPort}, loop->Now() + kHangLimit,
+                    {[&](std::string_view bytes) { answered += bytes; },
+                     [&](channel_end end) {
+                       ended = end == channel_end::closed;
+                       loop->Stop();
+                     }});
+  channel->Write("ping");
+  loop->Run();
+  CHECK(got == "ping");
+  CHECK(answered == "pong");
+  CHECK(ended);
+  CHECK(channel->SentAny());
+}
+
+TEST_CASE("a refused connection reports that no byte left") {
+  const auto loop = MakeEventLoop(MakeSystemClock());
+  std::optional<channel_end> end;
+  const auto hang =
+      loop->RunAt(loop->Now() + kHangLimit, [&] { loop->Stop(); });
+  const auto channel =
+      loop->Connect({"127.0.0.1", kClosedPort}, loop->Now() + kHangLimit,
+                    {nullptr, [&](channel_end got) {
+                       end = got;
+                       loop->Stop();
+                     }});
+  channel->Write("never sent");
+  loop->Run();
+  CHECK(end == channel_end::connect_failed);
+  CHECK_FALSE(channel->SentAny());
+}
+
+TEST_CASE("a destroyed timer does not run its task") {
+  const auto loop = MakeEventLoop(MakeSystemClock());
+  bool ran = false;
+  auto cancelled =
+      loop->RunAt(loop->Now() + milliseconds(1), [&] { ran = true; });
+  const auto last =
+      loop->RunAt(loop->Now() + milliseconds(5), [&] { loop->Stop(); });
+  cancelled.reset();
+  loop->Run();
+  CHECK_FALSE(ran);
+}
--- a/src/node/internal/store_follower.h
+++ b/src/node/internal/store_follower.h
@@ -6,7 +6,7 @@
 #include "configuration/i_configuration_holder.h"
 #include "framework/logging/i_logger.h"
 #include "node/internal/cluster_desk.h"
-#include "platform/i_kv_store.h"
+#include "store/i_kv_store.h"
 
 namespace wist {
 
--- a/src/node/node_module.h
+++ b/src/node/node_module.h
@@ -11,8 +11,8 @@
 #include "framework/keys/i_keyring.h"
 #include "framework/logging/i_logger.h"
 #include "node/i_node.h"
-#include "platform/i_instance_list.h"
-#include "platform/i_kv_store.h"
+#include "store/i_instance_list.h"
+#include "store/i_kv_store.h"
 
 namespace wist {
 
--- a/src/operator_api/internal/operator_client.cc
+++ b/src/operator_api/internal/operator_client.cc
@@ -6,7 +6,7 @@
 #include "framework/base/system_clock.h"
 #include "framework/http/http_module.h"
 #include "operator_api/operator_api_module.h"
-#include "platform/platform_module.h"
+#include "store/store_module.h"
 
 namespace wist {
 namespace {
--- a/src/operator_api/operator_api_module.h
+++ b/src/operator_api/operator_api_module.h
@@ -6,7 +6,7 @@
 #include "framework/base/i_clock.h"
 #include "framework/http/http_types.h"
 #include "operator_api/i_operator_client.h"
-#include "platform/i_kv_store.h"
+#include "store/i_kv_store.h"
 
 namespace wist {
 
--- a/src/operator_api/tests/operator_client_test.cc
+++ b/src/operator_api/tests/operator_client_test.cc
@@ -5,7 +5,7 @@
 #include "framework/base/tests/mocks/virtual_clock.h"
 #include "operator_api/configuration_builder.h"
 #include "operator_api/operator_api_module.h"
-#include "platform/tests/mocks/model_kv_store.h"
+#include "store/tests/mocks/model_kv_store.h"
 
 namespace wist {
 namespace {
--- a/src/orders/orders_module.h
+++ b/src/orders/orders_module.h
@@ -8,7 +8,7 @@
 #include "framework/base/i_clock.h"
 #include "framework/http/i_http_client.h"
 #include "orders/i_order_issuer.h"
-#include "platform/i_kv_store.h"
+#include "store/i_kv_store.h"
 
 namespace wist {
 
--- a/src/orders/tests/order_issuer_test.cc
+++ b/src/orders/tests/order_issuer_test.cc
@@ -5,7 +5,7 @@
 #include "configuration/tests/mocks/sample_configuration.h"
 #include "framework/base/tests/mocks/virtual_clock.h"
 #include "orders/orders_module.h"
-#include "platform/tests/mocks/model_kv_store.h"
+#include "store/tests/mocks/model_kv_store.h"
 
 namespace wist {
 namespace {
--- a/src/platform/i_instance_list.h
+++ b/src/store/i_instance_list.h
@@ -1,9 +1,9 @@
-#ifndef PLATFORM_I_INSTANCE_LIST_H_
-#define PLATFORM_I_INSTANCE_LIST_H_
+#ifndef STORE_I_INSTANCE_LIST_H_
+#define STORE_I_INSTANCE_LIST_H_
 
 #include <vector>
 
-#include "platform/platform_types.h"
+#include "store/store_types.h"
 
 namespace wist {
 
@@ -20,4 +20,4 @@
 
 }  // namespace wist
 
-#endif  // PLATFORM_I_INSTANCE_LIST_H_
+#endif  // STORE_I_INSTANCE_LIST_H_
--- a/src/platform/i_kv_store.h
+++ b/src/store/i_kv_store.h
@@ -1,10 +1,10 @@
-#ifndef PLATFORM_I_KV_STORE_H_
-#define PLATFORM_I_KV_STORE_H_
+#ifndef STORE_I_KV_STORE_H_
+#define STORE_I_KV_STORE_H_
 
 #include <optional>
 #include <string>
 
-#include "platform/platform_types.h"
+#include "store/store_types.h"
 
 namespace wist {
 
@@ -44,4 +44,4 @@
 
 }  // namespace wist
 
-#endif  // PLATFORM_I_KV_STORE_H_
+#endif  // STORE_I_KV_STORE_H_
--- a/src/platform/internal/http_kv_store.cc
+++ b/src/store/internal/http_kv_store.cc
@@ -3,7 +3,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "platform/platform_module.h"
+#include "store/store_module.h"
 
 namespace wist {
 namespace {
--- a/src/platform/platform_module.h
+++ b/src/store/store_module.h
@@ -1,12 +1,12 @@
-#ifndef PLATFORM_PLATFORM_MODULE_H_
-#define PLATFORM_PLATFORM_MODULE_H_
+#ifndef STORE_STORE_MODULE_H_
+#define STORE_STORE_MODULE_H_
 
 #include <memory>
 
 #include "framework/base/i_clock.h"
 #include "framework/http/i_http_client.h"
-#include "platform/i_instance_list.h"
-#include "platform/i_kv_store.h"
+#include "store/i_instance_list.h"
+#include "store/i_kv_store.h"
 
 namespace wist {
 
@@ -24,4 +24,4 @@
 
 }  // namespace wist
 
-#endif  // PLATFORM_PLATFORM_MODULE_H_
+#endif  // STORE_STORE_MODULE_H_
--- a/src/platform/platform_types.h
+++ b/src/store/store_types.h
@@ -1,5 +1,5 @@
-#ifndef PLATFORM_PLATFORM_TYPES_H_
-#define PLATFORM_PLATFORM_TYPES_H_
+#ifndef STORE_STORE_TYPES_H_
+#define STORE_STORE_TYPES_H_
 
 #include <compare>
 #include <cstdint>
@@ -61,4 +61,4 @@
 
 }  // namespace wist
 
-#endif  // PLATFORM_PLATFORM_TYPES_H_
+#endif  // STORE_STORE_TYPES_H_
--- a/src/platform/tests/mocks/model_kv_store.h
+++ b/src/store/tests/mocks/model_kv_store.h
@@ -1,10 +1,10 @@
-#ifndef PLATFORM_TESTS_MOCKS_MODEL_KV_STORE_H_
-#define PLATFORM_TESTS_MOCKS_MODEL_KV_STORE_H_
+#ifndef STORE_TESTS_MOCKS_MODEL_KV_STORE_H_
+#define STORE_TESTS_MOCKS_MODEL_KV_STORE_H_
 
 #include <memory>
 
 #include "framework/base/i_clock.h"
-#include "platform/i_kv_store.h"
+#include "store/i_kv_store.h"
 #include "stand_ins/platform/platform_model.h"
 
 namespace wist {
@@ -74,4 +74,4 @@
 
 }  // namespace wist
 
-#endif  // PLATFORM_TESTS_MOCKS_MODEL_KV_STORE_H_
+#endif  // STORE_TESTS_MOCKS_MODEL_KV_STORE_H_
--- a/stand_ins/platform/platform_model.h
+++ b/stand_ins/platform/platform_model.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "framework/base/time_types.h"
-#include "platform/platform_types.h"
+#include "store/store_types.h"
 
 namespace wist::stand_ins {
 
