Read answer heads that arrive in parts

Cause: the parser consumes the status line before the headers are whole; a test that splits an answer at every byte failed at 30 of 72 splits.

Measured: the test passes at all splits.

--- a/src/framework/net/internal/http_codec.cc
+++ b/src/framework/net/internal/http_codec.cc
@@ -185,9 +185,8 @@
   }
 
  private:
-  // The parser wants the head in one piece.
+  // The parser takes the status line and the headers in one piece each.
   std::size_t FeedHead(std::string_view bytes) {
-    const std::size_t had = head_bytes_.size();
     head_bytes_.append(bytes);
     boost::system::error_code error;
     const std::size_t used = parser_.put(asio::buffer(head_bytes_), error);
@@ -195,15 +194,16 @@
       state_ = answer_state::malformed;
       return bytes.size();
     }
+    head_bytes_.erase(0, used);
     if (!parser_.is_header_done())
       return bytes.size();
+    const std::size_t taken = bytes.size() - head_bytes_.size();
     head_.status = static_cast<int>(parser_.get().result_int());
     head_.headers = CopyHeaders(parser_.get());
     head_.keep_alive = parser_.get().keep_alive();
     state_ =
         parser_.is_done() ? answer_state::complete : answer_state::body_missing;
     head_bytes_.clear();
-    const std::size_t taken = used > had ? used - had : 0;
     if (state_ == answer_state::complete)
       return taken;
     return taken + FeedBody(bytes.substr(taken));
