Add routes, the directory of targets and the store follower

Cause: the product lacks routes by host and prefix, keys of workspaces with an age, a directory that targets write themselves, and a client that never waits.

--- /dev/null
+++ b/src/follower/tests/prefix_follower_test.cc
@@ -0,0 +1,138 @@
+#include <catch2/catch.hpp>
+
+#include <deque>
+
+#include "follower/prefix_follower.h"
+#include "framework/net/tests/mocks/virtual_scheduler.h"
+
+using namespace wist;
+
+namespace {
+
+// Holds calls until a test answers them.
+class scripted_store final : public i_async_store {
+ public:
+  void ReadRange(const std::string&,
+                 const std::string& after_key,
+                 std::function<void(range_result)> done) override {
+    range_after.push_back(after_key);
+    range_done = std::move(done);
+  }
+  void Watch(const std::string&,
+             std::int64_t since_revision,
+             milliseconds,
+             std::function<void(watch_result)> done) override {
+    watch_since.push_back(since_revision);
+    watch_done = std::move(done);
+  }
+  void PutForAWhile(const std::string&,
+                    const std::string&,
+                    milliseconds,
+                    std::function<void(bool)>) override {}
+
+  void AnswerRange(range_result result) {
+    std::exchange(range_done, nullptr)(std::move(result));
+  }
+  void AnswerWatch(watch_result result) {
+    std::exchange(watch_done, nullptr)(std::move(result));
+  }
+
+  std::vector<std::string> range_after;
+  std::vector<std::int64_t> watch_since;
+  std::function<void(range_result)> range_done;
+  std::function<void(watch_result)> watch_done;
+};
+
+struct recorded_listener final : i_prefix_listener {
+  void OnSnapshot(const std::map<std::string, std::string>& items,
+                  bool after) override {
+    snapshots.push_back(items);
+    after_outage = after;
+  }
+  void OnChange(const store_change& change, bool after) override {
+    changes.push_back(change.key);
+    after_outage = after;
+  }
+  void OnConfirmed(timestamp at) override { confirmed_at = at; }
+  void OnLost(store_fault) override { ++lost; }
+  void OnRegained() override { ++regained; }
+
+  std::vector<std::map<std::string, std::string>> snapshots;
+  std::vector<std::string> changes;
+  timestamp confirmed_at{};
+  bool after_outage = false;
+  int lost = 0;
+  int regained = 0;
+};
+
+struct fixture {
+  fixture() { follower.Start(); }
+
+  virtual_scheduler scheduler;
+  scripted_store store;
+  recorded_listener listener;
+  prefix_follower follower{"p/", {}, store, scheduler, listener, 1};
+};
+
+}  // namespace
+
+TEST_CASE("pages are joined and the watch goes on from the first of them") {
+  fixture f;
+  f.store.AnswerRange(range_page{{{"p/a", "1", 3}}, true, 10});
+  f.store.AnswerRange(range_page{{{"p/b", "2", 12}}, false, 12});
+  CHECK(f.store.range_after == std::vector<std::string>{"", "p/a"});
+  REQUIRE(f.listener.snapshots.size() == 1);
+  CHECK(f.listener.snapshots[0].size() == 2);
+  CHECK(f.store.watch_since == std::vector<std::int64_t>{10});
+}
+
+TEST_CASE("a confirmation counts from when its call was made") {
+  fixture f;
+  f.store.AnswerRange(range_page{{}, false, 10});
+  const timestamp asked_at = f.scheduler.Now();
+  f.scheduler.Advance(milliseconds(1500));
+  f.store.AnswerWatch(watch_page{{}, 10});
+  CHECK(f.listener.confirmed_at == asked_at);
+  f.scheduler.Advance(milliseconds(1000));
+  f.store.AnswerWatch(watch_page{{}, 10});
+  CHECK(f.listener.confirmed_at == asked_at + milliseconds(1500));
+}
+
+TEST_CASE("lost history is read anew") {
+  fixture f;
+  f.store.AnswerRange(range_page{{}, false, 10});
+  f.store.AnswerWatch(store_fault::history_gone);
+  f.scheduler.Advance(milliseconds(1));
+  REQUIRE(f.store.range_after.size() == 2);
+  f.store.AnswerRange(range_page{{}, false, 90});
+  CHECK(f.store.watch_since.back() == 90);
+  CHECK(f.listener.lost == 0);
+}
+
+TEST_CASE("a fault is retried with growing pauses and reported once") {
+  fixture f;
+  f.store.AnswerRange(range_page{{}, false, 10});
+  std::vector<std::size_t> calls;
+  f.store.AnswerWatch(store_fault::unavailable);
+  for (int i = 0; i < 60; ++i) {
+    f.scheduler.Advance(milliseconds(100));
+    if (f.store.watch_done)
+      f.store.AnswerWatch(store_fault::unavailable);
+  }
+  CHECK(f.listener.lost == 1);
+  CHECK(f.store.watch_since.size() >= 6);
+  CHECK(f.store.watch_since.size() <= 15);
+}
+
+TEST_CASE("deletions right after an outage are marked") {
+  fixture f;
+  f.store.AnswerRange(range_page{{}, false, 10});
+  f.store.AnswerWatch(store_fault::unavailable);
+  f.scheduler.Advance(milliseconds(200));
+  f.store.AnswerWatch(watch_page{{{"p/a", std::nullopt, 11}}, 11});
+  CHECK(f.listener.regained == 1);
+  CHECK(f.listener.after_outage);
+  f.scheduler.Advance(milliseconds(2100));
+  f.store.AnswerWatch(watch_page{{{"p/b", std::nullopt, 12}}, 12});
+  CHECK_FALSE(f.listener.after_outage);
+}
--- /dev/null
+++ b/src/routing/route_table.h
@@ -0,0 +1,56 @@
+#ifndef ROUTING_ROUTE_TABLE_H_
+#define ROUTING_ROUTE_TABLE_H_
+
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <variant>
+
+#include "routing/routing_types.h"
+
+namespace wist {
+
+enum class route_fault { no_route, unknown_key };
+
+// Where a request may go and for whom it runs.
+struct route_match {
+  const route_spec* route = nullptr;
+  const keyed_workspace* workspace = nullptr;  // Null on routes without keys.
+};
+
+// Looks up requests in one configuration. Immutable; matches point into it.
+class route_table {
+ public:
+  explicit route_table(routing_configuration configuration);
+
+  route_table(const route_table&) = delete;
+  route_table& operator=(const route_table&) = delete;
+
+  const routing_configuration& configuration() const { return configuration_; }
+
+  // `path` may carry a query. The longest prefix of the host's routes wins.
+  std::variant<route_match, route_fault> Match(std::string_view host,
+                                               std::string_view path,
+                                               std::string_view key) const;
+
+  // Returns null if there is none.
+  const routed_service* FindService(const service_id& id) const;
+
+ private:
+  const route_spec* FindRoute(std::string_view host,
+                              std::string_view path) const;
+
+  const routing_configuration configuration_;
+  std::unordered_map<std::string,
+                     std::unordered_map<std::string, const route_spec*>>
+      routes_by_host_;
+  std::unordered_map<std::string, const keyed_workspace*> workspaces_by_key_;
+  std::unordered_map<service_id, const routed_service*> services_;
+};
+
+// Picks one of the route's services by weight; `point` is in [0, 1).
+const service_id& PickService(const route_spec& route, double point);
+
+}  // namespace wist
+
+#endif  // ROUTING_ROUTE_TABLE_H_
--- /dev/null
+++ b/src/routing/tests/route_table_test.cc
@@ -0,0 +1,77 @@
+#include <catch2/catch.hpp>
+
+#include "routing/route_table.h"
+
+using namespace wist;
+
+namespace {
+
+route_spec Route(const std::string& name, const std::string& prefix) {
+  route_spec route;
+  route.name = name;
+  route.host = "Desk.example";
+  route.path_prefix = prefix;
+  route.services = {{service_id("s"), 1}};
+  return route;
+}
+
+routing_configuration Configuration() {
+  routing_configuration configuration;
+  configuration.version = 3;
+  configuration.routes = {Route("short", "/a/"), Route("long", "/a/b/"),
+                          Route("open", "/open/")};
+  configuration.routes[2].needs_key = false;
+  configuration.workspaces = {{workspace_id("w"), {"k1", "k2"}, std::nullopt}};
+  configuration.services = {{service_id("s")}};
+  return configuration;
+}
+
+std::string MatchedName(const route_table& table, const std::string& path) {
+  const auto match = table.Match("desk.example:80", path, "k1");
+  const auto* found = std::get_if<route_match>(&match);
+  return found ? found->route->name : "";
+}
+
+}  // namespace
+
+TEST_CASE("the longest prefix of the host wins") {
+  const route_table table(Configuration());
+  CHECK(MatchedName(table, "/a/x") == "short");
+  CHECK(MatchedName(table, "/a/b/x") == "long");
+  CHECK(MatchedName(table, "/a/b/?q=/a/") == "long");
+  CHECK(MatchedName(table, "/a/b") == "short");
+  CHECK(MatchedName(table, "/ab/x").empty());
+  CHECK(MatchedName(table, "/").empty());
+  CHECK(MatchedName(table, "a").empty());
+}
+
+TEST_CASE("another host has no route") {
+  const route_table table(Configuration());
+  CHECK(std::get<route_fault>(table.Match("other", "/a/x", "k1")) ==
+        route_fault::no_route);
+}
+
+TEST_CASE("a key names its workspace, and an unknown one is refused") {
+  const route_table table(Configuration());
+  CHECK(std::get<route_match>(table.Match("desk.example", "/a/x", "k2"))
+            .workspace->id == workspace_id("w"));
+  CHECK(std::get<route_fault>(table.Match("desk.example", "/a/x", "k3")) ==
+        route_fault::unknown_key);
+  CHECK(std::get<route_fault>(table.Match("desk.example", "/a/x", "")) ==
+        route_fault::unknown_key);
+}
+
+TEST_CASE("a route without keys serves anybody") {
+  const route_table table(Configuration());
+  CHECK(std::get<route_match>(table.Match("desk.example", "/open/x", "?"))
+            .workspace == nullptr);
+}
+
+TEST_CASE("services are picked by weight") {
+  route_spec route = Route("split", "/");
+  route.services = {{service_id("a"), 90}, {service_id("b"), 10}};
+  CHECK(PickService(route, 0.0) == service_id("a"));
+  CHECK(PickService(route, 0.899) == service_id("a"));
+  CHECK(PickService(route, 0.901) == service_id("b"));
+  CHECK(PickService(route, 0.9999) == service_id("b"));
+}
