--- /dev/null
+++ b/src/apps/wisteriatally/gateway_command.cc
@@ -0,0 +1,34 @@
+#include "gateway_command.h"
+
+#include <signal.h>
+
+#include <stdexcept>
+
+#include "framework/base/system_clock.h"
+#include "framework/logging/logging_module.h"
+#include "framework/net/i_event_loop.h"
+#include "framework/net/i_http_caller.h"
+#include "gateway/gateway_module.h"
+#include "platform/platform_module.h"
+
+namespace wist {
+
+int RunGateway() {
+  signal(SIGPIPE, SIG_IGN);
+  const auto path = PlatformSettingsPath();
+  if (!path)
+    throw std::invalid_argument("no settings file is named");
+  const platform_settings settings = ReadPlatformSettings(*path);
+  const auto logger =
+      MakeStdoutLogger(log_level::info, settings.gateway.instance);
+  const auto loop = MakeEventLoop(MakeSystemClock());
+  const auto caller = MakeHttpCaller(*loop, *loop);
+  const auto store = MakePlatformStore(settings.store, *caller, *loop);
+  const auto dialect = MakePlatformDialect();
+  const auto gateway =
+      MakeGateway(settings.gateway, {*loop, *dialect, *store, *logger});
+  gateway->Run();
+  return 0;
+}
+
+}  // namespace wist
--- a/src/apps/wisteriatally/main.cc
+++ b/src/apps/wisteriatally/main.cc
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <cstdlib>
+#include <string_view>
 #include <thread>
 
 #include "claims/claims_module.h"
@@ -11,10 +12,11 @@
 #include "framework/http/http_module.h"
 #include "framework/keys/keys_module.h"
 #include "framework/logging/logging_module.h"
+#include "gateway_command.h"
 #include "metrics/metrics_module.h"
 #include "node/node_module.h"
-#include "store/store_module.h"
 #include "settings/settings_module.h"
+#include "store/store_module.h"
 
 namespace wist {
 namespace {
@@ -146,6 +148,8 @@
 
 int main(int argc, char** argv) {
   try {
+    if (argc == 2 && std::string_view(argv[1]) == "gateway")
+      return wist::RunGateway();
     return wist::Run(wist::ReadEntryCommand({argv + 1, argv + argc}));
   } catch (const wist::settings_error& error) {
     for (const std::string& fault : error.faults())
--- a/src/framework/logging/i_logger.h
+++ b/src/framework/logging/i_logger.h
@@ -1,6 +1,7 @@
 #ifndef FRAMEWORK_LOGGING_I_LOGGER_H_
 #define FRAMEWORK_LOGGING_I_LOGGER_H_
 
+#include <cstdint>
 #include <string_view>
 
 #include "framework/logging/log_types.h"
@@ -19,6 +20,16 @@
                      const log_fields& fields) = 0;
 };
 
+// A logger that holds lines back for a while.
+class i_buffered_logger : public i_logger {
+ public:
+  // Writes what is held, as far as that needs no waiting.
+  virtual void Flush() = 0;
+
+  // Lines that were lost because nobody read the earlier ones.
+  virtual std::uint64_t DroppedLines() const = 0;
+};
+
 }  // namespace wist
 
 #endif  // FRAMEWORK_LOGGING_I_LOGGER_H_
--- a/src/framework/logging/internal/stderr_logger.cc
+++ b/src/framework/logging/internal/stderr_logger.cc
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
+#include "framework/logging/internal/log_line.h"
 #include "framework/logging/logging_module.h"
 
 namespace wist {
@@ -49,20 +50,10 @@
              const log_fields& fields) override {
     if (level < lowest_)
       return;
-    nlohmann::ordered_json line;
-    line["time"] = CalendarText();
-    line["level"] = LevelName(level);
-    line["source"] = source_;
-    line["event"] = event;
-    for (const log_field& field : fields) {
-      std::visit([&](const auto& value) { line[field.name] = value; },
-                 field.value);
-    }
-    const std::string text = line.dump(
-        -1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+    const std::string text = FormatLogLine(level, source_, event, fields);
     // One write a line keeps lines of several processes whole in one pipe.
     std::lock_guard lock(mutex_);
-    fmt::print(stderr, "{}\n", text);
+    fmt::print(stderr, "{}", text);
   }
 
  private:
@@ -78,6 +69,24 @@
 
 }  // namespace
 
+std::string FormatLogLine(log_level level,
+                          const std::string& source,
+                          std::string_view event,
+                          const log_fields& fields) {
+  nlohmann::ordered_json line;
+  line["time"] = CalendarText();
+  line["level"] = LevelName(level);
+  line["source"] = source;
+  line["event"] = event;
+  for (const log_field& field : fields) {
+    std::visit([&](const auto& value) { line[field.name] = value; },
+               field.value);
+  }
+  return line.dump(-1, ' ', false,
+                   nlohmann::ordered_json::error_handler_t::replace) +
+         "\n";
+}
+
 log_level ParseLogLevel(const std::string& text) {
   for (log_level level : {log_level::debug, log_level::info, log_level::warning,
                           log_level::error}) {
--- a/src/framework/logging/logging_module.h
+++ b/src/framework/logging/logging_module.h
@@ -16,6 +16,11 @@
 std::shared_ptr<i_logger> MakeStderrLogger(log_level lowest,
                                            std::string source);
 
+// Returns a logger that writes one JSON object a line to standard output and
+// never waits: lines are held until Flush, and dropped past a bound.
+std::shared_ptr<i_buffered_logger> MakeStdoutLogger(log_level lowest,
+                                                    std::string source);
+
 // Returns a logger that drops everything.
 std::shared_ptr<i_logger> MakeNullLogger();
 
--- /dev/null
+++ b/src/framework/net/tests/http_caller_test.cc
@@ -0,0 +1,150 @@
+#include <catch2/catch.hpp>
+
+#include <optional>
+
+#include "framework/net/i_http_caller.h"
+#include "framework/net/tests/mocks/scripted_connector.h"
+#include "framework/net/tests/mocks/virtual_scheduler.h"
+
+using namespace wist;
+
+namespace {
+
+const http_address kAddress{"10.0.0.1", 80};
+
+struct fixture {
+  std::shared_ptr<i_http_call> Call(const std::string& id = "") {
+    outcome.reset();
+    body.clear();
+    status = 0;
+    call_callbacks callbacks;
+    if (!id.empty()) {
+      callbacks.accepts = [id](const http_answer_head& head) {
+        return head.Header("Id") == id;
+      };
+    }
+    callbacks.on_head = [this](const http_answer_head& head) {
+      status = head.status;
+    };
+    callbacks.on_body = [this](std::string bytes) { body += bytes; };
+    callbacks.on_done = [this](call_outcome got) { outcome = got; };
+    return caller->Call(kAddress, "GET / HTTP/1.1\r\n\r\n", {},
+                        std::move(callbacks));
+  }
+
+  scripted_channel& channel(std::size_t index) {
+    return *connector.channels.at(index);
+  }
+
+  virtual_scheduler scheduler;
+  scripted_connector connector;
+  std::unique_ptr<i_http_caller> caller = MakeHttpCaller(connector, scheduler);
+  std::optional<call_outcome> outcome;
+  std::string body;
+  int status = 0;
+};
+
+const std::string kAnswer =
+    "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 2\r\n\r\nok";
+
+}  // namespace
+
+TEST_CASE("a channel is kept for the next call") {
+  fixture f;
+  f.Call();
+  f.channel(0).Receive(kAnswer);
+  REQUIRE(f.outcome);
+  CHECK(f.outcome->end == call_end::complete);
+  CHECK(f.body == "ok");
+  f.Call();
+  CHECK(f.connector.channels.size() == 1);
+}
+
+TEST_CASE("a channel that was idle for too long is not used") {
+  fixture f;
+  f.Call();
+  f.channel(0).Receive(kAnswer);
+  f.scheduler.Advance(milliseconds(1100));
+  f.Call();
+  CHECK(f.connector.channels.size() == 2);
+}
+
+TEST_CASE("a channel is given up when its target says so or sends more") {
+  fixture f;
+  f.Call();
+  f.channel(0).Receive(
+      "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+  f.Call();
+  CHECK(f.connector.channels.size() == 2);
+  f.channel(1).Receive(kAnswer + "HTTP/1.1 200 OK\r\n");
+  CHECK(f.body == "ok");
+  CHECK(f.channel(1).aborted);
+  f.Call();
+  CHECK(f.connector.channels.size() == 3);
+}
+
+TEST_CASE("bytes on an idle channel end it") {
+  fixture f;
+  f.Call();
+  f.channel(0).Receive(kAnswer);
+  f.channel(0).Receive(kAnswer);
+  CHECK(f.channel(0).aborted);
+  f.Call();
+  CHECK(f.connector.channels.size() == 2);
+}
+
+TEST_CASE("an answer to another call is dropped") {
+  fixture f;
+  f.Call("b");
+  f.channel(0).Receive(kAnswer);
+  CHECK_FALSE(f.outcome);
+  f.channel(0).Receive(
+      "HTTP/1.1 201 Created\r\nId: b\r\nContent-Length: 4\r\n\r\nmine");
+  REQUIRE(f.outcome);
+  CHECK(f.status == 201);
+  CHECK(f.body == "mine");
+  f.Call();
+  CHECK(f.connector.channels.size() == 2);
+}
+
+TEST_CASE("a failed connection sent nothing; a broken channel may have") {
+  fixture f;
+  f.Call();
+  f.channel(0).connected = false;
+  f.channel(0).End(channel_end::connect_failed);
+  CHECK(f.outcome->end == call_end::connect_failed);
+  CHECK_FALSE(f.outcome->may_have_left);
+  f.Call();
+  f.channel(1).End(channel_end::reset);
+  CHECK(f.outcome->end == call_end::broken);
+  CHECK(f.outcome->may_have_left);
+}
+
+TEST_CASE("an answer without length is whole only after an orderly end") {
+  for (const channel_end end : {channel_end::closed, channel_end::reset}) {
+    fixture f;
+    f.Call();
+    f.channel(0).Receive("HTTP/1.1 200 OK\r\n\r\npart");
+    CHECK_FALSE(f.outcome);
+    f.channel(0).End(end);
+    CHECK((f.outcome->end == call_end::complete) ==
+          (end == channel_end::closed));
+  }
+}
+
+TEST_CASE("a channel with unsent bytes of the request is not kept") {
+  fixture f;
+  f.Call();
+  f.channel(0).unsent = 100;
+  f.channel(0).Receive(kAnswer);
+  CHECK(f.outcome->end == call_end::complete);
+  CHECK(f.channel(0).aborted);
+}
+
+TEST_CASE("a cancelled call closes its channel and reports nothing") {
+  fixture f;
+  const auto call = f.Call();
+  call->Cancel();
+  CHECK(f.channel(0).aborted);
+  CHECK_FALSE(f.outcome);
+}
--- /dev/null
+++ b/src/gateway/internal/caller_connection.cc
@@ -0,0 +1,187 @@
+#include "gateway/internal/caller_connection.h"
+
+namespace wist {
+namespace {
+
+// A caller that doesn't read its stream is cut off past this many bytes.
+constexpr std::size_t kMaxUnsentBytes = 1024 * 1024;
+
+}  // namespace
+
+caller_connection::caller_connection(gateway_services& services,
+                                     std::shared_ptr<i_channel> channel,
+                                     end_handler on_end)
+    : services_(services),
+      channel_(std::move(channel)),
+      on_end_(std::move(on_end)) {}
+
+caller_limits caller_connection::Limits() const {
+  const auto table = services_.belief.table();
+  return table ? table->configuration().limits : caller_limits{};
+}
+
+void caller_connection::Start() {
+  const caller_limits limits = Limits();
+  reader_ =
+      MakeHttpRequestReader({static_cast<std::size_t>(limits.max_header_bytes),
+                             static_cast<std::size_t>(limits.max_body_bytes)});
+  const auto self = shared_from_this();
+  channel_->SetCallbacks(
+      {[self](std::string_view bytes) { self->OnData(bytes); },
+       [self](channel_end) { self->OnEnd(); }});
+  ArmTimer();
+}
+
+void caller_connection::BeginStopping() {
+  stopping_ = true;
+}
+
+void caller_connection::OnTargetLeaves(const target_id& target) {
+  const auto current = exchange_;
+  if (current)
+    current->OnTargetLeaves(target);
+}
+
+void caller_connection::OnData(std::string_view bytes) {
+  const auto self = shared_from_this();
+  reader_->Feed(bytes);
+  if (!exchange_)
+    ReadNext();
+}
+
+void caller_connection::ReadNext() {
+  while (!exchange_ && channel_) {
+    auto message = reader_->Next();
+    if (const auto fault = reader_->fault())
+      return RefuseUnreadable(*fault);
+    if (!message)
+      return ArmTimer();
+    timer_.reset();
+    BeginExchange(std::move(*message));
+  }
+}
+
+void caller_connection::BeginExchange(http_request_message message) {
+  keep_alive_ = message.keep_alive;
+  auto decoded = services_.dialect.DecodeRequest(std::move(message));
+  if (const auto* code = std::get_if<error_code>(&decoded)) {
+    keep_alive_ = false;
+    channel_->Write(services_.dialect.EncodeRefusal(
+        "", {*code, run_verdict::not_run, std::nullopt}, false));
+    return CloseChannel();
+  }
+  const auto self = shared_from_this();
+  exchange_ = std::make_shared<exchange>(
+      services_, std::move(std::get<caller_request>(decoded)), *this,
+      [self] { self->OnExchangeOver(); });
+  const auto started = exchange_;
+  started->Start();
+}
+
+void caller_connection::RefuseUnreadable(http_read_fault fault) {
+  const error_code code = fault == http_read_fault::body_too_large
+                              ? error_code::body_too_large
+                          : fault == http_read_fault::header_too_large
+                              ? error_code::header_too_large
+                              : error_code::bad_request;
+  services_.logger.Write(log_level::info, "unreadable_request",
+                         {{"reason", std::string(ErrorCodeName(code))}});
+  channel_->Write(services_.dialect.EncodeRefusal(
+      "", {code, run_verdict::not_run, std::nullopt}, false));
+  CloseChannel();
+}
+
+void caller_connection::OnExchangeOver() {
+  exchange_.reset();
+  if (!channel_)
+    return;
+  if (aborted_) {
+    std::exchange(channel_, nullptr)->Abort();
+    timer_.reset();
+    if (on_end_)
+      std::exchange(on_end_, nullptr)(this);
+    return;
+  }
+  if (!KeepsChannel())
+    return CloseChannel();
+  // From the loop: a caller that sends many requests in one read must not
+  // deepen the stack.
+  timer_ = services_.scheduler.RunAt(services_.scheduler.Now(),
+                                     [self = shared_from_this()] {
+                                       if (!self->exchange_ && self->channel_)
+                                         self->ReadNext();
+                                     });
+}
+
+void caller_connection::OnEnd() {
+  const auto self = shared_from_this();
+  caller_ended_ = true;
+  channel_.reset();
+  timer_.reset();
+  if (const auto current = exchange_)
+    current->OnCallerGone();
+  if (on_end_)
+    std::exchange(on_end_, nullptr)(this);
+}
+
+void caller_connection::ArmTimer() {
+  const caller_limits limits = Limits();
+  const milliseconds limit =
+      reader_->Begun() ? limits.header_timeout : limits.idle_timeout;
+  timer_ = services_.scheduler.RunAt(
+      services_.scheduler.Now() + limit,
+      [self = shared_from_this()] { self->OnTimer(); });
+}
+
+void caller_connection::OnTimer() {
+  if (exchange_ || !channel_)
+    return;
+  if (reader_->Begun()) {
+    channel_->Write(services_.dialect.EncodeRefusal(
+        "", {error_code::request_timeout, run_verdict::not_run, std::nullopt},
+        false));
+  }
+  CloseChannel();
+}
+
+void caller_connection::CloseChannel() {
+  timer_.reset();
+  std::exchange(channel_, nullptr)->Close();
+  if (on_end_)
+    std::exchange(on_end_, nullptr)(this);
+}
+
+bool caller_connection::KeepsChannel() const {
+  return keep_alive_ && !stopping_;
+}
+
+void caller_connection::Send(std::string bytes) {
+  if (channel_)
+    channel_->Write(std::move(bytes));
+}
+
+void caller_connection::Begin(std::string head) {
+  Send(std::move(head));
+}
+
+void caller_connection::Append(std::string bytes) {
+  Send(std::move(bytes));
+  if (!channel_ || channel_->UnsentBytes() <= kMaxUnsentBytes)
+    return;
+  services_.logger.Write(
+      log_level::warning, "slow_caller",
+      {{"unsent_bytes", static_cast<std::int64_t>(channel_->UnsentBytes())}});
+  aborted_ = true;
+  if (const auto current = exchange_)
+    current->OnCallerGone();
+}
+
+void caller_connection::Finish(std::string bytes) {
+  Send(std::move(bytes));
+}
+
+void caller_connection::Abort() {
+  aborted_ = true;
+}
+
+}  // namespace wist
--- /dev/null
+++ b/src/gateway/internal/exchange.cc
@@ -0,0 +1,543 @@
+#include "gateway/internal/exchange.h"
+
+#include <algorithm>
+
+#include "framework/base/hashing.h"
+
+namespace wist {
+namespace {
+
+// Opening a channel takes a round trip; a target that does not accept within
+// this time is cut off or overloaded.
+constexpr milliseconds kConnectLimit{300};
+
+// A kept channel may be closed by its target at any time. Requests that may not
+// be repeated use young ones only.
+constexpr milliseconds kMaxIdleRepeatable{8000};
+constexpr milliseconds kMaxIdleOnce{2500};
+
+// Targets tried for one request at the most, where the ones before said that
+// they did not run it.
+constexpr int kMaxSends = 4;
+
+// An idempotent call without an answer after this many objectives is sent to
+// another target.
+constexpr int kSlowObjectives = 2;
+
+// Part of the objective that a request may wait for room: waiting longer would
+// take the time that its caller needs to come back.
+constexpr int kHoldDivisor = 8;
+constexpr milliseconds kHoldPause{20};
+
+// The word of a target on its own leaving comes this long before its end at
+// the most.
+constexpr milliseconds kMoveLimit{8000};
+
+// Runs that break again while they move end after this many continuations.
+constexpr int kMaxResumes = 12;
+
+// An answer is kept whole before it is passed on; larger ones are broken off.
+constexpr std::size_t kMaxWholeAnswer = 8 * 1024 * 1024;
+
+// Refused callers return spread over this part of their Retry-After.
+constexpr double kRetrySpread = 0.5;
+
+// Where an instance's word on the configuration is too old to serve by.
+constexpr milliseconds kNotReadyRetryAfter{500};
+
+// A key that was withdrawn may reach a target this long after the check.
+constexpr milliseconds kKeyMargin{700};
+
+const char* KindName(call_kind kind) {
+  switch (kind) {
+    case call_kind::idempotent:
+      return "idempotent";
+    case call_kind::non_idempotent:
+      return "non_idempotent";
+    case call_kind::streaming:
+      return "streaming";
+  }
+  return "unknown";
+}
+
+// A number in [0, 1) that depends on the request only.
+double PointOf(const std::string& request_id, std::uint64_t seed) {
+  constexpr double kRange = 18446744073709551616.0;  // 2^64
+  return static_cast<double>(StableHash(request_id, seed)) / kRange;
+}
+
+}  // namespace
+
+exchange::exchange(gateway_services& services,
+                   caller_request request,
+                   i_reply& reply,
+                   std::function<void()> on_over)
+    : services_(services),
+      request_(std::move(request)),
+      reply_(&reply),
+      on_over_(std::move(on_over)),
+      received_at_(services.scheduler.Now()) {}
+
+exchange::~exchange() = default;
+
+void exchange::Start() {
+  if (!Route())
+    return;
+  services_.BudgetOf(service_).OnRequest(received_at_);
+  deadline_timer_ = services_.scheduler.RunAt(
+      deadline_, [self = shared_from_this()] { self->OnDeadline(); });
+  Dispatch();
+}
+
+bool exchange::Route() {
+  table_ = services_.belief.table();
+  if (!table_) {
+    Refuse(error_code::not_ready, run_verdict::not_run);
+    return false;
+  }
+  const auto matched =
+      table_->Match(request_.host, request_.message.target, request_.key);
+  const bool fresh = services_.belief.IsFresh(
+      received_at_, services_.settings.key_validity - kKeyMargin);
+  if (const auto* fault = std::get_if<route_fault>(&matched)) {
+    // A newer configuration may know what this one does not.
+    if (!fresh)
+      Refuse(error_code::not_ready, run_verdict::not_run);
+    else
+      RefuseRoute(*fault);
+    return false;
+  }
+  match_ = std::get<route_match>(matched);
+  if (match_.workspace && !fresh) {
+    Refuse(error_code::not_ready, run_verdict::not_run);
+    return false;
+  }
+  const route_spec& route = *match_.route;
+  priority_ = match_.workspace && match_.workspace->priority
+                  ? *match_.workspace->priority
+                  : route.priority;
+  service_ = PickService(route, PointOf(request_.id, 1));
+  milliseconds limit = route.timeout;
+  if (request_.time_left)
+    limit = std::min(limit, *request_.time_left);
+  deadline_ = received_at_ + limit;
+  return true;
+}
+
+void exchange::RefuseRoute(route_fault fault) {
+  Refuse(fault == route_fault::no_route ? error_code::no_route
+                                        : error_code::unknown_key,
+         run_verdict::not_run);
+}
+
+selection_request exchange::SelectionRequest() const {
+  selection_request wanted;
+  wanted.service = service_;
+  wanted.excluded = excluded_;
+  if (!request_.generation)
+    return wanted;
+  const generation_facts& facts = *request_.generation;
+  // Half of the bound is the best guess where the caller gives none.
+  const std::int64_t output = std::min(
+      facts.estimated_output_tokens.value_or(facts.max_output_tokens / 2),
+      facts.max_output_tokens);
+  wanted.size = generation_size{facts.prompt_tokens, output};
+  wanted.session = facts.session;
+  return wanted;
+}
+
+void exchange::Dispatch() {
+  const timestamp now = services_.scheduler.Now();
+  const selection chosen = services_.selector.Choose(SelectionRequest(), now);
+  if (const auto* fault = std::get_if<selection_fault>(&chosen))
+    return Hold(*fault);
+  const known_target* target =
+      services_.directory.Find(std::get<target_id>(chosen));
+  hold_timer_.reset();
+  Send(target->entry, std::nullopt);
+}
+
+void exchange::Hold(const selection_fault& fault) {
+  const timestamp now = services_.scheduler.Now();
+  const timestamp hold_deadline =
+      received_at_ + match_.route->objective / kHoldDivisor;
+  if (!fault.is_full || sends_ > 0 || now + kHoldPause >= hold_deadline)
+    return RefuseFull(fault.retry_after);
+  hold_timer_ = services_.scheduler.RunAt(
+      now + kHoldPause, [self = shared_from_this()] { self->Dispatch(); });
+}
+
+milliseconds exchange::TimeLeft(timestamp now) const {
+  return std::chrono::duration_cast<milliseconds>(deadline_ - now);
+}
+
+void exchange::Send(const target_entry& target,
+                    const std::optional<run_memory>& memory) {
+  const timestamp now = services_.scheduler.Now();
+  const milliseconds time_left = TimeLeft(now);
+  if (time_left <= milliseconds(0))
+    return OnDeadline();
+  ++sends_;
+  attempt_.emplace();
+  attempt_->target = target;
+  attempt_->is_resumed = memory.has_value();
+  attempt_->run = services_.selector.Begin(target.id, SelectionRequest(), now);
+  services_.on_load_change();
+  target_dispatch dispatch;
+  dispatch.target = target;
+  dispatch.time_left = time_left;
+  dispatch.priority = priority_;
+  dispatch.workspace =
+      match_.workspace ? match_.workspace->id.text() : std::string();
+  dispatch.memory = memory;
+  if (memory)
+    dispatch.last_event_id = splitter_.last_id().value_or("");
+
+  const auto self = shared_from_this();
+  const run_number run = attempt_->run;
+  const auto current = [self, run] {
+    return self->attempt_ && self->attempt_->run == run;
+  };
+  call_callbacks callbacks;
+  callbacks.accepts = [self](const http_answer_head& head) {
+    return self->services_.dialect.Answers(head, self->request_.id);
+  };
+  callbacks.on_head = [self, current](const http_answer_head& head) {
+    if (current())
+      self->OnHead(head);
+  };
+  callbacks.on_body = [self, current](std::string bytes) {
+    if (current())
+      self->OnBody(std::move(bytes));
+  };
+  callbacks.on_done = [self, current](call_outcome outcome) {
+    if (current())
+      self->OnDone(outcome);
+  };
+  const bool repeatable = match_.route->kind == call_kind::idempotent;
+  attempt_->call = services_.caller.Call(
+      target.address, services_.dialect.EncodeDispatch(request_, dispatch),
+      {std::min(deadline_, now + kConnectLimit),
+       repeatable ? kMaxIdleRepeatable : kMaxIdleOnce},
+      std::move(callbacks));
+  if (!repeatable)
+    return;
+  attempt_timer_ = services_.scheduler.RunAt(
+      now + match_.route->objective * kSlowObjectives,
+      [self = shared_from_this()] { self->OnSlowAttempt(); });
+}
+
+bool exchange::MayRunMore() const {
+  return match_.route->kind == call_kind::idempotent &&
+         runs_ + 1 < match_.route->max_attempts && sends_ < kMaxSends;
+}
+
+void exchange::OnHead(const http_answer_head& head) {
+  attempt_->facts = services_.dialect.Classify(head);
+  attempt_->head = head;
+}
+
+void exchange::OnBody(std::string bytes) {
+  const bool is_stream = attempt_->facts.kind == answer_kind::success &&
+                         attempt_->facts.is_event_stream;
+  if (!is_stream) {
+    if (attempt_->body.size() + bytes.size() <= kMaxWholeAnswer)
+      attempt_->body += bytes;
+    return;
+  }
+  std::string events = splitter_.Feed(bytes);
+  if (events.empty())
+    return;
+  services_.selector.OnFirstOutput(attempt_->run);
+  if (!streaming_) {
+    streaming_ = true;
+    const std::vector<http_header> headers =
+        services_.dialect.CallerHeaders(attempt_->head);
+    services_.metrics.OnFirstByte(KindName(match_.route->kind),
+                                  services_.scheduler.Now() - received_at_);
+    reply_->Begin(EncodeChunkedAnswerHead(attempt_->head.status, headers));
+  }
+  if (!over_)
+    reply_->Append(EncodeChunk(events));
+}
+
+void exchange::OnDone(call_outcome outcome) {
+  const bool connected = outcome.end != call_end::connect_failed;
+  if (!connected || !outcome.may_have_left) {
+    EndAttempt(run_end::unreachable);
+    if (streaming_)
+      return OnStreamBroken();
+    return OnRejected();
+  }
+  if (outcome.end != call_end::complete)
+    return OnFailure(run_end::broken, true);
+  OnComplete();
+}
+
+void exchange::OnComplete() {
+  const answer_facts facts = attempt_->facts;
+  if (facts.kind == answer_kind::not_run) {
+    if (facts.is_misdirected)
+      services_.caller.Forget(attempt_->target.address);
+    EndAttempt(run_end::rejected);
+    if (streaming_)
+      return OnStreamBroken();
+    return OnRejected();
+  }
+  if (facts.kind == answer_kind::invalid)
+    return OnFailure(run_end::broken, true);
+  if (facts.kind == answer_kind::failure && !streaming_) {
+    if (MayRunMore() &&
+        services_.BudgetOf(service_).TryRetry(services_.instance_count,
+                                              services_.scheduler.Now()))
+      return OnFailure(run_end::failed, true);
+    return PassOn();
+  }
+  if (facts.kind == answer_kind::failure || splitter_.HasPartial())
+    return OnFailure(run_end::broken, true);
+  PassOn();
+}
+
+// The target did not run the request, so any other may.
+void exchange::OnRejected() {
+  const timestamp now = services_.scheduler.Now();
+  if (may_have_run_ && match_.route->kind != call_kind::idempotent)
+    return Refuse(error_code::target_failed, run_verdict::may_have_run);
+  if (sends_ >= kMaxSends ||
+      !services_.BudgetOf(service_).TryRetry(services_.instance_count, now))
+    return RefuseFull(milliseconds(0));
+  Dispatch();
+}
+
+void exchange::OnFailure(run_end end, bool may_have_run) {
+  if (mover_ && (mover_->StopsRun() || mover_->Copied())) {
+    // The run goes on elsewhere; its target closes the stream before that.
+    source_ended_ = true;
+    splitter_.DropPartial();
+    const auto copied = mover_->Copied();
+    EndAttempt(run_end::withdrawn);
+    if (!mover_->StopsRun() && copied) {
+      std::exchange(mover_, nullptr);
+      Resume(*copied);
+    }
+    return;
+  }
+  EndAttempt(end);
+  if (may_have_run) {
+    ++runs_;
+    may_have_run_ = true;
+  }
+  if (streaming_)
+    return OnStreamBroken();
+  const bool repeatable = match_.route->kind == call_kind::idempotent;
+  if (repeatable && runs_ < match_.route->max_attempts && sends_ < kMaxSends &&
+      (end == run_end::failed ||
+       services_.BudgetOf(service_).TryRetry(services_.instance_count,
+                                             services_.scheduler.Now())))
+    return Dispatch();
+  Refuse(error_code::target_failed, run_verdict::may_have_run);
+}
+
+void exchange::OnStreamBroken() {
+  reply_->Abort();
+  Over("broken", "target_ended_stream");
+}
+
+void exchange::OnSlowAttempt() {
+  if (!attempt_ || !MayRunMore() || !attempt_->body.empty())
+    return;
+  if (!services_.BudgetOf(service_).TryRetry(services_.instance_count,
+                                             services_.scheduler.Now()))
+    return;
+  attempt_->call->Cancel();
+  ++runs_;
+  may_have_run_ = true;
+  EndAttempt(run_end::timed_out);
+  Dispatch();
+}
+
+void exchange::OnDeadline() {
+  if (over_)
+    return;
+  const bool sent = attempt_ && attempt_->call && attempt_->call->MayHaveLeft();
+  if (attempt_ && attempt_->call)
+    attempt_->call->Cancel();
+  if (attempt_)
+    EndAttempt(run_end::timed_out);
+  if (streaming_) {
+    reply_->Abort();
+    return Over("broken", "deadline");
+  }
+  Refuse(error_code::deadline_exceeded, sent || may_have_run_
+                                            ? run_verdict::may_have_run
+                                            : run_verdict::not_run);
+}
+
+void exchange::EndAttempt(run_end end) {
+  if (!attempt_)
+    return;
+  attempt_timer_.reset();
+  excluded_.insert(attempt_->target.id);
+  services_.selector.End(attempt_->run, end, services_.scheduler.Now());
+  attempt_.reset();
+  services_.on_load_change();
+}
+
+void exchange::PassOn() {
+  services_.selector.OnFirstOutput(attempt_->run);
+  const bool answered = attempt_->facts.kind == answer_kind::success;
+  const std::string target = attempt_->target.id.text();
+  if (streaming_) {
+    EndAttempt(run_end::answered);
+    reply_->Finish(std::string(LastChunk()));
+    return Over("answered", "");
+  }
+  std::string bytes = EncodeHttpAnswer(
+      attempt_->head.status, services_.dialect.CallerHeaders(attempt_->head),
+      attempt_->body);
+  EndAttempt(answered ? run_end::answered : run_end::failed);
+  services_.metrics.OnFirstByte(KindName(match_.route->kind),
+                                services_.scheduler.Now() - received_at_);
+  reply_->Send(std::move(bytes));
+  Over(answered ? "answered" : "target_failure", "");
+}
+
+void exchange::OnTargetLeaves(const target_id& target) {
+  if (over_ || !attempt_ || attempt_->target.id != target || mover_)
+    return;
+  if (match_.route->kind != call_kind::streaming || !request_.generation)
+    return;
+  const routed_service* service = table_->FindService(service_);
+  if (!service || !service->engine || !service->engine->can_move_runs)
+    return;
+  BeginMove();
+}
+
+void exchange::BeginMove() {
+  const timestamp now = services_.scheduler.Now();
+  mover_ = std::make_shared<run_mover>(
+      services_, request_.id, attempt_->target, SelectionRequest(),
+      std::min(deadline_, now + kMoveLimit),
+      [weak = weak_from_this()](std::optional<moved_run> moved) {
+        if (const auto self = weak.lock())
+          self->OnMoved(std::move(moved));
+      });
+  mover_->Start();
+}
+
+void exchange::OnMoved(std::optional<moved_run> moved) {
+  const bool stopped = mover_ && mover_->StopsRun();
+  mover_.reset();
+  if (over_)
+    return;
+  if (!moved) {
+    // Without a copy the run stays where it is, if it was not stopped.
+    if (stopped && (!attempt_ || source_ended_)) {
+      if (streaming_)
+        return OnStreamBroken();
+      Refuse(error_code::target_failed, run_verdict::may_have_run);
+    }
+    return;
+  }
+  if (attempt_) {
+    attempt_->call->Cancel();
+    splitter_.DropPartial();
+    EndAttempt(run_end::withdrawn);
+  }
+  Resume(*moved);
+}
+
+void exchange::Resume(const moved_run& moved) {
+  source_ended_ = false;
+  may_have_run_ = true;
+  if (++resumes_ > kMaxResumes)
+    return OnStreamBroken();
+  Send(moved.receiver, moved.memory);
+}
+
+void exchange::OnCallerGone() {
+  if (over_)
+    return;
+  if (attempt_ && attempt_->call)
+    attempt_->call->Cancel();
+  EndAttempt(run_end::withdrawn);
+  Over("caller_gone", "");
+}
+
+void exchange::RefuseFull(milliseconds retry_after) {
+  if (may_have_run_)
+    return Refuse(error_code::target_failed, run_verdict::may_have_run);
+  refusal refused{error_code::overloaded, run_verdict::not_run, std::nullopt};
+  const milliseconds base = std::max(
+      retry_after, milliseconds(std::chrono::duration_cast<milliseconds>(
+                       match_.route->objective / 4)));
+  refused.retry_after = milliseconds(
+      static_cast<std::int64_t>(static_cast<double>(base.count()) *
+                                (1 + kRetrySpread * PointOf(request_.id, 2))));
+  reply_->Send(services_.dialect.EncodeRefusal(request_.id, refused,
+                                               reply_->KeepsChannel()));
+  Over("refused", "overloaded");
+}
+
+void exchange::Refuse(error_code code, run_verdict verdict) {
+  refusal refused{code, verdict, std::nullopt};
+  if (verdict == run_verdict::not_run)
+    refused.retry_after = kNotReadyRetryAfter;
+  if (streaming_) {
+    reply_->Abort();
+    return Over("broken", std::string(ErrorCodeName(code)));
+  }
+  reply_->Send(services_.dialect.EncodeRefusal(request_.id, refused,
+                                               reply_->KeepsChannel()));
+  Over(verdict == run_verdict::not_run ? "refused" : "failed",
+       std::string(ErrorCodeName(code)));
+}
+
+void exchange::Over(const std::string& outcome, const std::string& reason) {
+  if (over_)
+    return;
+  over_ = true;
+  Log(outcome, reason);
+  if (attempt_ && attempt_->call)
+    attempt_->call->Cancel();
+  EndAttempt(run_end::withdrawn);
+  if (mover_)
+    std::exchange(mover_, nullptr)->Cancel();
+  deadline_timer_.reset();
+  attempt_timer_.reset();
+  hold_timer_.reset();
+  reply_ = nullptr;
+  if (on_over_)
+    std::exchange(on_over_, nullptr)();
+}
+
+void exchange::Log(const std::string& outcome, const std::string& reason) {
+  const timestamp now = services_.scheduler.Now();
+  const char* kind = match_.route ? KindName(match_.route->kind) : "unrouted";
+  services_.metrics.OnEnd(kind, outcome, now - received_at_);
+  std::string targets;
+  for (const target_id& target : excluded_)
+    targets += (targets.empty() ? "" : ",") + target.text();
+  if (attempt_)
+    targets += (targets.empty() ? "" : ",") + attempt_->target.id.text();
+  const auto age = services_.belief.Age(now);
+  services_.logger.Write(
+      log_level::info, "request",
+      {{"request_id", request_.id},
+       {"kind", std::string(kind)},
+       {"route", match_.route ? match_.route->name : ""},
+       {"outcome", outcome},
+       {"reason", reason},
+       {"verdict", std::string(VerdictName(may_have_run_ || sends_ > 0
+                                               ? run_verdict::may_have_run
+                                               : run_verdict::not_run))},
+       {"targets", targets},
+       {"sends", static_cast<std::int64_t>(sends_)},
+       {"events", splitter_.events()},
+       {"resumes", static_cast<std::int64_t>(resumes_)},
+       {"took_ms", ToMilliseconds(now - received_at_)},
+       {"configuration", services_.belief.version()},
+       {"configuration_age_ms", age ? ToMilliseconds(*age) : -1.0}});
+}
+
+}  // namespace wist
--- /dev/null
+++ b/src/gateway/internal/gateway.cc
@@ -0,0 +1,198 @@
+#include <signal.h>
+
+#include <set>
+
+#include "follower/prefix_follower.h"
+#include "framework/base/hashing.h"
+#include "gateway/gateway_module.h"
+#include "gateway/internal/caller_connection.h"
+#include "gateway/internal/status_listener.h"
+#include "gateway/internal/store_view.h"
+
+namespace wist {
+namespace {
+
+// How often held log lines are written.
+constexpr milliseconds kLogFlushPause{100};
+
+// How often beliefs are checked for their age.
+constexpr milliseconds kCheckPause{200};
+
+// A stopping instance goes on accepting for this long: the balancer asks once a
+// second and needs two answers.
+constexpr milliseconds kStopAcceptSpan{2600};
+constexpr milliseconds kStopCheckPause{50};
+
+// A stopping process ends by itself this long before it would be killed.
+constexpr milliseconds kStopMargin{150};
+
+class gateway final : public i_gateway {
+ public:
+  gateway(const gateway_settings& settings, const gateway_parts& parts)
+      : settings_(settings),
+        parts_(parts),
+        caller_(MakeHttpCaller(parts.loop, parts.loop)),
+        directory_(settings.missing_grace),
+        selector_({settings.domain}, directory_, Seed()),
+        services_{settings_,  parts.loop, *caller_,     parts.dialect, belief_,
+                  directory_, selector_,  parts.logger, metrics_,      [] {}},
+        view_(settings_, parts, services_, Seed()) {
+    directory_.SubscribeToLeaves(
+        [this](const known_target& target) { OnTargetLeaves(target); });
+    view_.SubscribeToConfiguration(
+        [this] { selector_.ApplyConfiguration(belief_.table()); });
+  }
+
+  void Run() override {
+    parts_.logger.Write(log_level::info, "start",
+                        {{"instance", settings_.instance},
+                         {"domain", settings_.domain.text()},
+                         {"version", std::string(WIST_VERSION)}});
+    status_ = std::make_unique<status_listener>(
+        parts_.loop, settings_.ready_listen, settings_.metrics_listen,
+        [this] { return Ready(); }, [this] { return MetricsText(); });
+    parts_.loop.Listen(settings_.listen,
+                       [this](std::shared_ptr<i_channel> channel) {
+                         Accept(std::move(channel));
+                       });
+    parts_.loop.OnSignal(SIGTERM, [this] { BeginStopping(); });
+    parts_.loop.OnSignal(SIGINT, [this] { BeginStopping(); });
+    view_.Start();
+    FlushLog();
+    Check();
+    parts_.loop.Run();
+    parts_.logger.Write(
+        log_level::info, "stop",
+        {{"cut", static_cast<std::int64_t>(BusyConnections())}});
+    parts_.logger.Flush();
+  }
+
+ private:
+  std::uint32_t Seed() const {
+    return static_cast<std::uint32_t>(StableHash(settings_.instance));
+  }
+
+  bool Ready() const {
+    return !stop_deadline_ && belief_.table() && view_.HasTargets() &&
+           belief_.IsFresh(parts_.loop.Now(), settings_.key_validity);
+  }
+
+  std::string MetricsText() {
+    const auto age = belief_.Age(parts_.loop.Now());
+    metrics_.SetConfigurationAge(
+        age ? std::chrono::duration<double>(*age).count() : -1);
+    metrics_.SetDroppedLogLines(parts_.logger.DroppedLines());
+    return metrics_.Text();
+  }
+
+  void Accept(std::shared_ptr<i_channel> channel) {
+    if (connections_.size() >= settings_.max_channels) {
+      parts_.logger.Write(log_level::warning, "too_many_channels", {});
+      return channel->Abort();
+    }
+    const auto connection = std::make_shared<caller_connection>(
+        services_, std::move(channel),
+        [this](caller_connection* ended) { Remove(ended); });
+    connections_.insert(connection);
+    if (stop_deadline_)
+      connection->BeginStopping();
+    connection->Start();
+  }
+
+  void Remove(caller_connection* ended) {
+    std::erase_if(connections_, [&](const auto& connection) {
+      return connection.get() == ended;
+    });
+  }
+
+  std::size_t BusyConnections() const {
+    std::size_t busy = 0;
+    for (const auto& connection : connections_)
+      busy += connection->IsBusy() ? 1 : 0;
+    return busy;
+  }
+
+  void OnTargetLeaves(const known_target& target) {
+    parts_.logger.Write(log_level::info, "target_leaves",
+                        {{"target", target.entry.id.text()},
+                         {"domain", target.entry.domain.text()},
+                         {"sequence", target.entry.sequence}});
+    // A copy: connections may end while they are told.
+    const auto connections = connections_;
+    for (const auto& connection : connections)
+      connection->OnTargetLeaves(target.entry.id);
+  }
+
+  void FlushLog() {
+    parts_.logger.Flush();
+    flush_timer_ = parts_.loop.RunAt(parts_.loop.Now() + kLogFlushPause,
+                                     [this] { FlushLog(); });
+  }
+
+  void Check() {
+    const timestamp now = parts_.loop.Now();
+    directory_.Expire(now);
+    selector_.Expire();
+    const bool ready = Ready();
+    if (ready != was_ready_) {
+      was_ready_ = ready;
+      const auto age = belief_.Age(now);
+      parts_.logger.Write(
+          log_level::info, "readiness",
+          {{"ready", ready},
+           {"configuration", belief_.version()},
+           {"configuration_age_ms", age ? ToMilliseconds(*age) : -1.0}});
+    }
+    check_timer_ = parts_.loop.RunAt(now + kCheckPause, [this] { Check(); });
+  }
+
+  void BeginStopping() {
+    if (stop_deadline_)
+      return;
+    const timestamp now = parts_.loop.Now();
+    stop_deadline_ = now + settings_.stop_limit - kStopMargin;
+    accept_deadline_ = now + kStopAcceptSpan;
+    parts_.logger.Write(
+        log_level::info, "stopping",
+        {{"in_flight", static_cast<std::int64_t>(BusyConnections())}});
+    for (const auto& connection : connections_)
+      connection->BeginStopping();
+    CheckStop();
+  }
+
+  void CheckStop() {
+    const timestamp now = parts_.loop.Now();
+    if (now >= *stop_deadline_ ||
+        (now >= accept_deadline_ && BusyConnections() == 0))
+      return parts_.loop.Stop();
+    stop_timer_ =
+        parts_.loop.RunAt(now + kStopCheckPause, [this] { CheckStop(); });
+  }
+
+  const gateway_settings settings_;
+  const gateway_parts parts_;
+  gateway_metrics metrics_;
+  const std::unique_ptr<i_http_caller> caller_;
+  configuration_belief belief_;
+  target_directory directory_;
+  target_selector selector_;
+  gateway_services services_;
+  store_view view_;
+  std::unique_ptr<status_listener> status_;
+  std::set<std::shared_ptr<caller_connection>> connections_;
+  std::optional<timestamp> stop_deadline_;
+  timestamp accept_deadline_;
+  bool was_ready_ = false;
+  std::unique_ptr<i_timer> flush_timer_;
+  std::unique_ptr<i_timer> check_timer_;
+  std::unique_ptr<i_timer> stop_timer_;
+};
+
+}  // namespace
+
+std::unique_ptr<i_gateway> MakeGateway(const gateway_settings& settings,
+                                       const gateway_parts& parts) {
+  return std::make_unique<gateway>(settings, parts);
+}
+
+}  // namespace wist
--- /dev/null
+++ b/src/gateway/internal/gateway_metrics.cc
@@ -0,0 +1,79 @@
+#include "gateway/internal/gateway_metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace wist {
+namespace {
+
+using prometheus::Histogram;
+
+// Upper ends in seconds: from a plain call within one failure domain to the
+// longest generation.
+const Histogram::BucketBoundaries kLatencyBuckets = {
+    0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16, 32, 64};
+
+double ToSeconds(microseconds span) {
+  return std::chrono::duration<double>(span).count();
+}
+
+}  // namespace
+
+gateway_metrics::gateway_metrics()
+    : registry_(std::make_shared<prometheus::Registry>()),
+      requests_(prometheus::BuildCounter()
+                    .Name("wist_gateway_requests_total")
+                    .Help("Requests by kind and outcome")
+                    .Register(*registry_)),
+      moves_(prometheus::BuildCounter()
+                 .Name("wist_gateway_moves_total")
+                 .Help("Runs moved to another target, by outcome")
+                 .Register(*registry_)),
+      store_calls_(prometheus::BuildCounter()
+                       .Name("wist_gateway_store_calls_total")
+                       .Help("Calls to the platform's store, by outcome")
+                       .Register(*registry_)),
+      first_byte_(prometheus::BuildHistogram()
+                      .Name("wist_gateway_first_byte_seconds")
+                      .Help("Time from a request to the first byte sent back")
+                      .Register(*registry_)),
+      whole_(prometheus::BuildHistogram()
+                 .Name("wist_gateway_answer_seconds")
+                 .Help("Time from a request to the end of its answer")
+                 .Register(*registry_)),
+      state_(prometheus::BuildGauge()
+                 .Name("wist_gateway_state")
+                 .Help("State of this instance")
+                 .Register(*registry_)) {}
+
+void gateway_metrics::OnEnd(const std::string& kind,
+                            const std::string& outcome,
+                            microseconds took) {
+  requests_.Add({{"kind", kind}, {"outcome", outcome}}).Increment();
+  whole_.Add({{"kind", kind}}, kLatencyBuckets).Observe(ToSeconds(took));
+}
+
+void gateway_metrics::OnFirstByte(const std::string& kind, microseconds took) {
+  first_byte_.Add({{"kind", kind}}, kLatencyBuckets).Observe(ToSeconds(took));
+}
+
+void gateway_metrics::OnMove(const std::string& outcome) {
+  moves_.Add({{"outcome", outcome}}).Increment();
+}
+
+void gateway_metrics::OnStoreCall(const std::string& outcome) {
+  store_calls_.Add({{"outcome", outcome}}).Increment();
+}
+
+void gateway_metrics::SetConfigurationAge(double seconds) {
+  state_.Add({{"value", "configuration_age_seconds"}}).Set(seconds);
+}
+
+void gateway_metrics::SetDroppedLogLines(std::uint64_t lines) {
+  state_.Add({{"value", "dropped_log_lines"}}).Set(static_cast<double>(lines));
+}
+
+std::string gateway_metrics::Text() const {
+  return prometheus::TextSerializer().Serialize(registry_->Collect());
+}
+
+}  // namespace wist
--- /dev/null
+++ b/src/gateway/internal/gateway_metrics.h
@@ -0,0 +1,44 @@
+#ifndef GATEWAY_INTERNAL_GATEWAY_METRICS_H_
+#define GATEWAY_INTERNAL_GATEWAY_METRICS_H_
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <memory>
+#include <string>
+
+#include "framework/base/time_types.h"
+
+namespace wist {
+
+// Counters and latencies of a gateway, served in the Prometheus text format.
+class gateway_metrics {
+ public:
+  gateway_metrics();
+
+  void OnEnd(const std::string& kind,
+             const std::string& outcome,
+             microseconds took);
+  void OnFirstByte(const std::string& kind, microseconds took);
+  void OnMove(const std::string& outcome);
+  void OnStoreCall(const std::string& outcome);
+  void SetConfigurationAge(double seconds);
+  void SetDroppedLogLines(std::uint64_t lines);
+
+  std::string Text() const;
+
+ private:
+  const std::shared_ptr<prometheus::Registry> registry_;
+  prometheus::Family<prometheus::Counter>& requests_;
+  prometheus::Family<prometheus::Counter>& moves_;
+  prometheus::Family<prometheus::Counter>& store_calls_;
+  prometheus::Family<prometheus::Histogram>& first_byte_;
+  prometheus::Family<prometheus::Histogram>& whole_;
+  prometheus::Family<prometheus::Gauge>& state_;
+};
+
+}  // namespace wist
+
+#endif  // GATEWAY_INTERNAL_GATEWAY_METRICS_H_
--- /dev/null
+++ b/src/gateway/internal/gateway_services.h
@@ -0,0 +1,46 @@
+#ifndef GATEWAY_INTERNAL_GATEWAY_SERVICES_H_
+#define GATEWAY_INTERNAL_GATEWAY_SERVICES_H_
+
+#include <functional>
+#include <map>
+
+#include "directory/target_directory.h"
+#include "framework/logging/i_logger.h"
+#include "framework/net/i_http_caller.h"
+#include "framework/net/i_scheduler.h"
+#include "gateway/i_dialect.h"
+#include "gateway/internal/gateway_metrics.h"
+#include "limits/window_retry_budget.h"
+#include "routing/configuration_belief.h"
+#include "selection/target_selector.h"
+
+namespace wist {
+
+// What all exchanges of one gateway share.
+struct gateway_services {
+  const gateway_settings& settings;
+  i_scheduler& scheduler;
+  i_http_caller& caller;
+  const i_dialect& dialect;
+  configuration_belief& belief;
+  target_directory& directory;
+  target_selector& selector;
+  i_logger& logger;
+  gateway_metrics& metrics;
+  // Told when the loads of this instance changed.
+  std::function<void()> on_load_change;
+  std::size_t instance_count = 1;
+  std::map<service_id, window_retry_budget> budgets;
+
+  window_retry_budget& BudgetOf(const service_id& service) {
+    const auto [found, created] = budgets.try_emplace(
+        service,
+        retry_window_settings{settings.retry_window, settings.retry_ratio,
+                              settings.retry_slack});
+    return found->second;
+  }
+};
+
+}  // namespace wist
+
+#endif  // GATEWAY_INTERNAL_GATEWAY_SERVICES_H_
--- /dev/null
+++ b/src/gateway/internal/status_listener.h
@@ -0,0 +1,30 @@
+#ifndef GATEWAY_INTERNAL_STATUS_LISTENER_H_
+#define GATEWAY_INTERNAL_STATUS_LISTENER_H_
+
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "framework/net/i_event_loop.h"
+
+namespace wist {
+
+// Answers questions for readiness and metrics, each on its own address.
+class status_listener {
+ public:
+  // Throws std::runtime_error if an address is taken.
+  status_listener(i_event_loop& loop,
+                  const http_address& ready_address,
+                  const std::optional<http_address>& metrics_address,
+                  std::function<bool()> is_ready,
+                  std::function<std::string()> metrics_text);
+
+ private:
+  using answerer = std::function<std::string()>;
+  static void Serve(const std::shared_ptr<i_channel>& channel,
+                    const answerer& answer);
+};
+
+}  // namespace wist
+
+#endif  // GATEWAY_INTERNAL_STATUS_LISTENER_H_
--- /dev/null
+++ b/src/gateway/internal/store_view.cc
@@ -0,0 +1,188 @@
+#include "gateway/internal/store_view.h"
+
+#include <stdexcept>
+
+namespace wist {
+namespace {
+
+// Requests under a withdrawn key stop within a few seconds, so the operators'
+// keys are asked for this often.
+constexpr milliseconds kOperatorWatchWait{1500};
+
+// Targets write their entries when something changes; a watch that waits this
+// long also finds a channel that went silent.
+constexpr milliseconds kTargetWatchWait{2000};
+
+follower_settings FollowerSettings(const gateway_settings& settings,
+                                   milliseconds watch_wait) {
+  follower_settings follower;
+  follower.watch_wait = watch_wait;
+  follower.outage_grace = settings.missing_grace;
+  return follower;
+}
+
+}  // namespace
+
+store_view::store_view(const gateway_settings& settings,
+                       const gateway_parts& parts,
+                       gateway_services& services,
+                       std::uint32_t seed)
+    : dialect_(parts.dialect),
+      services_(services),
+      operator_(*this),
+      targets_(*this),
+      operator_follower_(parts.dialect.OperatorPrefix(),
+                         FollowerSettings(settings, kOperatorWatchWait),
+                         parts.store,
+                         parts.loop,
+                         operator_,
+                         seed),
+      target_follower_(parts.dialect.TargetPrefix(),
+                       FollowerSettings(settings, kTargetWatchWait),
+                       parts.store,
+                       parts.loop,
+                       targets_,
+                       seed + 1) {}
+
+void store_view::SubscribeToConfiguration(std::function<void()> handler) {
+  configuration_handlers_.push_back(std::move(handler));
+}
+
+void store_view::Start() {
+  operator_follower_.Start();
+  target_follower_.Start();
+}
+
+void store_view::TakeConfiguration(const std::string& value) {
+  try {
+    routing_configuration configuration = dialect_.DecodeConfiguration(value);
+    // Confirmed by the call's own OnConfirmed, which follows.
+    const timestamp unconfirmed{};
+    const std::int64_t held = services_.belief.version();
+    if (!services_.belief.Offer(std::move(configuration), unconfirmed))
+      return;
+    const auto table = services_.belief.table();
+    services_.logger.Write(
+        log_level::info, "configuration",
+        {{"version", services_.belief.version()},
+         {"replaces", held},
+         {"routes",
+          static_cast<std::int64_t>(table->configuration().routes.size())}});
+    for (const auto& handler : configuration_handlers_)
+      handler();
+  } catch (const std::invalid_argument& error) {
+    services_.logger.Write(log_level::error, "configuration_unreadable",
+                           {{"reason", std::string(error.what())}});
+  }
+}
+
+void store_view::SetEvacuated(const std::set<domain_id>& domains) {
+  std::string names;
+  for (const domain_id& domain : domains)
+    names += (names.empty() ? "" : ",") + domain.text();
+  services_.logger.Write(log_level::info, "evacuated_domains",
+                         {{"domains", names}});
+  services_.directory.SetEvacuated(domains);
+}
+
+void store_view::PutTarget(const std::string& key, const std::string& value) {
+  const auto entry = dialect_.DecodeTarget(key, value);
+  if (entry)
+    return services_.directory.Put(*entry, services_.scheduler.Now());
+  services_.logger.Write(log_level::warning, "target_entry_unreadable",
+                         {{"key", key}});
+}
+
+void store_view::LogLost(const std::string& prefix, store_fault fault) {
+  services_.metrics.OnStoreCall("lost");
+  services_.logger.Write(
+      log_level::warning, "store_lost",
+      {{"prefix", prefix}, {"reason", std::string(StoreFaultName(fault))}});
+}
+
+void store_view::LogRegained(const std::string& prefix) {
+  services_.logger.Write(log_level::info, "store_regained",
+                         {{"prefix", prefix}});
+}
+
+void store_view::operator_listener::OnSnapshot(
+    const std::map<std::string, std::string>& items,
+    bool) {
+  std::set<domain_id> now_evacuated;
+  for (const auto& [key, value] : items) {
+    if (view.dialect_.IsConfigurationKey(key))
+      view.TakeConfiguration(value);
+    else if (const auto domain = view.dialect_.EvacuatedDomain(key))
+      now_evacuated.insert(*domain);
+  }
+  if (now_evacuated == evacuated)
+    return;
+  evacuated = std::move(now_evacuated);
+  view.SetEvacuated(evacuated);
+}
+
+void store_view::operator_listener::OnChange(const store_change& change, bool) {
+  if (view.dialect_.IsConfigurationKey(change.key)) {
+    if (change.value)
+      view.TakeConfiguration(*change.value);
+    return;
+  }
+  const auto domain = view.dialect_.EvacuatedDomain(change.key);
+  if (!domain)
+    return;
+  if (change.value)
+    evacuated.insert(*domain);
+  else
+    evacuated.erase(*domain);
+  view.SetEvacuated(evacuated);
+}
+
+void store_view::operator_listener::OnConfirmed(timestamp confirmed_at) {
+  view.services_.belief.Confirm(view.services_.belief.version(), confirmed_at);
+}
+
+void store_view::operator_listener::OnLost(store_fault fault) {
+  view.LogLost("operator", fault);
+}
+
+void store_view::operator_listener::OnRegained() {
+  view.LogRegained("operator");
+}
+
+void store_view::target_listener::OnSnapshot(
+    const std::map<std::string, std::string>& items,
+    bool after_outage) {
+  has_snapshot = true;
+  std::set<target_id> present;
+  for (const auto& [key, value] : items) {
+    present.insert(view.dialect_.TargetOfKey(key));
+    view.PutTarget(key, value);
+  }
+  std::vector<target_id> missing;
+  for (const auto& [id, target] : view.services_.directory.targets()) {
+    if (!present.contains(id))
+      missing.push_back(id);
+  }
+  for (const target_id& id : missing) {
+    view.services_.directory.Remove(id, after_outage,
+                                    view.services_.scheduler.Now());
+  }
+}
+
+void store_view::target_listener::OnChange(const store_change& change,
+                                           bool after_outage) {
+  if (change.value)
+    return view.PutTarget(change.key, *change.value);
+  view.services_.directory.Remove(view.dialect_.TargetOfKey(change.key),
+                                  after_outage, view.services_.scheduler.Now());
+}
+
+void store_view::target_listener::OnLost(store_fault fault) {
+  view.LogLost("targets", fault);
+}
+
+void store_view::target_listener::OnRegained() {
+  view.LogRegained("targets");
+}
+
+}  // namespace wist
--- /dev/null
+++ b/src/limits/internal/window_retry_budget.cc
@@ -0,0 +1,40 @@
+#include "limits/window_retry_budget.h"
+
+#include <algorithm>
+
+namespace wist {
+namespace {
+
+// Part of the budget that is used: requests that were on their way at the ends
+// of the window fall into another one at the target.
+constexpr double kUsedPart = 0.8;
+
+}  // namespace
+
+void window_retry_budget::OnRequest(timestamp now) {
+  Forget(requests_, now);
+  requests_.push_back(now);
+}
+
+bool window_retry_budget::TryRetry(std::size_t instance_count, timestamp now) {
+  Forget(requests_, now);
+  Forget(retries_, now);
+  const double slack =
+      settings_.slack /
+      static_cast<double>(std::max<std::size_t>(instance_count, 1));
+  const double allowed =
+      kUsedPart *
+      (settings_.ratio * static_cast<double>(requests_.size()) + slack);
+  if (static_cast<double>(retries_.size() + 1) > allowed)
+    return false;
+  retries_.push_back(now);
+  return true;
+}
+
+void window_retry_budget::Forget(std::deque<timestamp>& times,
+                                 timestamp now) const {
+  while (!times.empty() && now >= times.front() + settings_.window)
+    times.pop_front();
+}
+
+}  // namespace wist
--- /dev/null
+++ b/src/selection/internal/target_selector.cc
@@ -0,0 +1,288 @@
+#include "selection/target_selector.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace wist {
+namespace {
+
+// Cost of a target in another failure domain, as a part of an engine's memory:
+// bytes between domains are paid for, and moves between them take longer.
+constexpr double kOtherDomainCost = 0.02;
+
+// The same for plain services, as a factor.
+constexpr double kOtherDomainFactor = 1.1;
+
+// How much a target that spoils all its answers costs more than a sound one.
+constexpr double kFailureFactor = 12;
+constexpr double kFailureCost = 1.0;
+
+// A target that rests is used only if nothing else is there.
+constexpr double kAvoidedCost = 1000;
+
+// Prompt tokens that wait to be read weigh like this part of the memory each:
+// an engine reads some ten thousand a second, and the objective for the first
+// event is about as long.
+constexpr double kUnreadTokenWeight = 1.0 / 20'000;
+
+// Runs slow each other: weight of a full batch against a full memory.
+constexpr double kBatchWeight = 0.4;
+
+// Gain of a target that read the same session before.
+constexpr double kSessionGain = 0.04;
+
+// Latency assumed of a plain target that has not answered yet, in ms.
+constexpr double kUnknownLatencyMs = 20;
+
+// Spreads equal choices of several instances.
+constexpr double kCostJitter = 0.02;
+
+// Sessions remembered at the most.
+constexpr std::size_t kMaxSessions = 20'000;
+
+// Window of the bound on requests to a cold target.
+constexpr seconds kColdWindow{1};
+
+// After this time a full service is worth another try: engines free memory
+// several times a second.
+constexpr milliseconds kFullRetryAfter{700};
+constexpr milliseconds kNoTargetRetryAfter{1000};
+
+}  // namespace
+
+target_selector::target_selector(const selection_settings& settings,
+                                 const target_directory& directory,
+                                 std::uint32_t seed)
+    : settings_(settings), directory_(directory), random_(seed) {}
+
+void target_selector::ApplyConfiguration(
+    std::shared_ptr<const route_table> table) {
+  table_ = std::move(table);
+}
+
+void target_selector::SetInstanceCount(std::size_t count) {
+  instance_count_ = std::max<std::size_t>(count, 1);
+}
+
+selection target_selector::Choose(const selection_request& request,
+                                  timestamp now) {
+  const routed_service* service =
+      table_ ? table_->FindService(request.service) : nullptr;
+  if (!service)
+    return selection_fault{false, kNoTargetRetryAfter};
+  const known_target* best = nullptr;
+  double best_cost = 0;
+  bool any = false;
+  for (const auto& [id, target] : directory_.targets()) {
+    if (target.entry.service != request.service || !directory_.Takes(target) ||
+        request.excluded.contains(id))
+      continue;
+    any = true;
+    const auto cost = Cost(target, *service, request, now);
+    if (!cost || (best && *cost >= best_cost))
+      continue;
+    best = &target;
+    best_cost = *cost;
+  }
+  if (!best)
+    return selection_fault{any, any ? kFullRetryAfter : kNoTargetRetryAfter};
+  return best->entry.id;
+}
+
+selection target_selector::ChooseReceiver(const target_id& from,
+                                          const selection_request& request,
+                                          timestamp now) {
+  selection_request other = request;
+  other.excluded.insert(from);
+  return Choose(other, now);
+}
+
+std::optional<double> target_selector::Cost(const known_target& target,
+                                            const routed_service& service,
+                                            const selection_request& request,
+                                            timestamp now) const {
+  if (!MayBearCold(target, service, now))
+    return std::nullopt;
+  const target_state* state = StateOf(target.entry.id);
+  const bool avoided = state && state->health.IsAvoided(now);
+  const double failures = state ? state->health.failure_share() : 0;
+  const double jitter =
+      std::uniform_real_distribution<double>(0, kCostJitter)(random_);
+  if (service.engine && request.size) {
+    const auto cost = EngineCost(target, *service.engine, request, now);
+    if (!cost)
+      return std::nullopt;
+    return *cost + failures * kFailureCost + jitter +
+           (avoided ? kAvoidedCost : 0);
+  }
+  const target_load load = TotalLoad(target.entry.id, now);
+  const double latency =
+      state ? state->health.latency_ms().value_or(kUnknownLatencyMs)
+            : kUnknownLatencyMs;
+  const double domain =
+      target.entry.domain == settings_.own_domain ? 1 : kOtherDomainFactor;
+  return (load.runs + 1) * latency * domain * (1 + failures * kFailureFactor) *
+             (1 + jitter) +
+         (avoided ? kAvoidedCost * kUnknownLatencyMs : 0);
+}
+
+std::optional<double> target_selector::EngineCost(
+    const known_target& target,
+    const engine_spec& engine,
+    const selection_request& request,
+    timestamp now) const {
+  const target_load load = TotalLoad(target.entry.id, now);
+  const auto memory = static_cast<double>(engine.memory_tokens);
+  const double fill =
+      static_cast<double>(load.tokens + request.size->Total()) / memory;
+  // A generation larger than the limit still runs on an idle engine.
+  if (load.runs > 0 && fill > settings_.memory_limit)
+    return std::nullopt;
+  if (load.runs >= engine.slots)
+    return std::nullopt;
+  double cost = fill;
+  cost += kBatchWeight * load.runs / std::max(engine.slots, 1);
+  cost += static_cast<double>(load.unread_tokens) * kUnreadTokenWeight;
+  if (target.entry.domain != settings_.own_domain)
+    cost += kOtherDomainCost;
+  if (request.session.empty())
+    return cost;
+  const auto session = sessions_.find(request.session);
+  if (session != sessions_.end() && session->second == target.entry.id)
+    cost -= kSessionGain;
+  return cost;
+}
+
+// Each instance sends at most its own part of the bound, so that the parts of
+// all instances add up to it without a message.
+bool target_selector::MayBearCold(const known_target& target,
+                                  const routed_service& service,
+                                  timestamp now) const {
+  if (service.cold_requests_per_second <= 0 || now >= target.cold_deadline)
+    return true;
+  const target_state* state = StateOf(target.entry.id);
+  if (!state)
+    return true;
+  const double part =
+      std::max(1.0, std::floor(service.cold_requests_per_second /
+                               static_cast<double>(instance_count_)));
+  const auto recent = std::count_if(
+      state->recent_sends.begin(), state->recent_sends.end(),
+      [&](timestamp sent_at) { return now < sent_at + kColdWindow; });
+  return static_cast<double>(recent) < part;
+}
+
+run_number target_selector::Begin(const target_id& target,
+                                  const selection_request& request,
+                                  timestamp now) {
+  const run_number number = next_run_++;
+  run& begun = runs_[number];
+  begun.target = target;
+  begun.size = request.size.value_or(generation_size{});
+  begun.is_generation = request.size.has_value();
+  begun.began_at = now;
+  target_state& state = states_[target];
+  state.own.target = target;
+  state.own.runs += 1;
+  state.own.tokens += begun.size.Total();
+  state.own.unread_tokens += begun.size.prompt_tokens;
+  while (!state.recent_sends.empty() &&
+         now >= state.recent_sends.front() + kColdWindow)
+    state.recent_sends.pop_front();
+  state.recent_sends.push_back(now);
+  if (!request.session.empty()) {
+    if (sessions_.size() >= kMaxSessions)
+      sessions_.clear();
+    sessions_[request.session] = target;
+  }
+  return number;
+}
+
+void target_selector::OnFirstOutput(run_number number) {
+  const auto found = runs_.find(number);
+  if (found == runs_.end() || found->second.has_output)
+    return;
+  found->second.has_output = true;
+  states_[found->second.target].own.unread_tokens -=
+      found->second.size.prompt_tokens;
+}
+
+void target_selector::End(run_number number, run_end end, timestamp now) {
+  const auto found = runs_.find(number);
+  if (found == runs_.end())
+    return;
+  const run ended = found->second;
+  runs_.erase(found);
+  target_state& state = states_[ended.target];
+  state.own.runs -= 1;
+  state.own.tokens -= ended.size.Total();
+  if (!ended.has_output)
+    state.own.unread_tokens -= ended.size.prompt_tokens;
+  state.health.OnEnd(end, now - ended.began_at, now);
+}
+
+std::vector<target_load> target_selector::OwnLoads() const {
+  std::vector<target_load> loads;
+  for (const auto& [id, state] : states_) {
+    if (state.own.runs > 0)
+      loads.push_back(state.own);
+  }
+  return loads;
+}
+
+void target_selector::SetPeerLoads(const std::string& peer,
+                                   const std::vector<target_load>& loads,
+                                   timestamp now) {
+  peer_state& state = peers_[peer];
+  state.loads.clear();
+  for (const target_load& load : loads)
+    state.loads[load.target] = load;
+  state.deadline = now + settings_.peer_load_validity;
+}
+
+target_load target_selector::TotalLoad(const target_id& target,
+                                       timestamp now) const {
+  target_load total;
+  if (const target_state* state = StateOf(target))
+    total = state->own;
+  for (const auto& [peer, state] : peers_) {
+    if (now >= state.deadline)
+      continue;
+    const auto found = state.loads.find(target);
+    if (found == state.loads.end())
+      continue;
+    total.runs += found->second.runs;
+    total.tokens += found->second.tokens;
+    total.unread_tokens += found->second.unread_tokens;
+  }
+  return total;
+}
+
+double target_selector::FreeShare(const service_id& service,
+                                  timestamp now) const {
+  std::int64_t slots = 0;
+  std::int64_t runs = 0;
+  for (const auto& [id, target] : directory_.targets()) {
+    if (target.entry.service != service || !directory_.Takes(target))
+      continue;
+    slots += target.entry.slots;
+    runs += TotalLoad(id, now).runs;
+  }
+  if (slots == 0)
+    return 0;
+  return 1 - static_cast<double>(runs) / static_cast<double>(slots);
+}
+
+void target_selector::Expire() {
+  std::erase_if(states_, [&](const auto& entry) {
+    return entry.second.own.runs == 0 && !directory_.Find(entry.first);
+  });
+}
+
+const target_selector::target_state* target_selector::StateOf(
+    const target_id& target) const {
+  const auto found = states_.find(target);
+  return found == states_.end() ? nullptr : &found->second;
+}
+
+}  // namespace wist
--- /dev/null
+++ b/src/selection/tests/target_selector_test.cc
@@ -0,0 +1,200 @@
+#include <catch2/catch.hpp>
+
+#include "selection/target_selector.h"
+
+using namespace wist;
+
+namespace {
+
+timestamp At(std::int64_t ms) {
+  return timestamp(milliseconds(ms));
+}
+
+routing_configuration Configuration() {
+  routing_configuration configuration;
+  configuration.version = 1;
+  routed_service engines;
+  engines.id = service_id("engines");
+  engines.cold_requests_per_second = 40;
+  engines.engine = engine_spec{8, 10'000, true, true, 4};
+  routed_service desk;
+  desk.id = service_id("desk");
+  configuration.services = {engines, desk};
+  return configuration;
+}
+
+struct fixture {
+  fixture() {
+    selector.ApplyConfiguration(
+        std::make_shared<const route_table>(Configuration()));
+  }
+
+  void Add(const std::string& id,
+           const std::string& service = "engines",
+           const std::string& domain = "here",
+           milliseconds cold = milliseconds(0)) {
+    target_entry entry;
+    entry.id = target_id(id);
+    entry.service = service_id(service);
+    entry.domain = domain_id(domain);
+    entry.slots = 8;
+    entry.cold_for = cold;
+    entry.sequence = 1;
+    directory.Put(entry, At(0));
+  }
+
+  static selection_request Generation(std::int64_t tokens) {
+    selection_request request;
+    request.service = service_id("engines");
+    request.size = generation_size{tokens / 2, tokens - tokens / 2};
+    return request;
+  }
+
+  static selection_request PlainCall() {
+    selection_request request;
+    request.service = service_id("desk");
+    return request;
+  }
+
+  std::string Choose(const selection_request& request, timestamp now = At(0)) {
+    const selection chosen = selector.Choose(request, now);
+    const auto* id = std::get_if<target_id>(&chosen);
+    return id ? id->text() : "";
+  }
+
+  target_directory directory{milliseconds(2000)};
+  target_selector selector{{domain_id("here")}, directory, 1};
+};
+
+}  // namespace
+
+TEST_CASE("generations spread by the memory they will hold") {
+  fixture f;
+  f.Add("a");
+  f.Add("b");
+  f.selector.Begin(target_id("a"), f.Generation(4000), At(0));
+  for (int i = 0; i < 20; ++i)
+    CHECK(f.Choose(f.Generation(1000)) == "b");
+}
+
+TEST_CASE("memory that other instances fill counts until their word is old") {
+  fixture f;
+  f.Add("a");
+  f.Add("b");
+  f.selector.SetPeerLoads("peer", {{target_id("a"), 2, 8000, 0}}, At(0));
+  CHECK(f.Choose(f.Generation(3000), At(100)) == "b");
+  f.selector.Begin(target_id("b"), f.Generation(7500), At(100));
+  CHECK(f.Choose(f.Generation(3000), At(200)).empty());
+  CHECK(f.Choose(f.Generation(3000), At(4000)) == "a");
+}
+
+TEST_CASE("a full service is told apart from one without targets") {
+  fixture f;
+  const selection none = f.selector.Choose(f.Generation(1000), At(0));
+  CHECK_FALSE(std::get<selection_fault>(none).is_full);
+  f.Add("a");
+  f.selector.Begin(target_id("a"), f.Generation(9000), At(0));
+  const selection full = f.selector.Choose(f.Generation(1000), At(0));
+  CHECK(std::get<selection_fault>(full).is_full);
+}
+
+TEST_CASE("a generation larger than the limit runs on an idle engine") {
+  fixture f;
+  f.Add("a");
+  CHECK(f.Choose(f.Generation(9900)) == "a");
+}
+
+TEST_CASE("an ended run frees its memory") {
+  fixture f;
+  f.Add("a");
+  const run_number run =
+      f.selector.Begin(target_id("a"), f.Generation(9000), At(0));
+  f.selector.OnFirstOutput(run);
+  CHECK(f.Choose(f.Generation(5000)).empty());
+  f.selector.End(run, run_end::answered, At(500));
+  CHECK(f.Choose(f.Generation(5000)) == "a");
+  CHECK(f.selector.OwnLoads().empty());
+}
+
+TEST_CASE("leaving and evacuated targets get nothing") {
+  fixture f;
+  f.Add("a", "engines", "there");
+  f.directory.SetEvacuated({domain_id("there")});
+  CHECK(f.Choose(f.Generation(100)).empty());
+  f.directory.SetEvacuated({});
+  CHECK(f.Choose(f.Generation(100)) == "a");
+  f.directory.Remove(target_id("a"), false, At(0));
+  CHECK(f.Choose(f.Generation(100)).empty());
+}
+
+TEST_CASE("the parts of all instances keep a cold target within its bound") {
+  constexpr int kInstances = 8;
+  constexpr double kBound = 40;
+  int sent = 0;
+  for (int instance = 0; instance < kInstances; ++instance) {
+    fixture f;
+    f.Add("a", "engines", "here", milliseconds(5000));
+    f.selector.SetInstanceCount(kInstances);
+    while (!f.Choose(f.Generation(10)).empty()) {
+      const run_number run =
+          f.selector.Begin(target_id("a"), f.Generation(10), At(0));
+      f.selector.End(run, run_end::answered, At(0));
+      ++sent;
+    }
+  }
+  CHECK(sent <= kBound);
+  CHECK(sent >= kBound / 2);
+}
+
+TEST_CASE("a grey target that fails its calls loses them to sound ones") {
+  fixture f;
+  f.Add("a", "desk");
+  f.Add("b", "desk");
+  for (int i = 0; i < 4; ++i) {
+    const run_number bad =
+        f.selector.Begin(target_id("a"), f.PlainCall(), At(i));
+    f.selector.End(bad, run_end::failed, At(i + 10));
+    const run_number good =
+        f.selector.Begin(target_id("b"), f.PlainCall(), At(i));
+    f.selector.End(good, run_end::answered, At(i + 20));
+  }
+  for (int i = 0; i < 20; ++i)
+    CHECK(f.Choose(f.PlainCall(), At(100)) == "b");
+}
+
+TEST_CASE("a slow target gets fewer calls") {
+  fixture f;
+  f.Add("a", "desk");
+  f.Add("b", "desk");
+  for (int i = 0; i < 10; ++i) {
+    f.selector.End(f.selector.Begin(target_id("a"), f.PlainCall(), At(0)),
+                   run_end::answered, At(120));
+    f.selector.End(f.selector.Begin(target_id("b"), f.PlainCall(), At(0)),
+                   run_end::answered, At(15));
+  }
+  CHECK(f.Choose(f.PlainCall()) == "b");
+}
+
+TEST_CASE("an unreachable target rests and is tried again") {
+  fixture f;
+  f.Add("a", "desk");
+  f.Add("b", "desk", "there");
+  f.selector.End(f.selector.Begin(target_id("a"), f.PlainCall(), At(0)),
+                 run_end::unreachable, At(1));
+  CHECK(f.Choose(f.PlainCall(), At(100)) == "b");
+  selection_request only_a = f.PlainCall();
+  only_a.excluded = {target_id("b")};
+  CHECK(f.Choose(only_a, At(100)) == "a");
+}
+
+TEST_CASE("a session returns to the engine that read it") {
+  fixture f;
+  f.Add("a");
+  f.Add("b");
+  selection_request request = f.Generation(100);
+  request.session = "s1";
+  f.selector.End(f.selector.Begin(target_id("b"), request, At(0)),
+                 run_end::answered, At(1));
+  for (int i = 0; i < 20; ++i)
+    CHECK(f.Choose(request, At(100)) == "b");
+}
--- /dev/null
+++ b/src/streams/internal/event_splitter.cc
@@ -0,0 +1,55 @@
+#include "streams/event_splitter.h"
+
+namespace wist {
+namespace {
+
+constexpr std::string_view kIdField = "id:";
+
+// Returns the end of the event that begins at `from`, after its empty line.
+std::size_t FindEventEnd(std::string_view text, std::size_t from) {
+  for (std::size_t at = text.find('\n', from); at != std::string_view::npos;
+       at = text.find('\n', at + 1)) {
+    const std::string_view rest = text.substr(at + 1);
+    if (rest.starts_with('\n'))
+      return at + 2;
+    if (rest.starts_with("\r\n"))
+      return at + 3;
+  }
+  return std::string_view::npos;
+}
+
+}  // namespace
+
+std::string event_splitter::Feed(std::string_view bytes) {
+  partial_.append(bytes);
+  std::size_t begin = 0;
+  for (std::size_t end = FindEventEnd(partial_, begin);
+       end != std::string_view::npos; end = FindEventEnd(partial_, begin)) {
+    Note(std::string_view(partial_).substr(begin, end - begin));
+    begin = end;
+  }
+  std::string whole = partial_.substr(0, begin);
+  partial_.erase(0, begin);
+  return whole;
+}
+
+void event_splitter::Note(std::string_view event) {
+  ++events_;
+  for (std::size_t begin = 0; begin < event.size();) {
+    const std::size_t end = event.find('\n', begin);
+    std::string_view line = event.substr(begin, end - begin);
+    if (line.ends_with('\r'))
+      line.remove_suffix(1);
+    if (line.starts_with(kIdField)) {
+      line.remove_prefix(kIdField.size());
+      if (line.starts_with(' '))
+        line.remove_prefix(1);
+      last_id_ = std::string(line);
+    }
+    if (end == std::string_view::npos)
+      return;
+    begin = end + 1;
+  }
+}
+
+}  // namespace wist
--- /dev/null
+++ b/src/streams/tests/event_splitter_test.cc
@@ -0,0 +1,30 @@
+#include <catch2/catch.hpp>
+
+#include "streams/event_splitter.h"
+
+using namespace wist;
+
+TEST_CASE("only whole events come out, at any split") {
+  const std::string stream =
+      "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid:3\ndata: c\n\n";
+  for (std::size_t cut = 0; cut <= stream.size(); ++cut) {
+    event_splitter splitter;
+    std::string got = splitter.Feed(stream.substr(0, cut));
+    CHECK((got.empty() || got.ends_with("\n")));
+    got += splitter.Feed(stream.substr(cut));
+    CHECK(got == stream);
+    CHECK(splitter.events() == 3);
+    CHECK(splitter.last_id() == "3");
+    CHECK_FALSE(splitter.HasPartial());
+  }
+}
+
+TEST_CASE("an event that breaks off is dropped and its id not counted") {
+  event_splitter splitter;
+  CHECK(splitter.Feed("id: 7\ndata: a\n\nid: 8\ndata: b") ==
+        "id: 7\ndata: a\n\n");
+  CHECK(splitter.HasPartial());
+  CHECK(splitter.last_id() == "7");
+  splitter.DropPartial();
+  CHECK(splitter.Feed("id: 8\ndata: b\n\n") == "id: 8\ndata: b\n\n");
+}
--- a/src/verdict/internal/verdict_types.cc
+++ b/src/verdict/internal/verdict_types.cc
@@ -20,6 +20,12 @@
       return "bad_request";
     case error_code::body_too_large:
       return "body_too_large";
+    case error_code::header_too_large:
+      return "header_too_large";
+    case error_code::request_timeout:
+      return "request_timeout";
+    case error_code::unknown_key:
+      return "unknown_key";
     case error_code::unknown_workspace:
       return "unknown_workspace";
     case error_code::unknown_service:
@@ -62,6 +68,12 @@
 
 int HttpStatus(error_code code) {
   switch (code) {
+    case error_code::header_too_large:
+      return 431;
+    case error_code::request_timeout:
+      return 408;
+    case error_code::unknown_key:
+      return 401;
     case error_code::bad_request:
     case error_code::bad_resume_token:
     case error_code::key_required:
--- a/src/verdict/verdict_types.h
+++ b/src/verdict/verdict_types.h
@@ -20,6 +20,9 @@
 enum class error_code {
   bad_request,
   body_too_large,
+  header_too_large,
+  request_timeout,
+  unknown_key,
   unknown_workspace,
   unknown_service,
   no_route,
