--- a/src/gateway/internal/run_mover.cc
+++ b/src/gateway/internal/run_mover.cc
@@ -140,7 +140,7 @@
   services_.logger.Write(log_level::info, "move",
                          {{"request_id", request_id_},
                           {"step", step},
-                          {"source", source_.id.text()},
+                          {"from", source_.id.text()},
                           {"receiver", receiver_ ? receiver_->id.text() : ""},
                           {"outcome", outcome}});
 }
