--- a/src/gateway/gateway_module.h
+++ b/src/gateway/gateway_module.h
@@ -19,6 +19,9 @@
   const i_dialect& dialect;
   i_async_store& store;
   i_buffered_logger& logger;
+  std::shared_ptr<const i_clock> clock;
+  // Reads the settings anew; nothing if they did not change or can't be read.
+  std::function<std::optional<gateway_settings>()> reload;
 };
 
 std::unique_ptr<i_gateway> MakeGateway(const gateway_settings& settings,
--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -249,6 +249,8 @@
   if (events.empty())
     return;
   services_.selector.OnFirstOutput(attempt_->run);
+  if (move_wanted_ && !mover_)
+    BeginMove();
   if (!streaming_) {
     streaming_ = true;
     const std::vector<http_header> headers =
@@ -410,11 +412,15 @@
   const routed_service* service = table_->FindService(service_);
   if (!service || !service->engine || !service->engine->can_move_runs)
     return;
-  BeginMove();
+  // A run that has not begun has no memory to copy yet.
+  if (attempt_->facts.kind == answer_kind::success && streaming_)
+    return BeginMove();
+  move_wanted_ = true;
 }
 
 void exchange::BeginMove() {
   const timestamp now = services_.scheduler.Now();
+  move_wanted_ = false;
   mover_ = std::make_shared<run_mover>(
       services_, request_.id, attempt_->target, SelectionRequest(),
       std::min(deadline_, now + kMoveLimit),
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -99,6 +99,7 @@
   bool over_ = false;
   event_splitter splitter_;
   std::shared_ptr<run_mover> mover_;
+  bool move_wanted_ = false;
   bool source_ended_ = false;
   int resumes_ = 0;
   std::unique_ptr<i_timer> deadline_timer_;
--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -8,6 +8,7 @@
 #include "gateway/internal/caller_connection.h"
 #include "gateway/internal/status_listener.h"
 #include "gateway/internal/store_view.h"
+#include "peers/load_exchange.h"
 
 namespace wist {
 namespace {
@@ -18,6 +19,9 @@
 // How often beliefs are checked for their age.
 constexpr milliseconds kCheckPause{200};
 
+// The settings file may change without a signal, so it is looked at this often.
+constexpr milliseconds kReloadPause{1000};
+
 // A stopping instance goes on accepting for this long: the balancer asks once a
 // second and needs two answers.
 constexpr milliseconds kStopAcceptSpan{2600};
@@ -36,7 +40,21 @@
         selector_({settings.domain}, directory_, Seed()),
         services_{settings_,  parts.loop, *caller_,     parts.dialect, belief_,
                   directory_, selector_,  parts.logger, metrics_,      [] {}},
-        view_(settings_, parts, services_, Seed()) {
+        view_(settings_, parts, services_, Seed()),
+        loads_(
+            {},
+            settings.instance,
+            StartedAt(),
+            parts.loop,
+            [this] { return selector_.OwnLoads(); },
+            [this](const load_word& word) {
+              selector_.SetPeerLoads(word.instance, word.loads,
+                                     parts_.loop.Now());
+            }) {
+    services_.on_load_change = [this] { loads_.OnLoadChange(); };
+    view_.SubscribeToInstances([this](const std::vector<http_address>& others) {
+      OnInstances(others);
+    });
     directory_.SubscribeToLeaves(
         [this](const known_target& target) { OnTargetLeaves(target); });
     view_.SubscribeToConfiguration(
@@ -55,6 +73,13 @@
                        [this](std::shared_ptr<i_channel> channel) {
                          Accept(std::move(channel));
                        });
+    peer_port_ = parts_.loop.OpenDatagramPort(
+        settings_.peer_listen,
+        [this](std::string_view bytes, const http_address&) {
+          loads_.OnDatagram(bytes);
+        });
+    loads_.Start(*peer_port_);
+    parts_.loop.OnSignal(SIGHUP, [this] { Reload(); });
     parts_.loop.OnSignal(SIGTERM, [this] { BeginStopping(); });
     parts_.loop.OnSignal(SIGINT, [this] { BeginStopping(); });
     view_.Start();
@@ -72,6 +97,37 @@
     return static_cast<std::uint32_t>(StableHash(settings_.instance));
   }
 
+  std::int64_t StartedAt() const {
+    return std::chrono::duration_cast<microseconds>(
+               parts_.clock->CalendarNow().time_since_epoch())
+        .count();
+  }
+
+  void OnInstances(const std::vector<http_address>& others) {
+    loads_.SetPeers(others);
+    services_.instance_count = others.size() + 1;
+    selector_.SetInstanceCount(services_.instance_count);
+    parts_.logger.Write(
+        log_level::info, "instances",
+        {{"count", static_cast<std::int64_t>(services_.instance_count)}});
+  }
+
+  // Bounds take effect at once; addresses stay those of the start.
+  void Reload() {
+    const auto changed = parts_.reload();
+    if (!changed)
+      return;
+    settings_.key_validity = changed->key_validity;
+    settings_.stop_limit = changed->stop_limit;
+    settings_.retry_ratio = changed->retry_ratio;
+    settings_.retry_slack = changed->retry_slack;
+    settings_.retry_window = changed->retry_window;
+    for (auto& [service, budget] : services_.budgets)
+      budget.SetSettings(services_.RetrySettings());
+    parts_.logger.Write(log_level::info, "reload",
+                        {{"instance", settings_.instance}});
+  }
+
   bool Ready() const {
     return !stop_deadline_ && belief_.table() && view_.HasTargets() &&
            belief_.IsFresh(parts_.loop.Now(), settings_.key_validity);
@@ -133,6 +189,10 @@
     const timestamp now = parts_.loop.Now();
     directory_.Expire(now);
     selector_.Expire();
+    if (now >= reload_due_) {
+      reload_due_ = now + kReloadPause;
+      Reload();
+    }
     const bool ready = Ready();
     if (ready != was_ready_) {
       was_ready_ = ready;
@@ -169,7 +229,7 @@
         parts_.loop.RunAt(now + kStopCheckPause, [this] { CheckStop(); });
   }
 
-  const gateway_settings settings_;
+  gateway_settings settings_;
   const gateway_parts parts_;
   gateway_metrics metrics_;
   const std::unique_ptr<i_http_caller> caller_;
@@ -178,6 +238,9 @@
   target_selector selector_;
   gateway_services services_;
   store_view view_;
+  load_exchange loads_;
+  std::unique_ptr<i_datagram_port> peer_port_;
+  timestamp reload_due_{};
   std::unique_ptr<status_listener> status_;
   std::set<std::shared_ptr<caller_connection>> connections_;
   std::optional<timestamp> stop_deadline_;
--- a/src/gateway/internal/gateway_services.h
+++ b/src/gateway/internal/gateway_services.h
@@ -16,6 +16,10 @@
 
 namespace wist {
 
+// Instances assumed before the store was read: too many keeps each one's part
+// of a shared budget small.
+inline constexpr std::size_t kAssumedInstances = 16;
+
 // What all exchanges of one gateway share.
 struct gateway_services {
   const gateway_settings& settings;
@@ -29,15 +33,16 @@
   gateway_metrics& metrics;
   // Told when the loads of this instance changed.
   std::function<void()> on_load_change;
-  std::size_t instance_count = 1;
+  // Instances that share budgets; an assumption until they are known.
+  std::size_t instance_count = kAssumedInstances;
   std::map<service_id, window_retry_budget> budgets;
 
+  retry_window_settings RetrySettings() const {
+    return {settings.retry_window, settings.retry_ratio, settings.retry_slack};
+  }
+
   window_retry_budget& BudgetOf(const service_id& service) {
-    const auto [found, created] = budgets.try_emplace(
-        service,
-        retry_window_settings{settings.retry_window, settings.retry_ratio,
-                              settings.retry_slack});
-    return found->second;
+    return budgets.try_emplace(service, RetrySettings()).first->second;
   }
 };
 
--- a/src/gateway/internal/run_mover.cc
+++ b/src/gateway/internal/run_mover.cc
@@ -110,8 +110,10 @@
       return Done(Copied());
     return TryAgainLater();
   }
+  // What was copied before the run stopped is good to go on from.
+  if (is_last && copied_)
+    return Done(Copied());
   request_.excluded.insert(receiver_->id);
-  copied_ = false;
   ChooseReceiver();
 }
 
--- a/src/gateway/internal/store_view.cc
+++ b/src/gateway/internal/store_view.cc
@@ -13,6 +13,18 @@
 // long also finds a channel that went silent.
 constexpr milliseconds kTargetWatchWait{2000};
 
+// Where instances announce themselves to each other.
+constexpr char kInstancePrefix[] = "wist/instances/";
+
+// Instances change rarely, and word of them is not urgent.
+constexpr milliseconds kInstanceWatchWait{20'000};
+
+// An entry outlives its instance by this long at the most. It is renewed early
+// enough to bridge an outage of the store.
+constexpr milliseconds kAnnounceValidity{180'000};
+constexpr milliseconds kAnnouncePause{90'000};
+constexpr milliseconds kAnnounceRetryPause{2000};
+
 follower_settings FollowerSettings(const gateway_settings& settings,
                                    milliseconds watch_wait) {
   follower_settings follower;
@@ -27,10 +39,13 @@
                        const gateway_parts& parts,
                        gateway_services& services,
                        std::uint32_t seed)
-    : dialect_(parts.dialect),
+    : settings_(settings),
+      store_(parts.store),
+      dialect_(parts.dialect),
       services_(services),
       operator_(*this),
       targets_(*this),
+      instances_(*this),
       operator_follower_(parts.dialect.OperatorPrefix(),
                          FollowerSettings(settings, kOperatorWatchWait),
                          parts.store,
@@ -42,7 +57,18 @@
                        parts.store,
                        parts.loop,
                        targets_,
-                       seed + 1) {}
+                       seed + 1),
+      instance_follower_(kInstancePrefix,
+                         FollowerSettings(settings, kInstanceWatchWait),
+                         parts.store,
+                         parts.loop,
+                         instances_,
+                         seed + 2) {}
+
+void store_view::SubscribeToInstances(
+    std::function<void(const std::vector<http_address>&)> handler) {
+  instances_handler_ = std::move(handler);
+}
 
 void store_view::SubscribeToConfiguration(std::function<void()> handler) {
   configuration_handlers_.push_back(std::move(handler));
@@ -51,6 +77,26 @@
 void store_view::Start() {
   operator_follower_.Start();
   target_follower_.Start();
+  instance_follower_.Start();
+  Announce();
+}
+
+void store_view::Announce() {
+  const timestamp now = services_.scheduler.Now();
+  announce_timer_ =
+      services_.scheduler.RunAt(now + kAnnouncePause, [this] { Announce(); });
+  const http_address& address = settings_.peer_listen;
+  store_.PutForAWhile(kInstancePrefix + settings_.instance,
+                      address.host + ":" + std::to_string(address.port),
+                      kAnnounceValidity, [this](bool done) {
+                        if (done)
+                          return;
+                        services_.logger.Write(log_level::warning,
+                                               "announce_failed", {});
+                        announce_timer_ = services_.scheduler.RunAt(
+                            services_.scheduler.Now() + kAnnounceRetryPause,
+                            [this] { Announce(); });
+                      });
 }
 
 void store_view::TakeConfiguration(const std::string& value) {
@@ -185,4 +231,36 @@
   view.LogRegained("targets");
 }
 
+void store_view::instance_listener::OnSnapshot(
+    const std::map<std::string, std::string>& items,
+    bool) {
+  addresses = items;
+  Tell();
+}
+
+void store_view::instance_listener::OnChange(const store_change& change, bool) {
+  if (change.value)
+    addresses[change.key] = *change.value;
+  else
+    addresses.erase(change.key);
+  Tell();
+}
+
+void store_view::instance_listener::Tell() const {
+  std::vector<http_address> others;
+  for (const auto& [key, address] : addresses) {
+    if (key == kInstancePrefix + view.settings_.instance)
+      continue;
+    try {
+      others.push_back(ParseHttpAddress(address));
+    } catch (const std::invalid_argument& error) {
+      view.services_.logger.Write(
+          log_level::warning, "instance_entry_unreadable",
+          {{"key", key}, {"reason", std::string(error.what())}});
+    }
+  }
+  if (view.instances_handler_)
+    view.instances_handler_(others);
+}
+
 }  // namespace wist
--- a/src/gateway/internal/store_view.h
+++ b/src/gateway/internal/store_view.h
@@ -23,6 +23,10 @@
   void SubscribeToConfiguration(std::function<void()> handler);
   void Start();
 
+  // `handler` gets the addresses of all instances that announced themselves.
+  void SubscribeToInstances(
+      std::function<void(const std::vector<http_address>&)> handler);
+
   // Whether the list of targets was read at least once.
   bool HasTargets() const { return targets_.has_snapshot; }
 
@@ -55,20 +59,41 @@
     bool has_snapshot = false;
   };
 
+  // The instances' own entries.
+  struct instance_listener final : i_prefix_listener {
+    explicit instance_listener(store_view& owner) : view(owner) {}
+    void OnSnapshot(const std::map<std::string, std::string>& items,
+                    bool after_outage) override;
+    void OnChange(const store_change& change, bool after_outage) override;
+    void OnConfirmed(timestamp) override {}
+    void OnLost(store_fault) override {}
+    void OnRegained() override {}
+    void Tell() const;
+
+    store_view& view;
+    std::map<std::string, std::string> addresses;
+  };
+
+  void Announce();
   void TakeConfiguration(const std::string& value);
   void SetEvacuated(const std::set<domain_id>& domains);
   void PutTarget(const std::string& key, const std::string& value);
   void LogLost(const std::string& prefix, store_fault fault);
   void LogRegained(const std::string& prefix);
 
+  const gateway_settings& settings_;
+  i_async_store& store_;
   const i_dialect& dialect_;
   gateway_services& services_;
   std::vector<std::function<void()>> configuration_handlers_;
-  timestamp asked_at_;
   operator_listener operator_;
   target_listener targets_;
+  instance_listener instances_;
   prefix_follower operator_follower_;
   prefix_follower target_follower_;
+  prefix_follower instance_follower_;
+  std::function<void(const std::vector<http_address>&)> instances_handler_;
+  std::unique_ptr<i_timer> announce_timer_;
 };
 
 }  // namespace wist
--- a/src/limits/window_retry_budget.h
+++ b/src/limits/window_retry_budget.h
@@ -25,6 +25,11 @@
   explicit window_retry_budget(const retry_window_settings& settings)
       : settings_(settings) {}
 
+  // Changes the bounds; what was counted stays.
+  void SetSettings(const retry_window_settings& settings) {
+    settings_ = settings;
+  }
+
   void OnRequest(timestamp now);
 
   // Takes one retry; returns whether there was one. `instance_count` is how
@@ -34,7 +39,7 @@
  private:
   void Forget(std::deque<timestamp>& times, timestamp now) const;
 
-  const retry_window_settings settings_;
+  retry_window_settings settings_;
   std::deque<timestamp> requests_;
   std::deque<timestamp> retries_;
 };
--- a/src/selection/internal/target_selector.cc
+++ b/src/selection/internal/target_selector.cc
@@ -6,9 +6,10 @@
 namespace wist {
 namespace {
 
-// Cost of a target in another failure domain, as a part of an engine's memory:
-// bytes between domains are paid for, and moves between them take longer.
-constexpr double kOtherDomainCost = 0.02;
+// Cost of an engine in another failure domain, as a part of its memory: a long
+// stream breaks when the domains lose each other, and its memory takes longer
+// to move back.
+constexpr double kOtherDomainCost = 0.2;
 
 // The same for plain services, as a factor.
 constexpr double kOtherDomainFactor = 1.1;
@@ -94,6 +95,9 @@
                                           timestamp now) {
   selection_request other = request;
   other.excluded.insert(from);
+  // Copies between failure domains take longer than a notice may last.
+  if (const known_target* source = directory_.Find(from))
+    other.preferred_domain = source->entry.domain;
   return Choose(other, now);
 }
 
@@ -143,7 +147,10 @@
   double cost = fill;
   cost += kBatchWeight * load.runs / std::max(engine.slots, 1);
   cost += static_cast<double>(load.unread_tokens) * kUnreadTokenWeight;
-  if (target.entry.domain != settings_.own_domain)
+  const domain_id& preferred = request.preferred_domain.empty()
+                                   ? settings_.own_domain
+                                   : request.preferred_domain;
+  if (target.entry.domain != preferred)
     cost += kOtherDomainCost;
   if (request.session.empty())
     return cost;
--- a/src/selection/selection_types.h
+++ b/src/selection/selection_types.h
@@ -30,6 +30,8 @@
   // Names what later requests of the same session share; empty for none.
   std::string session;
   std::set<target_id> excluded;
+  // Failure domain to stay in if it costs little; the own one if empty.
+  domain_id preferred_domain;
 };
 
 // No target takes the request now.
