Go on from the first copy of a run instead of stopping it for the rest

Ruled out: one order of copies over all instances (no message is quicker than the notice). The target drops the run when its channel closes; what was made since the copy is read again at the receiver.

--- a/src/gateway/gateway_types.h
+++ b/src/gateway/gateway_types.h
@@ -73,14 +73,11 @@
 struct move_order {
   std::string request_id;
   http_address receiver;
-  // The run stops before the copy, which then is whole.
-  bool is_last = false;
 };
 
 struct move_answer {
   int status = 0;
   std::string handle;
-  std::int64_t events_made = 0;
 };
 
 // A refusal or failure of this instance's own.
--- a/src/gateway/i_dialect.h
+++ b/src/gateway/i_dialect.h
@@ -40,8 +40,6 @@
   virtual std::string EncodeMove(const target_entry& source,
                                  const move_order& order) const = 0;
   virtual move_answer DecodeMove(int status, const std::string& body) const = 0;
-  virtual std::string EncodeHandleRelease(const target_entry& source,
-                                          const std::string& handle) const = 0;
 
   // Store ----------------------------------------------------------------
   virtual std::string OperatorPrefix() const = 0;
--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -312,18 +312,6 @@
 }
 
 void exchange::OnFailure(run_end end, bool may_have_run) {
-  if (mover_ && (mover_->StopsRun() || mover_->Copied())) {
-    // The run goes on elsewhere; its target closes the stream before that.
-    source_ended_ = true;
-    splitter_.DropPartial();
-    const auto copied = mover_->Copied();
-    EndAttempt(run_end::withdrawn);
-    if (!mover_->StopsRun() && copied) {
-      std::exchange(mover_, nullptr);
-      Resume(*copied);
-    }
-    return;
-  }
   EndAttempt(end);
   if (may_have_run) {
     ++runs_;
@@ -432,29 +420,18 @@
 }
 
 void exchange::OnMoved(std::optional<moved_run> moved) {
-  const bool stopped = mover_ && mover_->StopsRun();
   mover_.reset();
-  if (over_)
+  if (over_ || !moved)
     return;
-  if (!moved) {
-    // Without a copy the run stays where it is, if it was not stopped.
-    if (stopped && (!attempt_ || source_ended_)) {
-      if (streaming_)
-        return OnStreamBroken();
-      Refuse(error_code::target_failed, run_verdict::may_have_run);
-    }
-    return;
-  }
-  if (attempt_) {
-    attempt_->call->Cancel();
-    splitter_.DropPartial();
-    EndAttempt(run_end::withdrawn);
-  }
+  // The target drops the run when its channel closes, so that no two targets
+  // work on it; what came since the copy is read again at the receiver.
+  attempt_->call->Cancel();
+  splitter_.DropPartial();
+  EndAttempt(run_end::withdrawn);
   Resume(*moved);
 }
 
 void exchange::Resume(const moved_run& moved) {
-  source_ended_ = false;
   may_have_run_ = true;
   if (++resumes_ > kMaxResumes)
     return OnStreamBroken();
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -100,7 +100,6 @@
   event_splitter splitter_;
   std::shared_ptr<run_mover> mover_;
   bool move_wanted_ = false;
-  bool source_ended_ = false;
   int resumes_ = 0;
   std::unique_ptr<i_timer> deadline_timer_;
   std::unique_ptr<i_timer> attempt_timer_;
--- a/src/gateway/internal/run_mover.h
+++ b/src/gateway/internal/run_mover.h
@@ -4,7 +4,6 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 #include "gateway/internal/gateway_services.h"
@@ -17,13 +16,13 @@
   run_memory memory;
 };
 
-// Copies one run's memory from a target that leaves to another one: first
-// while the run goes on, then the rest after it has stopped. One move only.
+// Copies one run's memory from a target that leaves to another one while the
+// run goes on. One move only.
 class run_mover : public std::enable_shared_from_this<run_mover> {
  public:
   using done_handler = std::function<void(std::optional<moved_run>)>;
 
-  // `on_done` gets nothing if the run stays where it is, or was lost.
+  // `on_done` gets nothing if the run has to stay where it is.
   run_mover(gateway_services& services,
             std::string request_id,
             target_entry source,
@@ -33,24 +32,16 @@
 
   void Start();
 
-  // Ends the move and frees what was copied.
+  // Ends the move; `on_done` is not called.
   void Cancel();
 
-  // Whether the run was told to stop: its stream then ends without its end.
-  bool StopsRun() const { return stopping_; }
-
-  // Where the run can go on if its target breaks off now; nothing without a
-  // copy.
-  std::optional<moved_run> Copied() const;
-
  private:
   void ChooseReceiver();
-  void Order(bool is_last);
-  void OnAnswer(bool is_last, const move_answer& answer);
-  void OnBrokenCall(bool is_last);
+  void OrderCopy();
+  void OnAnswer(const move_answer& answer);
   void TryAgainLater();
   void Done(std::optional<moved_run> moved);
-  void Log(const std::string& step, const std::string& outcome);
+  void Log(const std::string& outcome);
 
   gateway_services& services_;
   const std::string request_id_;
@@ -59,9 +50,7 @@
   const timestamp deadline_;
   done_handler on_done_;
   std::optional<target_entry> receiver_;
-  std::string handle_;
-  bool copied_ = false;
-  bool stopping_ = false;
+  std::optional<run_number> reserved_;
   int tries_ = 0;
   std::shared_ptr<i_http_call> call_;
   std::unique_ptr<i_timer> timer_;
--- /dev/null
+++ b/src/gateway/tests/exchange_test.cc
@@ -0,0 +1,202 @@
+#include <catch2/catch.hpp>
+
+#include "gateway/tests/mocks/exchange_fixture.h"
+
+using namespace wist;
+
+TEST_CASE("an answer is passed on whole, and the channel is kept") {
+  exchange_fixture f;
+  f.settings.retry_slack = 100;
+  f.Request("/once/x");
+  CHECK(f.target().written.starts_with("POST /once/x HTTP/1.1\r\n"));
+  f.target().Receive(f.Answer("200 OK", "done"));
+  CHECK(f.sent().starts_with("HTTP/1.1 200 OK\r\n"));
+  CHECK(f.sent().ends_with("\r\n\r\ndone"));
+  CHECK(f.caller_channel->open());
+}
+
+TEST_CASE("a call that may have run is never repeated unless idempotent") {
+  exchange_fixture f;
+  f.settings.retry_slack = 100;
+  f.Request("/once/x");
+  f.target().End(channel_end::reset);
+  CHECK(f.connector.channels.size() == 1);
+  CHECK(f.sent().starts_with("HTTP/1.1 502"));
+}
+
+TEST_CASE("an idempotent call is repeated once on another target") {
+  exchange_fixture f;
+  f.settings.retry_slack = 100;
+  f.Request("/again/x");
+  f.target().End(channel_end::reset);
+  REQUIRE(f.connector.channels.size() == 2);
+  CHECK(f.TargetName(0) != f.TargetName(1));
+  f.target().End(channel_end::reset);
+  CHECK(f.connector.channels.size() == 2);
+  CHECK(f.sent().starts_with("HTTP/1.1 502"));
+}
+
+TEST_CASE("without retry budget nothing is repeated") {
+  exchange_fixture f;
+  f.settings.retry_ratio = 0;
+  f.Request("/again/x");
+  f.target().End(channel_end::reset);
+  CHECK(f.connector.channels.size() == 1);
+  CHECK(f.sent().starts_with("HTTP/1.1 502"));
+}
+
+TEST_CASE("a target that says it did not run the request is replaced") {
+  exchange_fixture f;
+  f.settings.retry_slack = 100;
+  f.Request("/once/x");
+  f.target().Receive(f.Answer("503 Full", "", "Not-Run: 1\r\n"));
+  REQUIRE(f.connector.channels.size() == 2);
+  f.target().Receive(f.Answer("200 OK", "done"));
+  CHECK(f.sent().starts_with("HTTP/1.1 200"));
+}
+
+TEST_CASE("when all targets refuse, the caller hears that it did not run") {
+  exchange_fixture f;
+  f.settings.retry_slack = 100;
+  f.Request("/once/x");
+  f.target().Receive(f.Answer("503 Full", "", "Not-Run: 1\r\n"));
+  f.target().Receive(f.Answer("503 Full", "", "Not-Run: 1\r\n"));
+  CHECK(f.sent().starts_with("HTTP/1.1 503"));
+  CHECK(f.Sent("Code: overloaded"));
+  CHECK(f.Sent("Again: "));
+}
+
+TEST_CASE("a target that can't be reached is replaced, as nothing was sent") {
+  exchange_fixture f;
+  f.settings.retry_slack = 100;
+  f.Request("/once/x");
+  f.target().connected = false;
+  f.target().End(channel_end::connect_failed);
+  REQUIRE(f.connector.channels.size() == 2);
+  f.target().Receive(f.Answer("200 OK", "done"));
+  CHECK(f.sent().starts_with("HTTP/1.1 200"));
+}
+
+TEST_CASE("a success without the target's signature is not passed on") {
+  exchange_fixture f;
+  f.Request("/once/x");
+  f.target().Receive(f.Answer("200 OK", "forged", ""));
+  CHECK(f.sent().starts_with("HTTP/1.1 502"));
+  CHECK_FALSE(f.Sent("forged"));
+}
+
+TEST_CASE("a target's own failure is passed on unchanged") {
+  exchange_fixture f;
+  f.Request("/once/x");
+  f.target().Receive(f.Answer("500 Oops", "why"));
+  CHECK(f.sent().starts_with("HTTP/1.1 500"));
+  CHECK(f.sent().ends_with("why"));
+}
+
+TEST_CASE("at its deadline a request that was sent may have run") {
+  exchange_fixture f;
+  f.Request("/once/x", "Time: 300\r\n");
+  CHECK(f.target().written.find("Left: 300\r\n") != std::string::npos);
+  f.scheduler.Advance(milliseconds(301));
+  CHECK(f.sent().starts_with("HTTP/1.1 502"));
+  CHECK(f.Sent("Code: deadline_exceeded"));
+  CHECK(f.target().aborted);
+}
+
+TEST_CASE("at its deadline a request that never left did not run") {
+  exchange_fixture f;
+  f.Request("/once/x", "Time: 200\r\n");
+  f.target().connected = false;
+  f.scheduler.Advance(milliseconds(201));
+  CHECK(f.sent().starts_with("HTTP/1.1 503"));
+}
+
+TEST_CASE("a slow idempotent call goes to another target") {
+  exchange_fixture f;
+  f.settings.retry_slack = 100;
+  f.Request("/again/x");
+  f.scheduler.Advance(milliseconds(850));
+  REQUIRE(f.connector.channels.size() == 2);
+  CHECK(f.target(0).aborted);
+  f.target().Receive(f.Answer("200 OK", "done"));
+  CHECK(f.sent().starts_with("HTTP/1.1 200"));
+}
+
+TEST_CASE("work stops at once when the caller leaves") {
+  exchange_fixture f;
+  f.Request("/again/x");
+  f.caller_channel->End(channel_end::closed);
+  CHECK(f.target().aborted);
+  f.scheduler.Advance(seconds(10));
+  CHECK(f.connector.channels.size() == 1);
+}
+
+TEST_CASE("keyed requests are refused once the configuration is too old") {
+  exchange_fixture f;
+  f.scheduler.Advance(milliseconds(4400));
+  f.Request("/once/x");
+  CHECK(f.connector.channels.empty());
+  CHECK(f.sent().starts_with("HTTP/1.1 503"));
+  CHECK(f.Sent("Code: not_ready"));
+}
+
+TEST_CASE("routes without keys are served with an old configuration") {
+  exchange_fixture f;
+  f.scheduler.Advance(seconds(20));
+  // The caller's channel was idle for too long, so it has a new one.
+  f.caller_channel = std::make_shared<scripted_channel>();
+  f.connection = std::make_shared<caller_connection>(
+      f.services, f.caller_channel, [](caller_connection*) {});
+  f.connection->Start();
+  f.Request("/open/x");
+  CHECK(f.connector.channels.size() == 1);
+}
+
+TEST_CASE("an unknown path is refused only by a fresh configuration") {
+  exchange_fixture f;
+  f.Request("/nowhere/x");
+  CHECK(f.Sent("Code: no_route"));
+  exchange_fixture old;
+  old.scheduler.Advance(milliseconds(4400));
+  old.Request("/nowhere/x");
+  CHECK(old.Sent("Code: not_ready"));
+}
+
+TEST_CASE("a stream is passed on event by event") {
+  exchange_fixture f;
+  f.RequestStream();
+  f.target().Receive(f.StreamHead() + f.Event(1));
+  CHECK(f.Sent("id: 1"));
+  f.target().Receive(EncodeChunk("id: 2\ndata"));
+  CHECK_FALSE(f.Sent("id: 2"));
+  f.target().Receive(EncodeChunk(": x\n\n") + std::string(LastChunk()));
+  CHECK(f.Sent("id: 2"));
+  CHECK(f.sent().ends_with("0\r\n\r\n"));
+}
+
+TEST_CASE("a stream that breaks does not look whole") {
+  exchange_fixture f;
+  f.RequestStream();
+  f.target().Receive(f.StreamHead() + f.Event(1));
+  f.target().End(channel_end::reset);
+  CHECK(f.caller_channel->aborted);
+  CHECK_FALSE(f.sent().ends_with("0\r\n\r\n"));
+}
+
+TEST_CASE("a stream that ends in the middle of an event is not whole") {
+  exchange_fixture f;
+  f.RequestStream();
+  f.target().Receive(f.StreamHead() + f.Event(1) + EncodeChunk("id: 2\n") +
+                     std::string(LastChunk()));
+  CHECK(f.caller_channel->aborted);
+}
+
+TEST_CASE("requests in one read are answered in their order") {
+  exchange_fixture f;
+  f.Request("/once/1");
+  f.Request("/once/2");
+  REQUIRE(f.connector.channels.size() == 1);
+  f.target().Receive(f.Answer("200 OK", "first"));
+  f.scheduler.Advance(milliseconds(1));
+  CHECK(f.target(0).written.find("/once/2") != std::string::npos);
+}
--- /dev/null
+++ b/src/gateway/tests/mocks/exchange_fixture.h
@@ -0,0 +1,131 @@
+#ifndef GATEWAY_TESTS_MOCKS_EXCHANGE_FIXTURE_H_
+#define GATEWAY_TESTS_MOCKS_EXCHANGE_FIXTURE_H_
+
+#include <memory>
+#include <string>
+
+#include "framework/logging/logging_module.h"
+#include "framework/net/tests/mocks/scripted_connector.h"
+#include "framework/net/tests/mocks/virtual_scheduler.h"
+#include "gateway/internal/caller_connection.h"
+#include "gateway/tests/mocks/plain_dialect.h"
+
+namespace wist {
+
+// One caller's channel in front of scripted targets, on a virtual clock. Plain
+// targets p1, p2 and engines e1, e2, e3 listen at hosts of their names.
+struct exchange_fixture {
+  exchange_fixture() {
+    routing_configuration configuration;
+    configuration.version = 4;
+    configuration.routes = {Route("/once/", call_kind::non_idempotent, "desk"),
+                            Route("/again/", call_kind::idempotent, "desk"),
+                            Route("/stream/", call_kind::streaming, "engines"),
+                            Route("/open/", call_kind::non_idempotent, "desk")};
+    configuration.routes[1].max_attempts = 2;
+    configuration.routes[3].needs_key = false;
+    routed_service engines;
+    engines.id = service_id("engines");
+    engines.engine = engine_spec{8, 10'000, true, true, 4};
+    routed_service desk;
+    desk.id = service_id("desk");
+    configuration.services = {engines, desk};
+    configuration.workspaces = {{workspace_id("w"), {"k"}, std::nullopt}};
+    belief.Offer(configuration, scheduler.Now());
+    selector.ApplyConfiguration(belief.table());
+    for (const char* name : {"p1", "p2"})
+      AddTarget(name, "desk");
+    for (const char* name : {"e1", "e2", "e3"})
+      AddTarget(name, "engines");
+    directory.SubscribeToLeaves([this](const known_target& target) {
+      connection->OnTargetLeaves(target.entry.id);
+    });
+    connection = std::make_shared<caller_connection>(services, caller_channel,
+                                                     [](caller_connection*) {});
+    connection->Start();
+  }
+
+  static route_spec Route(const std::string& prefix,
+                          call_kind kind,
+                          const std::string& service) {
+    route_spec route;
+    route.name = prefix;
+    route.host = "h";
+    route.path_prefix = prefix;
+    route.kind = kind;
+    route.services = {{service_id(service), 1}};
+    route.timeout = milliseconds(5000);
+    route.objective = milliseconds(400);
+    return route;
+  }
+
+  void AddTarget(const std::string& name, const std::string& service) {
+    target_entry entry;
+    entry.id = target_id(name);
+    entry.service = service_id(service);
+    entry.address = {name, 80};
+    entry.domain = domain_id("d");
+    entry.slots = 8;
+    entry.sequence = 1;
+    directory.Put(entry, scheduler.Now());
+  }
+
+  // The caller sends a request with id "r".
+  void Request(const std::string& path, const std::string& headers = "") {
+    caller_channel->Receive("POST " + path +
+                            " HTTP/1.1\r\nHost: h\r\nId: r\r\nKey: k\r\n" +
+                            headers + "Content-Length: 2\r\n\r\nhi");
+  }
+
+  void RequestStream() { Request("/stream/x", "Tokens: 1000\r\n"); }
+
+  // The newest channel to a target, and that target's name.
+  scripted_channel& target() { return *connector.channels.back(); }
+  scripted_channel& target(std::size_t index) {
+    return *connector.channels.at(index);
+  }
+  std::string TargetName(std::size_t index) const {
+    return connector.addresses.at(index).host;
+  }
+
+  static std::string Answer(const std::string& status,
+                            const std::string& body,
+                            const std::string& headers = "Signed: 1\r\n") {
+    return "HTTP/1.1 " + status + "\r\nId: r\r\n" + headers +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  }
+
+  static std::string StreamHead() {
+    return "HTTP/1.1 200 OK\r\nId: r\r\nSigned: 1\r\nEvents: 1\r\n"
+           "Transfer-Encoding: chunked\r\n\r\n";
+  }
+
+  static std::string Event(int id) {
+    return EncodeChunk("id: " + std::to_string(id) + "\ndata: x\n\n");
+  }
+
+  const std::string& sent() const { return caller_channel->written; }
+  bool Sent(const std::string& part) const {
+    return sent().find(part) != std::string::npos;
+  }
+
+  virtual_scheduler scheduler;
+  scripted_connector connector;
+  gateway_settings settings;
+  plain_dialect dialect;
+  gateway_metrics metrics;
+  std::shared_ptr<i_logger> logger = MakeNullLogger();
+  std::unique_ptr<i_http_caller> caller = MakeHttpCaller(connector, scheduler);
+  configuration_belief belief;
+  target_directory directory{milliseconds(2000)};
+  target_selector selector{{domain_id("d")}, directory, 1};
+  gateway_services services{settings,  scheduler, *caller, dialect, belief,
+                            directory, selector,  *logger, metrics, [] {}};
+  std::shared_ptr<scripted_channel> caller_channel =
+      std::make_shared<scripted_channel>();
+  std::shared_ptr<caller_connection> connection;
+};
+
+}  // namespace wist
+
+#endif  // GATEWAY_TESTS_MOCKS_EXCHANGE_FIXTURE_H_
--- /dev/null
+++ b/src/gateway/tests/mocks/plain_dialect.h
@@ -0,0 +1,111 @@
+#ifndef GATEWAY_TESTS_MOCKS_PLAIN_DIALECT_H_
+#define GATEWAY_TESTS_MOCKS_PLAIN_DIALECT_H_
+
+#include <string>
+
+#include "gateway/i_dialect.h"
+
+namespace wist {
+
+// A small dialect for tests: short header names, statuses by verdict.
+class plain_dialect final : public i_dialect {
+ public:
+  std::variant<caller_request, error_code> DecodeRequest(
+      http_request_message message) const override {
+    caller_request request;
+    request.id = std::string(message.Header("Id"));
+    request.host = std::string(message.Header("Host"));
+    request.key = std::string(message.Header("Key"));
+    const std::string time(message.Header("Time"));
+    if (!time.empty())
+      request.time_left = milliseconds(std::stoi(time));
+    const std::string tokens(message.Header("Tokens"));
+    if (!tokens.empty())
+      request.generation = generation_facts{std::stoi(tokens), 100, 50, ""};
+    request.message = std::move(message);
+    return request;
+  }
+
+  std::string EncodeRefusal(const std::string&,
+                            const refusal& refused,
+                            bool) const override {
+    const int status = refused.verdict == run_verdict::not_run ? 503 : 502;
+    std::vector<http_header> headers = {
+        {"Code", std::string(ErrorCodeName(refused.code))}};
+    if (refused.retry_after) {
+      headers.push_back(
+          {"Again", std::to_string(refused.retry_after->count())});
+    }
+    return EncodeHttpAnswer(status, headers, "");
+  }
+
+  std::string EncodeDispatch(const caller_request& request,
+                             const target_dispatch& dispatch) const override {
+    http_request_message sent = request.message;
+    sent.headers = {{"Id", request.id},
+                    {"To", dispatch.target.id.text()},
+                    {"Left", std::to_string(dispatch.time_left.count())}};
+    if (dispatch.memory) {
+      sent.headers.push_back({"Memory", dispatch.memory->handle});
+      sent.headers.push_back({"After", dispatch.last_event_id});
+    }
+    if (dispatch.backup)
+      sent.headers.push_back({"Backup", dispatch.backup->host});
+    return EncodeHttpRequest(sent);
+  }
+
+  bool Answers(const http_answer_head& head,
+               const std::string& id) const override {
+    return head.Header("Id") == id;
+  }
+
+  answer_facts Classify(const http_answer_head& head) const override {
+    answer_facts facts;
+    facts.is_event_stream = !head.Header("Events").empty();
+    if (!head.Header("Not-Run").empty())
+      facts.kind = answer_kind::not_run;
+    else if (head.status >= 500)
+      facts.kind = answer_kind::failure;
+    else if (!head.Header("Signed").empty())
+      facts.kind = answer_kind::success;
+    return facts;
+  }
+
+  std::vector<http_header> CallerHeaders(
+      const http_answer_head& head) const override {
+    return {{"Id", std::string(head.Header("Id"))}};
+  }
+
+  std::string EncodeMove(const target_entry&,
+                         const move_order& order) const override {
+    http_request_message call;
+    call.method = "POST";
+    call.target = "/move/" + order.request_id + "/" + order.receiver.host;
+    return EncodeHttpRequest(call);
+  }
+
+  move_answer DecodeMove(int status, const std::string& body) const override {
+    return {status, body};
+  }
+
+  std::string OperatorPrefix() const override { return "operator/"; }
+  std::string TargetPrefix() const override { return "targets/"; }
+  bool IsConfigurationKey(const std::string&) const override { return false; }
+  std::optional<domain_id> EvacuatedDomain(const std::string&) const override {
+    return std::nullopt;
+  }
+  routing_configuration DecodeConfiguration(const std::string&) const override {
+    return {};
+  }
+  std::optional<target_entry> DecodeTarget(const std::string&,
+                                           const std::string&) const override {
+    return std::nullopt;
+  }
+  target_id TargetOfKey(const std::string& key) const override {
+    return target_id(key);
+  }
+};
+
+}  // namespace wist
+
+#endif  // GATEWAY_TESTS_MOCKS_PLAIN_DIALECT_H_
