Send callers elsewhere at once from an instance that is not ready

A target that fell silent got more requests over kept channels.

Ruled out: a shorter watch (each call is paid for).

--- a/src/follower/internal/prefix_follower.cc
+++ b/src/follower/internal/prefix_follower.cc
@@ -85,9 +85,15 @@
   for (const store_change& change : page.changes)
     listener_.OnChange(change, AfterOutage());
   revision_ = std::max(*revision_, page.at_revision);
-  listener_.OnConfirmed(asked_at_);
-  if (page.changes.empty())
+  if (page.changes.empty()) {
+    // The store held the call for the whole wait and still had nothing newer.
+    // An answer that came sooner says that of the moment of the call only.
+    const bool waited = scheduler_.Now() >= asked_at_ + settings_.watch_wait;
+    listener_.OnConfirmed(waited ? asked_at_ + settings_.watch_wait
+                                 : asked_at_);
     return BeginWatch();
+  }
+  listener_.OnConfirmed(asked_at_);
   Later(settings_.change_pause, &prefix_follower::BeginWatch);
 }
 
--- a/src/framework/net/internal/tcp_channel.cc
+++ b/src/framework/net/internal/tcp_channel.cc
@@ -17,7 +17,7 @@
 
 // Keep-alive probes of idle channels, in seconds: a silent peer is found in
 // kProbeIdleS + kProbeCount * kProbePauseS.
-constexpr int kProbeIdleS = 2;
+constexpr int kProbeIdleS = 1;
 constexpr int kProbePauseS = 1;
 constexpr int kProbeCount = 2;
 
--- a/src/gateway/internal/caller_connection.cc
+++ b/src/gateway/internal/caller_connection.cc
@@ -36,6 +36,11 @@
   stopping_ = true;
 }
 
+void caller_connection::CloseIfIdle() {
+  if (!exchange_ && channel_ && !reader_->Begun())
+    CloseChannel();
+}
+
 void caller_connection::OnTargetLeaves(const target_id& target) {
   const auto current = exchange_;
   if (current)
--- a/src/gateway/internal/caller_connection.h
+++ b/src/gateway/internal/caller_connection.h
@@ -25,6 +25,9 @@
   // Answers the request that is there or on its way, then closes.
   void BeginStopping();
 
+  // Closes the channel if no request is there.
+  void CloseIfIdle();
+
   // Whether a request is being answered.
   bool IsBusy() const { return exchange_ != nullptr; }
 
@@ -36,6 +39,7 @@
   void Append(std::string bytes) override;
   void Finish(std::string bytes) override;
   void Abort() override;
+  void CloseAfterAnswer() override { keep_alive_ = false; }
   bool KeepsChannel() const override;
 
  private:
--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -42,11 +42,13 @@
 // Refused callers return spread over this part of their Retry-After.
 constexpr double kRetrySpread = 0.5;
 
-// Where an instance's word on the configuration is too old to serve by.
-constexpr milliseconds kNotReadyRetryAfter{500};
+// Another instance serves a caller that this one can't serve, so it may come
+// back at once, on another channel.
+constexpr milliseconds kElsewhereRetryAfter{10};
 
-// A key that was withdrawn may reach a target this long after the check.
-constexpr milliseconds kKeyMargin{700};
+// Covers the resolution of timers and clocks. A request is judged by the time
+// at which its caller sent it, which is before the check.
+constexpr milliseconds kKeyMargin{100};
 
 const char* KindName(call_kind kind) {
   switch (kind) {
@@ -368,6 +370,10 @@
     return;
   attempt_timer_.reset();
   excluded_.insert(attempt_->target.id);
+  // Kept channels to a target that fell silent may be as dead as this one; a
+  // new channel fails before anything is sent.
+  if (end == run_end::timed_out || end == run_end::broken)
+    services_.caller.Forget(attempt_->target.address);
   services_.selector.End(attempt_->run, end, services_.scheduler.Now());
   attempt_.reset();
   services_.on_load_change();
@@ -464,8 +470,11 @@
 
 void exchange::Refuse(error_code code, run_verdict verdict) {
   refusal refused{code, verdict, std::nullopt};
+  // Its later requests would be refused as well.
+  if (code == error_code::not_ready)
+    reply_->CloseAfterAnswer();
   if (verdict == run_verdict::not_run)
-    refused.retry_after = kNotReadyRetryAfter;
+    refused.retry_after = kElsewhereRetryAfter;
   if (streaming_) {
     reply_->Abort();
     return Over("broken", std::string(ErrorCodeName(code)));
--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -196,6 +196,8 @@
     const bool ready = Ready();
     if (ready != was_ready_) {
       was_ready_ = ready;
+      if (!ready)
+        CloseIdleConnections();
       const auto age = belief_.Age(now);
       parts_.logger.Write(
           log_level::info, "readiness",
@@ -206,6 +208,14 @@
     check_timer_ = parts_.loop.RunAt(now + kCheckPause, [this] { Check(); });
   }
 
+  // Callers on kept channels would meet refusals here; new channels lead to
+  // instances that are ready.
+  void CloseIdleConnections() {
+    const auto connections = connections_;
+    for (const auto& connection : connections)
+      connection->CloseIfIdle();
+  }
+
   void BeginStopping() {
     if (stop_deadline_)
       return;
--- a/src/gateway/internal/i_reply.h
+++ b/src/gateway/internal/i_reply.h
@@ -22,6 +22,9 @@
   // Breaks the answer off, so that it can't be taken for whole.
   virtual void Abort() = 0;
 
+  // Closes the channel after this answer, so that the caller opens another one.
+  virtual void CloseAfterAnswer() = 0;
+
   // Whether the channel can carry another request after this answer.
   virtual bool KeepsChannel() const = 0;
 };
--- a/src/gateway/internal/store_view.cc
+++ b/src/gateway/internal/store_view.cc
@@ -7,11 +7,11 @@
 
 // Requests under a withdrawn key stop within a few seconds, so the operators'
 // keys are asked for this often.
-constexpr milliseconds kOperatorWatchWait{1500};
+constexpr milliseconds kOperatorWatchWait{2500};
 
 // Targets write their entries when something changes; a watch that waits this
 // long also finds a channel that went silent.
-constexpr milliseconds kTargetWatchWait{2000};
+constexpr milliseconds kTargetWatchWait{4000};
 
 // Where instances announce themselves to each other.
 constexpr char kInstancePrefix[] = "wist/instances/";
