Let one instance of a failure domain watch the store for all of it

An instance that the store turned away went out of service though its neighbours knew the configuration.

Ways weighed: pushed datagrams (their age can't be known after a pause); one watcher for all (dies with a cut between domains). Chosen: the live instances of a domain form a tree of fan-out 8 whose root watches; the others read its copy with its age, and fall back to the store when a parent is silent, behind or lost.

Tests on a virtual clock: trees of 1 to 410 instances, silent and lost parents, copies that are behind or too old.

--- a/src/follower/i_async_store.h
+++ b/src/follower/i_async_store.h
@@ -27,12 +27,19 @@
   std::vector<store_change> items;
   bool has_more = false;
   std::int64_t at_revision = 0;
+  // How old the content was when the page was made; 0 from the store itself.
+  microseconds age{0};
+
+  auto operator<=>(const range_page&) const = default;
 };
 
 // Changes up to and including `at_revision`.
 struct watch_page {
   std::vector<store_change> changes;
   std::int64_t at_revision = 0;
+  microseconds age{0};
+
+  auto operator<=>(const watch_page&) const = default;
 };
 
 enum class store_fault {
@@ -45,10 +52,10 @@
 using range_result = std::variant<range_page, store_fault>;
 using watch_result = std::variant<watch_page, store_fault>;
 
-// The platform's key-value service, without waiting. Not thread-safe.
-class i_async_store {
+// Reads a key-value service without waiting. Not thread-safe.
+class i_store_reader {
  public:
-  virtual ~i_async_store() = default;
+  virtual ~i_store_reader() = default;
 
   // Reads keys under `prefix` that come after `after_key`.
   virtual void ReadRange(const std::string& prefix,
@@ -60,7 +67,11 @@
                      std::int64_t since_revision,
                      milliseconds wait,
                      std::function<void(watch_result)> done) = 0;
+};
 
+// The platform's key-value service. Not thread-safe.
+class i_async_store : public i_store_reader {
+ public:
   // Writes a key that lapses `validity` after the call, whatever was there.
   virtual void PutForAWhile(const std::string& key,
                             const std::string& value,
--- a/src/follower/internal/prefix_follower.cc
+++ b/src/follower/internal/prefix_follower.cc
@@ -22,7 +22,7 @@
 
 prefix_follower::prefix_follower(std::string prefix,
                                  const follower_settings& settings,
-                                 i_async_store& store,
+                                 i_store_reader& store,
                                  i_scheduler& scheduler,
                                  i_prefix_listener& listener,
                                  std::uint32_t seed)
@@ -40,6 +40,7 @@
 void prefix_follower::BeginRange() {
   items_.clear();
   range_revision_ = 0;
+  range_age_ = microseconds(0);
   asked_at_ = scheduler_.Now();
   ReadPage("");
 }
@@ -57,9 +58,12 @@
   // and sees again what later pages had already.
   if (range_revision_ == 0)
     range_revision_ = page.at_revision;
+  if (page.age > settings_.max_age)
+    return OnFault(store_fault::unavailable);
+  range_age_ = std::max(range_age_, page.age);
   for (const store_change& item : page.items) {
     if (item.value)
-      items_[item.key] = *item.value;
+      items_[item.key] = item;
   }
   if (page.has_more && !page.items.empty())
     return ReadPage(page.items.back().key);
@@ -67,7 +71,7 @@
   revision_ = range_revision_;
   listener_.OnSnapshot(items_, AfterOutage());
   items_.clear();
-  listener_.OnConfirmed(asked_at_);
+  listener_.OnConfirmed(*revision_, asked_at_ - range_age_);
   BeginWatch();
 }
 
@@ -81,6 +85,8 @@
   if (const auto* fault = std::get_if<store_fault>(&result))
     return OnFault(*fault);
   const auto& page = std::get<watch_page>(result);
+  if (page.age > settings_.max_age)
+    return OnFault(store_fault::unavailable);
   OnSuccess();
   for (const store_change& change : page.changes)
     listener_.OnChange(change, AfterOutage());
@@ -89,11 +95,12 @@
     // The store held the call for the whole wait and still had nothing newer.
     // An answer that came sooner says that of the moment of the call only.
     const bool waited = scheduler_.Now() >= asked_at_ + settings_.watch_wait;
-    listener_.OnConfirmed(waited ? asked_at_ + settings_.watch_wait
-                                 : asked_at_);
+    const timestamp confirmed_at =
+        waited ? asked_at_ + settings_.watch_wait : asked_at_;
+    listener_.OnConfirmed(*revision_, confirmed_at - page.age);
     return BeginWatch();
   }
-  listener_.OnConfirmed(asked_at_);
+  listener_.OnConfirmed(*revision_, asked_at_ - page.age);
   Later(settings_.change_pause, &prefix_follower::BeginWatch);
 }
 
--- a/src/follower/prefix_follower.h
+++ b/src/follower/prefix_follower.h
@@ -18,12 +18,13 @@
 
   // All items under the prefix. `after_outage` if calls failed before it, so
   // that items may have lapsed meanwhile.
-  virtual void OnSnapshot(const std::map<std::string, std::string>& items,
+  virtual void OnSnapshot(const std::map<std::string, store_change>& items,
                           bool after_outage) = 0;
   virtual void OnChange(const store_change& change, bool after_outage) = 0;
 
-  // What was told so far is all that the store held at `confirmed_at`.
-  virtual void OnConfirmed(timestamp confirmed_at) = 0;
+  // What was told so far is all that the store held at `revision`, and that was
+  // the newest one at `confirmed_at`.
+  virtual void OnConfirmed(std::int64_t revision, timestamp confirmed_at) = 0;
 
   virtual void OnLost(store_fault fault) = 0;
   virtual void OnRegained() = 0;
@@ -32,6 +33,8 @@
 struct follower_settings {
   // How long a watch waits: bounds the age of the last confirmation.
   milliseconds watch_wait{1500};
+  // Content older than this counts as a fault of who told it.
+  milliseconds max_age{1500};
   // Pause after a watch that brought changes, so that changes which come
   // together take one call.
   milliseconds change_pause{40};
@@ -46,7 +49,7 @@
  public:
   prefix_follower(std::string prefix,
                   const follower_settings& settings,
-                  i_async_store& store,
+                  i_store_reader& store,
                   i_scheduler& scheduler,
                   i_prefix_listener& listener,
                   std::uint32_t seed);
@@ -66,12 +69,13 @@
 
   const std::string prefix_;
   const follower_settings settings_;
-  i_async_store& store_;
+  i_store_reader& store_;
   i_scheduler& scheduler_;
   i_prefix_listener& listener_;
   std::minstd_rand random_;
   std::unique_ptr<i_timer> timer_;
-  std::map<std::string, std::string> items_;
+  std::map<std::string, store_change> items_;
+  microseconds range_age_{0};
   timestamp asked_at_;
   // Revision from which the next watch goes on; nothing before the first range.
   std::optional<std::int64_t> revision_;
--- a/src/follower/tests/prefix_follower_test.cc
+++ b/src/follower/tests/prefix_follower_test.cc
@@ -10,7 +10,7 @@
 namespace {
 
 // Holds calls until a test answers them.
-class scripted_store final : public i_async_store {
+class scripted_store final : public i_store_reader {
  public:
   void ReadRange(const std::string&,
                  const std::string& after_key,
@@ -25,10 +25,6 @@
     watch_since.push_back(since_revision);
     watch_done = std::move(done);
   }
-  void PutForAWhile(const std::string&,
-                    const std::string&,
-                    milliseconds,
-                    std::function<void(bool)>) override {}
 
   void AnswerRange(range_result result) {
     std::exchange(range_done, nullptr)(std::move(result));
@@ -44,7 +40,7 @@
 };
 
 struct recorded_listener final : i_prefix_listener {
-  void OnSnapshot(const std::map<std::string, std::string>& items,
+  void OnSnapshot(const std::map<std::string, store_change>& items,
                   bool after) override {
     snapshots.push_back(items);
     after_outage = after;
@@ -53,11 +49,11 @@
     changes.push_back(change.key);
     after_outage = after;
   }
-  void OnConfirmed(timestamp at) override { confirmed_at = at; }
+  void OnConfirmed(std::int64_t, timestamp at) override { confirmed_at = at; }
   void OnLost(store_fault) override { ++lost; }
   void OnRegained() override { ++regained; }
 
-  std::vector<std::map<std::string, std::string>> snapshots;
+  std::vector<std::map<std::string, store_change>> snapshots;
   std::vector<std::string> changes;
   timestamp confirmed_at{};
   bool after_outage = false;
@@ -108,6 +104,24 @@
   CHECK(f.listener.confirmed_at == asked_at + milliseconds(1500));
 }
 
+TEST_CASE("content that was old when it was told confirms an earlier moment") {
+  fixture f;
+  f.scheduler.Advance(milliseconds(5000));
+  f.store.AnswerRange(range_page{{}, false, 10, milliseconds(700)});
+  CHECK(f.listener.confirmed_at == timestamp() - milliseconds(700));
+  const timestamp asked_at = f.scheduler.Now();
+  f.store.AnswerWatch(watch_page{{}, 10, milliseconds(300)});
+  CHECK(f.listener.confirmed_at == asked_at - milliseconds(300));
+}
+
+TEST_CASE("content that is too old counts as a fault of who told it") {
+  fixture f;
+  f.store.AnswerRange(range_page{{}, false, 10});
+  f.store.AnswerWatch(watch_page{{{"p/a", "1", 11}}, 11, milliseconds(1600)});
+  CHECK(f.listener.changes.empty());
+  CHECK(f.listener.lost == 1);
+}
+
 TEST_CASE("lost history is read anew") {
   fixture f;
   f.store.AnswerRange(range_page{{}, false, 10});
--- /dev/null
+++ b/src/follower/tests/store_mirror_test.cc
@@ -0,0 +1,74 @@
+#include <catch2/catch.hpp>
+
+#include "follower/store_mirror.h"
+
+using namespace wist;
+
+namespace {
+
+timestamp At(std::int64_t ms) {
+  return timestamp(milliseconds(ms));
+}
+
+store_mirror Mirror() {
+  store_mirror mirror;
+  mirror.SetAll({{"a/1", {"a/1", "x", 3}}, {"b/1", {"b/1", "y", 5}}});
+  mirror.Confirm(10, At(1000));
+  return mirror;
+}
+
+}  // namespace
+
+TEST_CASE("a copy answers ranges with its age") {
+  const store_mirror mirror = Mirror();
+  const range_page page =
+      std::get<range_page>(mirror.ReadRange("a/", At(1400)));
+  REQUIRE(page.items.size() == 1);
+  CHECK(page.items[0].key == "a/1");
+  CHECK(page.at_revision == 10);
+  CHECK(page.age == milliseconds(400));
+}
+
+TEST_CASE("an empty copy answers nothing") {
+  const store_mirror mirror;
+  CHECK(std::holds_alternative<store_fault>(mirror.ReadRange("", At(0))));
+  CHECK(std::holds_alternative<store_fault>(*mirror.Watch("", 0, At(0))));
+}
+
+TEST_CASE("a watch gets the changes after its revision") {
+  store_mirror mirror = Mirror();
+  CHECK_FALSE(mirror.Watch("", 10, At(1000)));
+  mirror.Apply({"a/1", std::nullopt, 12});
+  mirror.Apply({"b/2", "z", 13});
+  mirror.Confirm(13, At(1100));
+  const auto all = std::get<watch_page>(*mirror.Watch("", 10, At(1100)));
+  CHECK(all.changes.size() == 2);
+  CHECK(all.at_revision == 13);
+  const auto later = std::get<watch_page>(*mirror.Watch("", 12, At(1100)));
+  CHECK(later.changes.size() == 1);
+  CHECK_FALSE(mirror.Watch("a/", 12, At(1100)));
+}
+
+TEST_CASE("a watch from before the copy reads anew") {
+  const store_mirror mirror = Mirror();
+  CHECK(std::get<store_fault>(*mirror.Watch("", 9, At(1000))) ==
+        store_fault::history_gone);
+}
+
+TEST_CASE("a copy that is behind its caller confirms nothing") {
+  const store_mirror mirror = Mirror();
+  CHECK_FALSE(mirror.Watch("", 11, At(1000)));
+  CHECK(std::holds_alternative<store_fault>(mirror.Unchanged(11, At(1000))));
+}
+
+TEST_CASE("changes past the bound of the log are read anew") {
+  store_mirror mirror = Mirror();
+  for (int i = 0; i < 2000; ++i)
+    mirror.Apply({"a/2", "v", 11 + i});
+  mirror.Confirm(2010, At(2000));
+  CHECK(std::get<store_fault>(*mirror.Watch("", 10, At(2000))) ==
+        store_fault::history_gone);
+  CHECK(
+      std::get<watch_page>(*mirror.Watch("", 2005, At(2000))).changes.size() ==
+      5);
+}
--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -9,6 +9,8 @@
 #include "gateway/internal/status_listener.h"
 #include "gateway/internal/store_view.h"
 #include "peers/load_exchange.h"
+#include "peers/mirror_server.h"
+#include "peers/shared_store.h"
 
 namespace wist {
 namespace {
@@ -40,7 +42,17 @@
         selector_({settings.domain}, directory_, Seed()),
         services_{settings_,  parts.loop, *caller_,     parts.dialect, belief_,
                   directory_, selector_,  parts.logger, metrics_,      [] {}},
-        view_(settings_, parts, services_, Seed()),
+        shared_store_(parts.store,
+                      *caller_,
+                      parts.loop,
+                      [this] { return WatchParentNow(); }),
+        view_(settings_,
+              parts.dialect,
+              shared_store_,
+              parts.store,
+              services_,
+              Seed()),
+        mirror_server_(view_.mirror(), parts.loop),
         loads_(
             {},
             settings.instance,
@@ -52,9 +64,8 @@
                                      parts_.loop.Now());
             }) {
     services_.on_load_change = [this] { loads_.OnLoadChange(); };
-    view_.SubscribeToInstances([this](const std::vector<http_address>& others) {
-      OnInstances(others);
-    });
+    view_.SubscribeToInstances([this] { OnInstances(); });
+    view_.SubscribeToLoss([this] { mirror_server_.RefuseWaiting(); });
     directory_.SubscribeToLeaves(
         [this](const known_target& target) { OnTargetLeaves(target); });
     view_.SubscribeToConfiguration(
@@ -79,6 +90,10 @@
           loads_.OnDatagram(bytes);
         });
     loads_.Start(*peer_port_);
+    parts_.loop.Listen(settings_.peer_listen,
+                       [this](std::shared_ptr<i_channel> channel) {
+                         mirror_server_.Accept(std::move(channel));
+                       });
     parts_.loop.OnSignal(SIGHUP, [this] { Reload(); });
     parts_.loop.OnSignal(SIGTERM, [this] { BeginStopping(); });
     parts_.loop.OnSignal(SIGINT, [this] { BeginStopping(); });
@@ -103,13 +118,23 @@
         .count();
   }
 
-  void OnInstances(const std::vector<http_address>& others) {
-    loads_.SetPeers(others);
-    services_.instance_count = others.size() + 1;
+  void OnInstances() {
+    std::vector<http_address> addresses;
+    for (const known_instance& instance : view_.OtherInstances())
+      addresses.push_back(instance.address);
+    loads_.SetPeers(std::move(addresses));
+    services_.instance_count = view_.OtherInstances().size() + 1;
     selector_.SetInstanceCount(services_.instance_count);
-    parts_.logger.Write(
-        log_level::info, "instances",
-        {{"count", static_cast<std::int64_t>(services_.instance_count)}});
+  }
+
+  // Whom this instance asks for the store's changes now.
+  std::optional<known_instance> WatchParentNow() {
+    std::vector<known_instance> live;
+    for (const known_instance& instance : view_.OtherInstances()) {
+      if (loads_.HeardLately(instance.name))
+        live.push_back(instance);
+    }
+    return WatchParent(view_.Self(), live);
   }
 
   // Bounds take effect at once; addresses stay those of the start.
@@ -129,7 +154,7 @@
   }
 
   bool Ready() const {
-    return !stop_deadline_ && belief_.table() && view_.HasTargets() &&
+    return !stop_deadline_ && belief_.table() && view_.HasSnapshot() &&
            belief_.IsFresh(parts_.loop.Now(), settings_.key_validity);
   }
 
@@ -247,7 +272,9 @@
   target_directory directory_;
   target_selector selector_;
   gateway_services services_;
+  shared_store shared_store_;
   store_view view_;
+  mirror_server mirror_server_;
   load_exchange loads_;
   std::unique_ptr<i_datagram_port> peer_port_;
   timestamp reload_due_{};
--- a/src/gateway/internal/store_view.cc
+++ b/src/gateway/internal/store_view.cc
@@ -5,19 +5,19 @@
 namespace wist {
 namespace {
 
-// Requests under a withdrawn key stop within a few seconds, so the operators'
-// keys are asked for this often.
-constexpr milliseconds kOperatorWatchWait{2500};
+// One watch over all keys costs a single call.
+constexpr char kEverything[] = "";
 
-// Targets write their entries when something changes; a watch that waits this
-// long also finds a channel that went silent.
-constexpr milliseconds kTargetWatchWait{4000};
+// How long a watch waits. Other instances read this one's copy, so its age adds
+// to theirs; changes have to be in force within seconds everywhere.
+constexpr milliseconds kWatchWait{800};
 
-// Where instances announce themselves to each other.
-constexpr char kInstancePrefix[] = "wist/instances/";
+// Copies older than this are not used: a copy of a copy that is in good order
+// stays below it.
+constexpr milliseconds kMaxCopyAge{2000};
 
-// Instances change rarely, and word of them is not urgent.
-constexpr milliseconds kInstanceWatchWait{20'000};
+// Where instances announce themselves to each other.
+constexpr std::string_view kInstancePrefix = "wist/instances/";
 
 // An entry outlives its instance by this long at the most. It is renewed early
 // enough to bridge an outage of the store.
@@ -25,10 +25,10 @@
 constexpr milliseconds kAnnouncePause{90'000};
 constexpr milliseconds kAnnounceRetryPause{2000};
 
-follower_settings FollowerSettings(const gateway_settings& settings,
-                                   milliseconds watch_wait) {
+follower_settings FollowerSettings(const gateway_settings& settings) {
   follower_settings follower;
-  follower.watch_wait = watch_wait;
+  follower.watch_wait = kWatchWait;
+  follower.max_age = kMaxCopyAge;
   follower.outage_grace = settings.missing_grace;
   return follower;
 }
@@ -36,67 +36,114 @@
 }  // namespace
 
 store_view::store_view(const gateway_settings& settings,
-                       const gateway_parts& parts,
+                       const i_dialect& dialect,
+                       i_store_reader& reader,
+                       i_async_store& writer,
                        gateway_services& services,
                        std::uint32_t seed)
     : settings_(settings),
-      store_(parts.store),
-      dialect_(parts.dialect),
+      dialect_(dialect),
+      writer_(writer),
       services_(services),
-      operator_(*this),
-      targets_(*this),
-      instances_(*this),
-      operator_follower_(parts.dialect.OperatorPrefix(),
-                         FollowerSettings(settings, kOperatorWatchWait),
-                         parts.store,
-                         parts.loop,
-                         operator_,
-                         seed),
-      target_follower_(parts.dialect.TargetPrefix(),
-                       FollowerSettings(settings, kTargetWatchWait),
-                       parts.store,
-                       parts.loop,
-                       targets_,
-                       seed + 1),
-      instance_follower_(kInstancePrefix,
-                         FollowerSettings(settings, kInstanceWatchWait),
-                         parts.store,
-                         parts.loop,
-                         instances_,
-                         seed + 2) {}
+      follower_(kEverything,
+                FollowerSettings(settings),
+                reader,
+                services.scheduler,
+                *this,
+                seed) {}
+
+void store_view::SubscribeToConfiguration(std::function<void()> handler) {
+  configuration_handler_ = std::move(handler);
+}
 
-void store_view::SubscribeToInstances(
-    std::function<void(const std::vector<http_address>&)> handler) {
+void store_view::SubscribeToInstances(std::function<void()> handler) {
   instances_handler_ = std::move(handler);
 }
 
-void store_view::SubscribeToConfiguration(std::function<void()> handler) {
-  configuration_handlers_.push_back(std::move(handler));
+void store_view::SubscribeToLoss(std::function<void()> handler) {
+  loss_handler_ = std::move(handler);
 }
 
 void store_view::Start() {
-  operator_follower_.Start();
-  target_follower_.Start();
-  instance_follower_.Start();
+  follower_.Start();
   Announce();
 }
 
+known_instance store_view::Self() const {
+  return {settings_.instance, settings_.domain, settings_.peer_listen};
+}
+
+std::vector<known_instance> store_view::OtherInstances() const {
+  std::vector<known_instance> others;
+  for (const auto& [name, instance] : instances_) {
+    if (name != settings_.instance)
+      others.push_back(instance);
+  }
+  return others;
+}
+
 void store_view::Announce() {
-  const timestamp now = services_.scheduler.Now();
-  announce_timer_ =
-      services_.scheduler.RunAt(now + kAnnouncePause, [this] { Announce(); });
-  const http_address& address = settings_.peer_listen;
-  store_.PutForAWhile(kInstancePrefix + settings_.instance,
-                      address.host + ":" + std::to_string(address.port),
-                      kAnnounceValidity, [this](bool done) {
-                        if (done)
-                          return;
-                        services_.logger.Write(log_level::warning,
-                                               "announce_failed", {});
-                        announce_timer_ = services_.scheduler.RunAt(
-                            services_.scheduler.Now() + kAnnounceRetryPause,
-                            [this] { Announce(); });
-                      });
+  announce_timer_ = services_.scheduler.RunAt(
+      services_.scheduler.Now() + kAnnouncePause, [this] { Announce(); });
+  writer_.PutForAWhile(
+      std::string(kInstancePrefix) + settings_.instance, EncodeInstance(Self()),
+      kAnnounceValidity, [this](bool done) {
+        if (done)
+          return;
+        services_.logger.Write(log_level::warning, "announce_failed", {});
+        announce_timer_ = services_.scheduler.RunAt(
+            services_.scheduler.Now() + kAnnounceRetryPause,
+            [this] { Announce(); });
+      });
+}
+
+void store_view::OnSnapshot(const std::map<std::string, store_change>& items,
+                            bool after_outage) {
+  has_snapshot_ = true;
+  mirror_.SetAll(items);
+  for (const auto& [key, item] : items)
+    Take(item, after_outage);
+  RemoveMissing(items, after_outage);
+}
+
+void store_view::OnChange(const store_change& change, bool after_outage) {
+  mirror_.Apply(change);
+  Take(change, after_outage);
+}
+
+void store_view::OnConfirmed(std::int64_t revision, timestamp confirmed_at) {
+  services_.belief.Confirm(services_.belief.version(), confirmed_at);
+  mirror_.Confirm(revision, confirmed_at);
+}
+
+void store_view::OnLost(store_fault fault) {
+  services_.metrics.OnStoreCall("lost");
+  services_.logger.Write(log_level::warning, "store_lost",
+                         {{"reason", std::string(StoreFaultName(fault))}});
+  if (loss_handler_)
+    loss_handler_();
+}
+
+void store_view::OnRegained() {
+  services_.logger.Write(log_level::info, "store_regained", {});
+}
+
+void store_view::Take(const store_change& change, bool after_outage) {
+  if (dialect_.IsConfigurationKey(change.key)) {
+    if (change.value)
+      TakeConfiguration(*change.value);
+  } else if (const auto domain = dialect_.EvacuatedDomain(change.key)) {
+    std::set<domain_id> domains = evacuated_;
+    if (change.value)
+      domains.insert(*domain);
+    else
+      domains.erase(*domain);
+    SetEvacuated(std::move(domains));
+  } else if (change.key.starts_with(dialect_.TargetPrefix())) {
+    TakeTarget(change, after_outage);
+  } else if (change.key.starts_with(kInstancePrefix)) {
+    TakeInstance(change);
+  }
 }
 
 void store_view::TakeConfiguration(const std::string& value) {
@@ -114,153 +161,74 @@
          {"replaces", held},
          {"routes",
           static_cast<std::int64_t>(table->configuration().routes.size())}});
-    for (const auto& handler : configuration_handlers_)
-      handler();
+    if (configuration_handler_)
+      configuration_handler_();
   } catch (const std::invalid_argument& error) {
     services_.logger.Write(log_level::error, "configuration_unreadable",
                            {{"reason", std::string(error.what())}});
   }
 }
 
-void store_view::SetEvacuated(const std::set<domain_id>& domains) {
-  std::string names;
-  for (const domain_id& domain : domains)
-    names += (names.empty() ? "" : ",") + domain.text();
-  services_.logger.Write(log_level::info, "evacuated_domains",
-                         {{"domains", names}});
-  services_.directory.SetEvacuated(domains);
-}
-
-void store_view::PutTarget(const std::string& key, const std::string& value) {
-  const auto entry = dialect_.DecodeTarget(key, value);
-  if (entry)
-    return services_.directory.Put(*entry, services_.scheduler.Now());
-  services_.logger.Write(log_level::warning, "target_entry_unreadable",
-                         {{"key", key}});
-}
-
-void store_view::LogLost(const std::string& prefix, store_fault fault) {
-  services_.metrics.OnStoreCall("lost");
-  services_.logger.Write(
-      log_level::warning, "store_lost",
-      {{"prefix", prefix}, {"reason", std::string(StoreFaultName(fault))}});
-}
-
-void store_view::LogRegained(const std::string& prefix) {
-  services_.logger.Write(log_level::info, "store_regained",
-                         {{"prefix", prefix}});
-}
-
-void store_view::operator_listener::OnSnapshot(
-    const std::map<std::string, std::string>& items,
-    bool) {
-  std::set<domain_id> now_evacuated;
-  for (const auto& [key, value] : items) {
-    if (view.dialect_.IsConfigurationKey(key))
-      view.TakeConfiguration(value);
-    else if (const auto domain = view.dialect_.EvacuatedDomain(key))
-      now_evacuated.insert(*domain);
-  }
-  if (now_evacuated == evacuated)
-    return;
-  evacuated = std::move(now_evacuated);
-  view.SetEvacuated(evacuated);
-}
-
-void store_view::operator_listener::OnChange(const store_change& change, bool) {
-  if (view.dialect_.IsConfigurationKey(change.key)) {
-    if (change.value)
-      view.TakeConfiguration(*change.value);
+void store_view::TakeTarget(const store_change& change, bool after_outage) {
+  const timestamp now = services_.scheduler.Now();
+  if (!change.value) {
+    services_.directory.Remove(dialect_.TargetOfKey(change.key), after_outage,
+                               now);
     return;
   }
-  const auto domain = view.dialect_.EvacuatedDomain(change.key);
-  if (!domain)
-    return;
-  if (change.value)
-    evacuated.insert(*domain);
-  else
-    evacuated.erase(*domain);
-  view.SetEvacuated(evacuated);
-}
-
-void store_view::operator_listener::OnConfirmed(timestamp confirmed_at) {
-  view.services_.belief.Confirm(view.services_.belief.version(), confirmed_at);
-}
-
-void store_view::operator_listener::OnLost(store_fault fault) {
-  view.LogLost("operator", fault);
-}
-
-void store_view::operator_listener::OnRegained() {
-  view.LogRegained("operator");
+  if (const auto entry = dialect_.DecodeTarget(change.key, *change.value))
+    return services_.directory.Put(*entry, now);
+  services_.logger.Write(log_level::warning, "target_entry_unreadable",
+                         {{"key", change.key}});
+}
+
+void store_view::TakeInstance(const store_change& change) {
+  const std::string name = change.key.substr(kInstancePrefix.size());
+  instances_.erase(name);
+  if (change.value) {
+    if (const auto instance = DecodeInstance(name, *change.value))
+      instances_[name] = *instance;
+    else
+      services_.logger.Write(log_level::warning, "instance_entry_unreadable",
+                             {{"key", change.key}});
+  }
+  if (instances_handler_)
+    instances_handler_();
 }
 
-void store_view::target_listener::OnSnapshot(
-    const std::map<std::string, std::string>& items,
-    bool after_outage) {
-  has_snapshot = true;
-  std::set<target_id> present;
-  for (const auto& [key, value] : items) {
-    present.insert(view.dialect_.TargetOfKey(key));
-    view.PutTarget(key, value);
-  }
+void store_view::RemoveMissing(const std::map<std::string, store_change>& items,
+                               bool after_outage) {
   std::vector<target_id> missing;
-  for (const auto& [id, target] : view.services_.directory.targets()) {
-    if (!present.contains(id))
+  for (const auto& [id, target] : services_.directory.targets()) {
+    if (!items.contains(dialect_.TargetPrefix() + id.text()))
       missing.push_back(id);
   }
   for (const target_id& id : missing) {
-    view.services_.directory.Remove(id, after_outage,
-                                    view.services_.scheduler.Now());
+    services_.directory.Remove(id, after_outage, services_.scheduler.Now());
   }
+  std::set<domain_id> domains;
+  for (const auto& [key, item] : items) {
+    if (const auto domain = dialect_.EvacuatedDomain(key))
+      domains.insert(*domain);
+  }
+  SetEvacuated(std::move(domains));
+  std::erase_if(instances_, [&](const auto& entry) {
+    return !items.contains(std::string(kInstancePrefix) + entry.first);
+  });
+  if (instances_handler_)
+    instances_handler_();
 }
 
-void store_view::target_listener::OnChange(const store_change& change,
-                                           bool after_outage) {
-  if (change.value)
-    return view.PutTarget(change.key, *change.value);
-  view.services_.directory.Remove(view.dialect_.TargetOfKey(change.key),
-                                  after_outage, view.services_.scheduler.Now());
-}
-
-void store_view::target_listener::OnLost(store_fault fault) {
-  view.LogLost("targets", fault);
-}
-
-void store_view::target_listener::OnRegained() {
-  view.LogRegained("targets");
-}
-
-void store_view::instance_listener::OnSnapshot(
-    const std::map<std::string, std::string>& items,
-    bool) {
-  addresses = items;
-  Tell();
-}
-
-void store_view::instance_listener::OnChange(const store_change& change, bool) {
-  if (change.value)
-    addresses[change.key] = *change.value;
-  else
-    addresses.erase(change.key);
-  Tell();
-}
-
-void store_view::instance_listener::Tell() const {
-  std::vector<http_address> others;
-  for (const auto& [key, address] : addresses) {
-    if (key == kInstancePrefix + view.settings_.instance)
-      continue;
-    try {
-      others.push_back(ParseHttpAddress(address));
-    } catch (const std::invalid_argument& error) {
-      view.services_.logger.Write(
-          log_level::warning, "instance_entry_unreadable",
-          {{"key", key}, {"reason", std::string(error.what())}});
-    }
-  }
-  if (view.instances_handler_)
-    view.instances_handler_(others);
+void store_view::SetEvacuated(std::set<domain_id> domains) {
+  if (domains == evacuated_)
+    return;
+  evacuated_ = std::move(domains);
+  std::string names;
+  for (const domain_id& domain : evacuated_)
+    names += (names.empty() ? "" : ",") + domain.text();
+  services_.logger.Write(log_level::info, "evacuated_domains",
+                         {{"domains", names}});
+  services_.directory.SetEvacuated(evacuated_);
 }
 
 }  // namespace wist
--- a/src/gateway/internal/store_view.h
+++ b/src/gateway/internal/store_view.h
@@ -2,97 +2,80 @@
 #define GATEWAY_INTERNAL_STORE_VIEW_H_
 
 #include <functional>
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "follower/prefix_follower.h"
+#include "follower/store_mirror.h"
 #include "gateway/gateway_module.h"
 #include "gateway/internal/gateway_services.h"
+#include "peers/watch_plan.h"
 
 namespace wist {
 
-// Brings what the store holds into the configuration belief and the directory.
-class store_view {
+// Brings what the store holds into the configuration belief, the directory and
+// the list of instances, and keeps a copy for the other instances.
+class store_view final : private i_prefix_listener {
  public:
+  // `reader` is followed; `writer` takes this instance's announcement.
   store_view(const gateway_settings& settings,
-             const gateway_parts& parts,
+             const i_dialect& dialect,
+             i_store_reader& reader,
+             i_async_store& writer,
              gateway_services& services,
              std::uint32_t seed);
 
   void SubscribeToConfiguration(std::function<void()> handler);
+
+  // `handler` is told when instances come or go; others than this one.
+  void SubscribeToInstances(std::function<void()> handler);
+
+  // `handler` is told when the store can't be read any more.
+  void SubscribeToLoss(std::function<void()> handler);
+
   void Start();
 
-  // `handler` gets the addresses of all instances that announced themselves.
-  void SubscribeToInstances(
-      std::function<void(const std::vector<http_address>&)> handler);
+  // Whether the store was read at least once.
+  bool HasSnapshot() const { return has_snapshot_; }
 
-  // Whether the list of targets was read at least once.
-  bool HasTargets() const { return targets_.has_snapshot; }
+  // The instances that announced themselves, without this one.
+  std::vector<known_instance> OtherInstances() const;
+  known_instance Self() const;
 
- private:
-  // The operators' keys: configuration and evacuated domains.
-  struct operator_listener final : i_prefix_listener {
-    explicit operator_listener(store_view& owner) : view(owner) {}
-    void OnSnapshot(const std::map<std::string, std::string>& items,
-                    bool after_outage) override;
-    void OnChange(const store_change& change, bool after_outage) override;
-    void OnConfirmed(timestamp confirmed_at) override;
-    void OnLost(store_fault fault) override;
-    void OnRegained() override;
-
-    store_view& view;
-    std::set<domain_id> evacuated;
-  };
-
-  // The targets' own entries.
-  struct target_listener final : i_prefix_listener {
-    explicit target_listener(store_view& owner) : view(owner) {}
-    void OnSnapshot(const std::map<std::string, std::string>& items,
-                    bool after_outage) override;
-    void OnChange(const store_change& change, bool after_outage) override;
-    void OnConfirmed(timestamp) override {}
-    void OnLost(store_fault fault) override;
-    void OnRegained() override;
-
-    store_view& view;
-    bool has_snapshot = false;
-  };
-
-  // The instances' own entries.
-  struct instance_listener final : i_prefix_listener {
-    explicit instance_listener(store_view& owner) : view(owner) {}
-    void OnSnapshot(const std::map<std::string, std::string>& items,
-                    bool after_outage) override;
-    void OnChange(const store_change& change, bool after_outage) override;
-    void OnConfirmed(timestamp) override {}
-    void OnLost(store_fault) override {}
-    void OnRegained() override {}
-    void Tell() const;
-
-    store_view& view;
-    std::map<std::string, std::string> addresses;
-  };
+  store_mirror& mirror() { return mirror_; }
 
-  void Announce();
+ private:
+  // i_prefix_listener:
+  void OnSnapshot(const std::map<std::string, store_change>& items,
+                  bool after_outage) override;
+  void OnChange(const store_change& change, bool after_outage) override;
+  void OnConfirmed(std::int64_t revision, timestamp confirmed_at) override;
+  void OnLost(store_fault fault) override;
+  void OnRegained() override;
+
+  void Take(const store_change& change, bool after_outage);
   void TakeConfiguration(const std::string& value);
-  void SetEvacuated(const std::set<domain_id>& domains);
-  void PutTarget(const std::string& key, const std::string& value);
-  void LogLost(const std::string& prefix, store_fault fault);
-  void LogRegained(const std::string& prefix);
+  void TakeTarget(const store_change& change, bool after_outage);
+  void TakeInstance(const store_change& change);
+  void RemoveMissing(const std::map<std::string, store_change>& items,
+                     bool after_outage);
+  void SetEvacuated(std::set<domain_id> domains);
+  void Announce();
 
   const gateway_settings& settings_;
-  i_async_store& store_;
   const i_dialect& dialect_;
+  i_async_store& writer_;
   gateway_services& services_;
-  std::vector<std::function<void()>> configuration_handlers_;
-  operator_listener operator_;
-  target_listener targets_;
-  instance_listener instances_;
-  prefix_follower operator_follower_;
-  prefix_follower target_follower_;
-  prefix_follower instance_follower_;
-  std::function<void(const std::vector<http_address>&)> instances_handler_;
+  std::function<void()> configuration_handler_;
+  std::function<void()> instances_handler_;
+  std::function<void()> loss_handler_;
+  store_mirror mirror_;
+  bool has_snapshot_ = false;
+  std::set<domain_id> evacuated_;
+  std::map<std::string, known_instance> instances_;
+  prefix_follower follower_;
   std::unique_ptr<i_timer> announce_timer_;
 };
 
--- a/src/peers/internal/load_exchange.cc
+++ b/src/peers/internal/load_exchange.cc
@@ -8,6 +8,9 @@
 
 using nlohmann::json;
 
+// An instance that missed this many words in a row counts as gone.
+constexpr int kMissedWords = 3;
+
 }  // namespace
 
 std::string EncodeLoadWord(const load_word& word) {
@@ -85,19 +88,30 @@
       EncodeLoadWord({instance_, started_at_, next_number_++, own_loads_()});
   for (const http_address& peer : peers_)
     port_->Send(peer, bytes);
-  timer_ = scheduler_.RunAt(told_at_ + settings_.refresh, [this] { Tell(); });
+  timer_ = scheduler_.RunAt(told_at_ + RefreshPause(), [this] { Tell(); });
+}
+
+microseconds load_exchange::RefreshPause() const {
+  return std::max<microseconds>(settings_.refresh, MinPause());
+}
+
+bool load_exchange::HeardLately(const std::string& instance) const {
+  const auto found = newest_.find(instance);
+  return found != newest_.end() &&
+         scheduler_.Now() <
+             found->second.heard_at + RefreshPause() * kMissedWords;
 }
 
 void load_exchange::OnDatagram(std::string_view bytes) {
   const auto word = DecodeLoadWord(bytes);
   if (!word || word->instance == instance_)
     return;
-  auto& newest = newest_[word->instance];
+  heard_word& newest = newest_[word->instance];
   const auto order = std::pair(word->started_at, word->number);
   // Datagrams may overtake each other.
-  if (order <= newest)
+  if (order <= newest.order)
     return;
-  newest = order;
+  newest = {order, scheduler_.Now()};
   on_word_(*word);
 }
 
--- /dev/null
+++ b/src/peers/internal/page_codec.cc
@@ -0,0 +1,101 @@
+#include "peers/internal/page_codec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace wist {
+namespace {
+
+using nlohmann::json;
+
+json EncodeChanges(const std::vector<store_change>& changes) {
+  json list = json::array();
+  for (const store_change& change : changes) {
+    json entry = json::array({change.key, change.revision});
+    if (change.value)
+      entry.push_back(*change.value);
+    list.push_back(std::move(entry));
+  }
+  return list;
+}
+
+std::vector<store_change> DecodeChanges(const json& list) {
+  std::vector<store_change> changes;
+  for (const json& entry : list) {
+    store_change change;
+    change.key = entry.at(0).get<std::string>();
+    change.revision = entry.at(1).get<std::int64_t>();
+    if (entry.size() > 2)
+      change.value = entry.at(2).get<std::string>();
+    changes.push_back(std::move(change));
+  }
+  return changes;
+}
+
+std::string Pack(const json& page) {
+  const auto bytes = json::to_msgpack(page);
+  return {bytes.begin(), bytes.end()};
+}
+
+std::string EncodeFault(store_fault fault) {
+  return Pack(json::array({static_cast<int>(fault)}));
+}
+
+struct page_fields {
+  std::vector<store_change> changes;
+  std::int64_t at_revision = 0;
+  microseconds age{0};
+};
+
+std::variant<page_fields, store_fault> Decode(const std::string& bytes) {
+  try {
+    const json page = json::from_msgpack(bytes);
+    if (page.size() == 1) {
+      return page.at(0).get<int>() ==
+                     static_cast<int>(store_fault::history_gone)
+                 ? store_fault::history_gone
+                 : store_fault::unavailable;
+    }
+    return page_fields{DecodeChanges(page.at(2)),
+                       page.at(0).get<std::int64_t>(),
+                       microseconds(page.at(1).get<std::int64_t>())};
+  } catch (const json::exception&) {
+    return store_fault::unavailable;
+  }
+}
+
+}  // namespace
+
+std::string EncodePage(const range_result& result) {
+  if (const auto* fault = std::get_if<store_fault>(&result))
+    return EncodeFault(*fault);
+  const auto& page = std::get<range_page>(result);
+  return Pack(json::array(
+      {page.at_revision, page.age.count(), EncodeChanges(page.items)}));
+}
+
+std::string EncodePage(const watch_result& result) {
+  if (const auto* fault = std::get_if<store_fault>(&result))
+    return EncodeFault(*fault);
+  const auto& page = std::get<watch_page>(result);
+  return Pack(json::array(
+      {page.at_revision, page.age.count(), EncodeChanges(page.changes)}));
+}
+
+range_result DecodeRangePage(const std::string& bytes) {
+  auto decoded = Decode(bytes);
+  if (const auto* fault = std::get_if<store_fault>(&decoded))
+    return *fault;
+  auto& fields = std::get<page_fields>(decoded);
+  return range_page{std::move(fields.changes), false, fields.at_revision,
+                    fields.age};
+}
+
+watch_result DecodeWatchPage(const std::string& bytes) {
+  auto decoded = Decode(bytes);
+  if (const auto* fault = std::get_if<store_fault>(&decoded))
+    return *fault;
+  auto& fields = std::get<page_fields>(decoded);
+  return watch_page{std::move(fields.changes), fields.at_revision, fields.age};
+}
+
+}  // namespace wist
--- /dev/null
+++ b/src/peers/internal/shared_store.cc
@@ -0,0 +1,154 @@
+#include "peers/shared_store.h"
+
+#include <Poco/URI.h>
+
+#include <algorithm>
+
+#include "peers/internal/page_codec.h"
+
+namespace wist {
+namespace {
+
+constexpr milliseconds kConnectLimit{300};
+
+// A parent answers within its wait and this time, or counts as gone: what
+// follows has to fit into the bound on changes of the configuration.
+constexpr milliseconds kAnswerLimit{400};
+constexpr milliseconds kMaxIdle{10'000};
+
+// Longest wait of a watch at a parent: the age of a confirmation grows with it.
+constexpr milliseconds kParentWait{400};
+
+// How long the store is asked after a parent failed.
+constexpr milliseconds kFirstDirect{2000};
+constexpr milliseconds kLongestDirect{16'000};
+constexpr int kMaxDoublings = 3;
+
+// One call to another instance, with its time limit.
+class parent_call : public std::enable_shared_from_this<parent_call> {
+ public:
+  using done_handler = std::function<void(std::optional<std::string> body)>;
+
+  // `on_done` gets nothing if no answer came in time.
+  void Start(i_http_caller& caller,
+             i_scheduler& scheduler,
+             const http_address& address,
+             const std::string& target,
+             milliseconds limit,
+             done_handler on_done) {
+    on_done_ = std::move(on_done);
+    const auto self = shared_from_this();
+    const timestamp now = scheduler.Now();
+    timer_ = scheduler.RunAt(now + limit, [self] {
+      self->call_->Cancel();
+      self->Done(std::nullopt);
+    });
+    http_request_message request;
+    request.method = "GET";
+    request.target = target;
+    request.headers = {{"Host", address.host}};
+    call_callbacks callbacks;
+    callbacks.on_body = [self](std::string bytes) { self->body_ += bytes; };
+    callbacks.on_done = [self](call_outcome outcome) {
+      if (outcome.end == call_end::complete)
+        return self->Done(std::move(self->body_));
+      self->Done(std::nullopt);
+    };
+    call_ = caller.Call(address, EncodeHttpRequest(request),
+                        {now + kConnectLimit, kMaxIdle}, std::move(callbacks));
+  }
+
+ private:
+  void Done(std::optional<std::string> body) {
+    timer_.reset();
+    const auto on_done = std::exchange(on_done_, nullptr);
+    if (on_done)
+      on_done(std::move(body));
+  }
+
+  done_handler on_done_;
+  std::shared_ptr<i_http_call> call_;
+  std::unique_ptr<i_timer> timer_;
+  std::string body_;
+};
+
+}  // namespace
+
+shared_store::shared_store(i_store_reader& store,
+                           i_http_caller& caller,
+                           i_scheduler& scheduler,
+                           parent_finder parent)
+    : store_(store),
+      caller_(caller),
+      scheduler_(scheduler),
+      find_parent_(std::move(parent)) {}
+
+std::optional<known_instance> shared_store::Parent() const {
+  if (direct_deadline_ && scheduler_.Now() < *direct_deadline_)
+    return std::nullopt;
+  return find_parent_();
+}
+
+void shared_store::OnParentFault() {
+  const milliseconds span = std::min(
+      kFirstDirect * (1 << std::min(faults_, kMaxDoublings)), kLongestDirect);
+  ++faults_;
+  direct_deadline_ = scheduler_.Now() + span;
+}
+
+void shared_store::OnParentAnswer() {
+  faults_ = 0;
+}
+
+void shared_store::ReadRange(const std::string& prefix,
+                             const std::string& after_key,
+                             std::function<void(range_result)> done) {
+  const auto parent = after_key.empty() ? Parent() : std::nullopt;
+  if (!parent)
+    return store_.ReadRange(prefix, after_key, std::move(done));
+  Poco::URI uri("/range");
+  uri.addQueryParameter("prefix", prefix);
+  std::make_shared<parent_call>()->Start(
+      caller_, scheduler_, parent->address, uri.getPathEtc(), kAnswerLimit,
+      [this, prefix, done = std::move(done)](std::optional<std::string> body) {
+        range_result result = body ? DecodeRangePage(*body)
+                                   : range_result(store_fault::unavailable);
+        if (std::holds_alternative<range_page>(result)) {
+          OnParentAnswer();
+          return done(std::move(result));
+        }
+        OnParentFault();
+        store_.ReadRange(prefix, "", done);
+      });
+}
+
+void shared_store::Watch(const std::string& prefix,
+                         std::int64_t since_revision,
+                         milliseconds wait,
+                         std::function<void(watch_result)> done) {
+  const auto parent = Parent();
+  if (!parent)
+    return store_.Watch(prefix, since_revision, wait, std::move(done));
+  const milliseconds parent_wait = std::min(wait, kParentWait);
+  Poco::URI uri("/watch");
+  uri.addQueryParameter("prefix", prefix);
+  uri.addQueryParameter("since", std::to_string(since_revision));
+  uri.addQueryParameter("wait_ms", std::to_string(parent_wait.count()));
+  std::make_shared<parent_call>()->Start(
+      caller_, scheduler_, parent->address, uri.getPathEtc(),
+      parent_wait + kAnswerLimit,
+      [this, prefix, since_revision, wait,
+       done = std::move(done)](std::optional<std::string> body) {
+        watch_result result = body ? DecodeWatchPage(*body)
+                                   : watch_result(store_fault::unavailable);
+        const auto* fault = std::get_if<store_fault>(&result);
+        if (fault && *fault == store_fault::unavailable) {
+          OnParentFault();
+          return store_.Watch(prefix, since_revision, wait, done);
+        }
+        OnParentAnswer();
+        done(std::move(result));
+      });
+}
+
+}  // namespace wist
--- a/src/peers/load_exchange.h
+++ b/src/peers/load_exchange.h
@@ -58,6 +58,10 @@
   void Start(i_datagram_port& port);
   void SetPeers(std::vector<http_address> peers);
 
+  // Whether the instance told anything within the time in which several of its
+  // words were due.
+  bool HeardLately(const std::string& instance) const;
+
   // The own loads changed: the others hear of it soon.
   void OnLoadChange();
   void OnDatagram(std::string_view bytes);
@@ -65,6 +69,7 @@
  private:
   void Tell();
   microseconds MinPause() const;
+  microseconds RefreshPause() const;
 
   const load_exchange_settings settings_;
   const std::string instance_;
@@ -78,7 +83,11 @@
   bool change_pending_ = false;
   timestamp told_at_{};
   std::unique_ptr<i_timer> timer_;
-  std::map<std::string, std::pair<std::int64_t, std::uint64_t>> newest_;
+  struct heard_word {
+    std::pair<std::int64_t, std::uint64_t> order;
+    timestamp heard_at;
+  };
+  std::map<std::string, heard_word> newest_;
 };
 
 }  // namespace wist
--- a/src/peers/tests/load_exchange_test.cc
+++ b/src/peers/tests/load_exchange_test.cc
@@ -69,6 +69,16 @@
   CHECK(f.heard.size() == 2);
 }
 
+TEST_CASE("an instance that fell silent counts as gone") {
+  fixture f;
+  CHECK_FALSE(f.exchange.HeardLately("peer"));
+  f.exchange.OnDatagram(EncodeLoadWord(Word(5, 1)));
+  f.scheduler.Advance(milliseconds(2900));
+  CHECK(f.exchange.HeardLately("peer"));
+  f.scheduler.Advance(milliseconds(200));
+  CHECK_FALSE(f.exchange.HeardLately("peer"));
+}
+
 TEST_CASE("changes that come together are told once, to every peer") {
   fixture f;
   f.exchange.SetPeers({{"a", 1}, {"b", 1}});
--- /dev/null
+++ b/src/peers/tests/watch_sharing_test.cc
@@ -0,0 +1,202 @@
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <set>
+
+#include "framework/net/tests/mocks/scripted_connector.h"
+#include "framework/net/tests/mocks/virtual_scheduler.h"
+#include "peers/internal/page_codec.h"
+#include "peers/mirror_server.h"
+#include "peers/shared_store.h"
+
+// Pattern: many instances follow a store that charges each call.
+
+using namespace wist;
+
+namespace {
+
+known_instance Instance(int number, const std::string& domain = "d") {
+  return {"i" + std::to_string(number),
+          domain_id(domain),
+          {"10.0.0." + std::to_string(number), 7200}};
+}
+
+std::vector<known_instance> Instances(int count) {
+  std::vector<known_instance> all;
+  for (int i = 0; i < count; ++i)
+    all.push_back(Instance(i));
+  return all;
+}
+
+class counted_store final : public i_store_reader {
+ public:
+  void ReadRange(const std::string&,
+                 const std::string&,
+                 std::function<void(range_result)> done) override {
+    ++calls;
+    done(range_page{{}, false, 5});
+  }
+  void Watch(const std::string&,
+             std::int64_t,
+             milliseconds,
+             std::function<void(watch_result)> done) override {
+    ++calls;
+    done(watch_page{{}, 5});
+  }
+  int calls = 0;
+};
+
+struct fixture {
+  void Watch() {
+    store.Watch("", 5, milliseconds(800),
+                [this](watch_result result) { got = std::move(result); });
+  }
+
+  virtual_scheduler scheduler;
+  scripted_connector connector;
+  std::unique_ptr<i_http_caller> caller = MakeHttpCaller(connector, scheduler);
+  counted_store direct;
+  std::optional<known_instance> parent = Instance(1);
+  shared_store store{direct, *caller, scheduler, [this] { return parent; }};
+  std::optional<watch_result> got;
+};
+
+std::string Http(const std::string& body) {
+  return EncodeHttpAnswer(200, {}, body);
+}
+
+}  // namespace
+
+TEST_CASE("one instance of a domain asks the store, the others form a tree") {
+  for (const int count : {1, 3, 9, 70, 410}) {
+    const auto all = Instances(count);
+    int roots = 0;
+    std::map<std::string, std::size_t> children;
+    for (const known_instance& self : all) {
+      int depth = 0;
+      auto parent = WatchParent(self, all);
+      roots += parent ? 0 : 1;
+      if (parent)
+        ++children[parent->name];
+      for (; parent; parent = WatchParent(*parent, all))
+        ++depth;
+      CHECK(depth <= 3);
+    }
+    CHECK(roots == 1);
+    for (const auto& [name, number] : children)
+      CHECK(number <= kWatchFanOut);
+  }
+}
+
+TEST_CASE("instances of other domains are never asked") {
+  std::vector<known_instance> all = {Instance(1, "other"), Instance(2)};
+  CHECK_FALSE(WatchParent(all[1], all));
+}
+
+TEST_CASE("without its root a domain has another one") {
+  auto all = Instances(9);
+  const auto root = std::find_if(
+      all.begin(), all.end(),
+      [&](const known_instance& self) { return !WatchParent(self, all); });
+  all.erase(root);
+  int roots = 0;
+  for (const known_instance& self : all)
+    roots += WatchParent(self, all) ? 0 : 1;
+  CHECK(roots == 1);
+}
+
+TEST_CASE("an instance's announcement survives its encoding") {
+  CHECK(DecodeInstance("i3", EncodeInstance(Instance(3))) == Instance(3));
+  CHECK_FALSE(DecodeInstance("i3", ""));
+  CHECK_FALSE(DecodeInstance("i3", "nonsense d"));
+}
+
+TEST_CASE("a watch through a parent costs no call to the store") {
+  fixture f;
+  f.Watch();
+  CHECK(f.connector.addresses.at(0) == Instance(1).address);
+  const watch_page page{{{"k", "v", 6}}, 6, milliseconds(40)};
+  f.connector.channels[0]->Receive(Http(EncodePage(watch_result(page))));
+  REQUIRE(f.got);
+  CHECK(std::get<watch_page>(*f.got) == page);
+  CHECK(f.direct.calls == 0);
+}
+
+TEST_CASE("a silent parent is replaced by the store in time") {
+  fixture f;
+  f.Watch();
+  f.scheduler.Advance(milliseconds(799));
+  CHECK(f.direct.calls == 0);
+  f.scheduler.Advance(milliseconds(2));
+  CHECK(f.direct.calls == 1);
+  CHECK(f.got);
+  f.Watch();
+  CHECK(f.direct.calls == 2);
+  f.scheduler.Advance(milliseconds(2000));
+  f.Watch();
+  CHECK(f.direct.calls == 2);
+}
+
+TEST_CASE("a parent that lost the store itself is replaced at once") {
+  fixture f;
+  f.Watch();
+  f.connector.channels[0]->Receive(
+      Http(EncodePage(watch_result(store_fault::unavailable))));
+  CHECK(f.direct.calls == 1);
+}
+
+TEST_CASE("bytes that are no page count as a fault of the parent") {
+  fixture f;
+  f.Watch();
+  f.connector.channels[0]->Receive(Http("nonsense"));
+  CHECK(f.direct.calls == 1);
+}
+
+TEST_CASE("lost history is passed on, so that the range is read anew") {
+  fixture f;
+  f.Watch();
+  f.connector.channels[0]->Receive(
+      Http(EncodePage(watch_result(store_fault::history_gone))));
+  CHECK(std::get<store_fault>(*f.got) == store_fault::history_gone);
+  CHECK(f.direct.calls == 0);
+}
+
+TEST_CASE("a mirror's waiting watches are answered by its next change") {
+  virtual_scheduler scheduler;
+  store_mirror mirror;
+  mirror_server server(mirror, scheduler);
+  mirror.SetAll({});
+  mirror.Confirm(5, scheduler.Now());
+  const auto channel = std::make_shared<scripted_channel>();
+  server.Accept(channel);
+  channel->Receive(
+      "GET /watch?prefix=&since=5&wait_ms=400 HTTP/1.1\r\nHost: h\r\n\r\n");
+  CHECK(channel->written.empty());
+  mirror.Apply({"k", "v", 6});
+  mirror.Confirm(6, scheduler.Now());
+  CHECK(channel->written.starts_with("HTTP/1.1 200"));
+  channel->written.clear();
+  channel->Receive(
+      "GET /watch?prefix=&since=6&wait_ms=400 HTTP/1.1\r\nHost: h\r\n\r\n");
+  scheduler.Advance(milliseconds(399));
+  CHECK(channel->written.empty());
+  scheduler.Advance(milliseconds(2));
+  CHECK(channel->written.starts_with("HTTP/1.1 200"));
+}
+
+TEST_CASE("a mirror that lost its source sends waiting callers elsewhere") {
+  virtual_scheduler scheduler;
+  store_mirror mirror;
+  mirror_server server(mirror, scheduler);
+  mirror.SetAll({});
+  mirror.Confirm(5, scheduler.Now());
+  const auto channel = std::make_shared<scripted_channel>();
+  server.Accept(channel);
+  channel->Receive(
+      "GET /watch?prefix=&since=5&wait_ms=400 HTTP/1.1\r\nHost: h\r\n\r\n");
+  server.RefuseWaiting();
+  CHECK(channel->written.starts_with("HTTP/1.1 200"));
+  scheduler.Advance(milliseconds(500));
+  CHECK(channel->written.find("HTTP/1.1") ==
+        channel->written.rfind("HTTP/1.1"));
+}
