--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -46,6 +46,9 @@
 // back at once, on another channel.
 constexpr milliseconds kElsewhereRetryAfter{10};
 
+// Time that a token of a generation takes on a well filled engine.
+constexpr milliseconds kAssumedTokenTime{12};
+
 // Covers the resolution of timers and clocks. A request is judged by the time
 // at which its caller sent it, which is before the check.
 constexpr milliseconds kKeyMargin{100};
@@ -123,9 +126,30 @@
   if (request_.time_left)
     limit = std::min(limit, *request_.time_left);
   deadline_ = received_at_ + limit;
+  if (!FitsBeforeStop()) {
+    Refuse(error_code::stopping, run_verdict::not_run);
+    return false;
+  }
   return true;
 }
 
+// A request that would be cut by this instance's own stop is better served by
+// another one from its beginning.
+bool exchange::FitsBeforeStop() const {
+  if (!services_.stop_deadline)
+    return true;
+  if (received_at_ >= *services_.accept_deadline)
+    return false;
+  if (match_.route->kind != call_kind::streaming)
+    return true;
+  const auto size = SelectionRequest().size;
+  if (!size)
+    return false;
+  return received_at_ + kAssumedTokenTime * size->expected_output_tokens +
+             match_.route->objective <
+         *services_.stop_deadline;
+}
+
 void exchange::RefuseRoute(route_fault fault) {
   Refuse(fault == route_fault::no_route ? error_code::no_route
                                         : error_code::unknown_key,
@@ -471,7 +495,7 @@
 void exchange::Refuse(error_code code, run_verdict verdict) {
   refusal refused{code, verdict, std::nullopt};
   // Its later requests would be refused as well.
-  if (code == error_code::not_ready)
+  if (code == error_code::not_ready || code == error_code::stopping)
     reply_->CloseAfterAnswer();
   if (verdict == run_verdict::not_run)
     refused.retry_after = kElsewhereRetryAfter;
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -48,6 +48,7 @@
   };
 
   bool Route();
+  bool FitsBeforeStop() const;
   void RefuseRoute(route_fault fault);
   selection_request SelectionRequest() const;
   void Dispatch();
--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -154,7 +154,7 @@
   }
 
   bool Ready() const {
-    return !stop_deadline_ && belief_.table() && view_.HasSnapshot() &&
+    return !services_.stop_deadline && belief_.table() && view_.HasSnapshot() &&
            belief_.IsFresh(parts_.loop.Now(), settings_.key_validity);
   }
 
@@ -175,7 +175,7 @@
         services_, std::move(channel),
         [this](caller_connection* ended) { Remove(ended); });
     connections_.insert(connection);
-    if (stop_deadline_)
+    if (services_.stop_deadline)
       connection->BeginStopping();
     connection->Start();
   }
@@ -242,11 +242,11 @@
   }
 
   void BeginStopping() {
-    if (stop_deadline_)
+    if (services_.stop_deadline)
       return;
     const timestamp now = parts_.loop.Now();
-    stop_deadline_ = now + settings_.stop_limit - kStopMargin;
-    accept_deadline_ = now + kStopAcceptSpan;
+    services_.stop_deadline = now + settings_.stop_limit - kStopMargin;
+    services_.accept_deadline = now + kStopAcceptSpan;
     parts_.logger.Write(
         log_level::info, "stopping",
         {{"in_flight", static_cast<std::int64_t>(BusyConnections())}});
@@ -257,9 +257,12 @@
 
   void CheckStop() {
     const timestamp now = parts_.loop.Now();
-    if (now >= *stop_deadline_ ||
-        (now >= accept_deadline_ && BusyConnections() == 0))
+    const bool accepting = now < *services_.accept_deadline;
+    if (now >= *services_.stop_deadline ||
+        (!accepting && BusyConnections() == 0))
       return parts_.loop.Stop();
+    if (!accepting)
+      CloseIdleConnections();
     stop_timer_ =
         parts_.loop.RunAt(now + kStopCheckPause, [this] { CheckStop(); });
   }
@@ -280,8 +283,6 @@
   timestamp reload_due_{};
   std::unique_ptr<status_listener> status_;
   std::set<std::shared_ptr<caller_connection>> connections_;
-  std::optional<timestamp> stop_deadline_;
-  timestamp accept_deadline_;
   bool was_ready_ = false;
   std::unique_ptr<i_timer> flush_timer_;
   std::unique_ptr<i_timer> check_timer_;
--- a/src/gateway/internal/gateway_services.h
+++ b/src/gateway/internal/gateway_services.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 
 #include "directory/target_directory.h"
 #include "framework/logging/i_logger.h"
@@ -36,6 +37,10 @@
   // Instances that share budgets; an assumption until they are known.
   std::size_t instance_count = kAssumedInstances;
   std::map<service_id, window_retry_budget> budgets;
+  // Set by a planned stop: no request is taken after the first, and none is
+  // served after the second.
+  std::optional<timestamp> accept_deadline;
+  std::optional<timestamp> stop_deadline;
 
   retry_window_settings RetrySettings() const {
     return {settings.retry_window, settings.retry_ratio, settings.retry_slack};
--- a/src/gateway/tests/exchange_test.cc
+++ b/src/gateway/tests/exchange_test.cc
@@ -214,3 +214,34 @@
   f.Request("/once/x", "Time: 300\r\n");
   CHECK(f.connector.channels.size() == 2);
 }
+
+TEST_CASE("a stopping instance takes what it can still finish") {
+  exchange_fixture f;
+  f.services.accept_deadline = f.scheduler.Now() + milliseconds(2600);
+  f.services.stop_deadline = f.scheduler.Now() + milliseconds(7000);
+  f.Request("/once/x");
+  REQUIRE(f.connector.channels.size() == 1);
+  f.target().Receive(f.Answer("200 OK", "done"));
+  f.RequestStream();
+  CHECK(f.connector.channels.size() == 2);
+}
+
+TEST_CASE("a stopping instance sends elsewhere what it would cut") {
+  exchange_fixture f;
+  f.services.accept_deadline = f.scheduler.Now() + milliseconds(2600);
+  f.services.stop_deadline = f.scheduler.Now() + milliseconds(900);
+  f.RequestStream();
+  CHECK(f.connector.channels.empty());
+  CHECK(f.Sent("Code: stopping"));
+  CHECK(f.caller_channel->closed);
+}
+
+TEST_CASE("a stopping instance takes nothing after its accept deadline") {
+  exchange_fixture f;
+  f.services.accept_deadline = f.scheduler.Now() + milliseconds(2600);
+  f.services.stop_deadline = f.scheduler.Now() + milliseconds(7000);
+  f.scheduler.Advance(milliseconds(2600));
+  f.Request("/once/x");
+  CHECK(f.connector.channels.empty());
+  CHECK(f.Sent("Code: stopping"));
+}
