--- a/src/framework/net/http_codec.h
+++ b/src/framework/net/http_codec.h
@@ -35,8 +35,8 @@
 };
 
 struct http_reader_limits {
-  std::size_t max_header_bytes = 16 * 1024;
-  std::size_t max_body_bytes = 1024 * 1024;
+  std::size_t max_header_bytes = 16'384;
+  std::size_t max_body_bytes = 1'048'576;
 };
 
 enum class http_read_fault { malformed, header_too_large, body_too_large };
--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -49,6 +49,9 @@
 // Time that a token of a generation takes on a well filled engine.
 constexpr milliseconds kAssumedTokenTime{12};
 
+// Runs that are expected to end sooner are not copied.
+constexpr milliseconds kMinBackedUp{1500};
+
 // Covers the resolution of timers and clocks. A request is judged by the time
 // at which its caller sent it, which is before the check.
 constexpr milliseconds kKeyMargin{100};
@@ -206,7 +209,6 @@
   ++sends_;
   attempt_.emplace();
   attempt_->target = target;
-  attempt_->is_resumed = memory.has_value();
   attempt_->run = services_.selector.Begin(target.id, SelectionRequest(), now);
   services_.on_load_change();
   target_dispatch dispatch;
@@ -218,6 +220,7 @@
   dispatch.memory = memory;
   if (memory)
     dispatch.last_event_id = splitter_.last_id().value_or("");
+  AddBackup(dispatch);
 
   const auto self = shared_from_this();
   const run_number run = attempt_->run;
@@ -338,6 +341,8 @@
 }
 
 void exchange::OnFailure(run_end end, bool may_have_run) {
+  if (streaming_ && ResumeFromBackup())
+    return;
   EndAttempt(end);
   if (may_have_run) {
     ++runs_;
@@ -399,6 +404,10 @@
   if (end == run_end::timed_out || end == run_end::broken)
     services_.caller.Forget(attempt_->target.address);
   services_.selector.End(attempt_->run, end, services_.scheduler.Now());
+  if (attempt_->backup) {
+    services_.selector.End(attempt_->backup_copy, run_end::withdrawn,
+                           services_.scheduler.Now());
+  }
   attempt_.reset();
   services_.on_load_change();
 }
@@ -468,6 +477,50 @@
   Send(moved.receiver, moved.memory);
 }
 
+// Long runs are copied as they grow, so that they survive an engine that ends
+// without notice and a cut between failure domains.
+void exchange::AddBackup(target_dispatch& dispatch) {
+  const routed_service* service = table_->FindService(service_);
+  const selection_request wanted = SelectionRequest();
+  if (!service || !service->engine || !service->engine->can_back_up_runs ||
+      !wanted.size ||
+      kAssumedTokenTime * wanted.size->expected_output_tokens < kMinBackedUp)
+    return;
+  const timestamp now = services_.scheduler.Now();
+  const auto holder =
+      services_.selector.ChooseBackup(dispatch.target.id, wanted, now);
+  const known_target* target =
+      holder ? services_.directory.Find(*holder) : nullptr;
+  if (!target)
+    return;
+  dispatch.backup = target->entry.address;
+  attempt_->backup = target->entry;
+  attempt_->backup_copy =
+      services_.selector.BeginCopy(target->entry.id, wanted, now);
+}
+
+// Returns whether the run goes on from its copy.
+bool exchange::ResumeFromBackup() {
+  if (!attempt_->backup)
+    return false;
+  const known_target* holder = services_.directory.Find(attempt_->backup->id);
+  if (!holder || !services_.directory.Takes(*holder))
+    return false;
+  // The run's copy bears the id of its request.
+  const moved_run copy{holder->entry, {holder->entry.address, request_.id}};
+  services_.logger.Write(log_level::info, "resume_from_backup",
+                         {{"request_id", request_.id},
+                          {"from", attempt_->target.id.text()},
+                          {"receiver", holder->entry.id.text()},
+                          {"events", splitter_.events()}});
+  splitter_.DropPartial();
+  if (mover_)
+    std::exchange(mover_, nullptr)->Cancel();
+  EndAttempt(run_end::broken);
+  Resume(copy);
+  return true;
+}
+
 void exchange::OnCallerGone() {
   if (over_)
     return;
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -44,7 +44,9 @@
     answer_facts facts;
     http_answer_head head;
     std::string body;
-    bool is_resumed = false;
+    // Who copies the run's memory as it grows.
+    std::optional<target_entry> backup;
+    run_number backup_copy = 0;
   };
 
   bool Route();
@@ -72,6 +74,8 @@
   void BeginMove();
   void OnMoved(std::optional<moved_run> moved);
   void Resume(const moved_run& moved);
+  void AddBackup(target_dispatch& dispatch);
+  bool ResumeFromBackup();
 
   void PassOn();
   void Refuse(error_code code, run_verdict verdict);
--- a/src/gateway/tests/mocks/exchange_fixture.h
+++ b/src/gateway/tests/mocks/exchange_fixture.h
@@ -59,12 +59,14 @@
     return route;
   }
 
-  void AddTarget(const std::string& name, const std::string& service) {
+  void AddTarget(const std::string& name,
+                 const std::string& service,
+                 const std::string& domain = "d") {
     target_entry entry;
     entry.id = target_id(name);
     entry.service = service_id(service);
     entry.address = {name, 80};
-    entry.domain = domain_id("d");
+    entry.domain = domain_id(domain);
     entry.slots = 8;
     entry.sequence = 1;
     directory.Put(entry, scheduler.Now());
@@ -79,6 +81,11 @@
 
   void RequestStream() { Request("/stream/x", "Tokens: 1000\r\n"); }
 
+  // One that is expected to run for long.
+  void RequestLongStream() {
+    Request("/stream/x", "Tokens: 1000\r\nLong: 1\r\n");
+  }
+
   // The newest channel to a target, and that target's name.
   scripted_channel& target() { return *connector.channels.back(); }
   scripted_channel& target(std::size_t index) {
--- a/src/gateway/tests/mocks/plain_dialect.h
+++ b/src/gateway/tests/mocks/plain_dialect.h
@@ -20,8 +20,10 @@
     if (!time.empty())
       request.time_left = milliseconds(std::stoi(time));
     const std::string tokens(message.Header("Tokens"));
+    const bool long_run = !message.Header("Long").empty();
     if (!tokens.empty())
-      request.generation = generation_facts{std::stoi(tokens), 100, 50, ""};
+      request.generation =
+          generation_facts{std::stoi(tokens), 1000, long_run ? 500 : 50, ""};
     request.message = std::move(message);
     return request;
   }
--- a/src/routing/routing_types.h
+++ b/src/routing/routing_types.h
@@ -67,8 +67,8 @@
 
 // Bounds on what a caller sends.
 struct caller_limits {
-  std::int64_t max_header_bytes = 16 * 1024;
-  std::int64_t max_body_bytes = 1024 * 1024;
+  std::int64_t max_header_bytes = 16'384;
+  std::int64_t max_body_bytes = 1'048'576;
   milliseconds header_timeout{3000};
   milliseconds idle_timeout{15'000};
 
--- a/src/selection/internal/target_selector.cc
+++ b/src/selection/internal/target_selector.cc
@@ -186,7 +186,6 @@
   run& begun = runs_[number];
   begun.target = target;
   begun.size = request.size.value_or(generation_size{});
-  begun.is_generation = request.size.has_value();
   begun.began_at = now;
   target_state& state = states_[target];
   state.own.target = target;
@@ -205,6 +204,51 @@
   return number;
 }
 
+std::optional<target_id> target_selector::ChooseBackup(
+    const target_id& from,
+    const selection_request& request,
+    timestamp now) const {
+  const known_target* source = directory_.Find(from);
+  const routed_service* service =
+      table_ ? table_->FindService(request.service) : nullptr;
+  if (!source || !service || !service->engine || !request.size)
+    return std::nullopt;
+  const auto memory = static_cast<double>(service->engine->memory_tokens);
+  std::optional<target_id> best;
+  double best_cost = settings_.copy_memory_limit;
+  for (const auto& [id, target] : directory_.targets()) {
+    if (target.entry.service != request.service || !directory_.Takes(target) ||
+        target.entry.domain == source->entry.domain)
+      continue;
+    const target_state* state = StateOf(id);
+    if (state && state->health.IsAvoided(now))
+      continue;
+    const double cost =
+        static_cast<double>(TotalLoad(id, now).tokens + request.size->Total()) /
+        memory;
+    if (cost >= best_cost)
+      continue;
+    best = id;
+    best_cost = cost;
+  }
+  return best;
+}
+
+run_number target_selector::BeginCopy(const target_id& target,
+                                      const selection_request& request,
+                                      timestamp now) {
+  const run_number number = next_run_++;
+  run& begun = runs_[number];
+  begun.target = target;
+  begun.size = request.size.value_or(generation_size{});
+  begun.is_copy = true;
+  begun.began_at = now;
+  target_state& state = states_[target];
+  state.own.target = target;
+  state.own.tokens += begun.size.Total();
+  return number;
+}
+
 void target_selector::OnFirstOutput(run_number number) {
   const auto found = runs_.find(number);
   if (found == runs_.end() || found->second.has_output)
@@ -221,8 +265,10 @@
   const run ended = found->second;
   runs_.erase(found);
   target_state& state = states_[ended.target];
-  state.own.runs -= 1;
   state.own.tokens -= ended.size.Total();
+  if (ended.is_copy)
+    return;
+  state.own.runs -= 1;
   if (!ended.has_output)
     state.own.unread_tokens -= ended.size.prompt_tokens;
   state.health.OnEnd(end, now - ended.began_at, now);
@@ -231,7 +277,7 @@
 std::vector<target_load> target_selector::OwnLoads() const {
   std::vector<target_load> loads;
   for (const auto& [id, state] : states_) {
-    if (state.own.runs > 0)
+    if (state.own.runs > 0 || state.own.tokens > 0)
       loads.push_back(state.own);
   }
   return loads;
@@ -282,7 +328,8 @@
 
 void target_selector::Expire() {
   std::erase_if(states_, [&](const auto& entry) {
-    return entry.second.own.runs == 0 && !directory_.Find(entry.first);
+    return entry.second.own.runs == 0 && entry.second.own.tokens == 0 &&
+           !directory_.Find(entry.first);
   });
 }
 
--- a/src/selection/selection_types.h
+++ b/src/selection/selection_types.h
@@ -74,8 +74,9 @@
   milliseconds peer_load_validity{3000};
   // Part of an engine's memory that runs may fill by expectation.
   double memory_limit = 0.9;
-  // Instances that share the targets, for limits without coordination.
-  double cold_share = 0.1;
+  // The same for copies of runs on other engines, which must not take the room
+  // that new runs need.
+  double copy_memory_limit = 0.4;
 };
 
 }  // namespace wist
--- a/src/selection/target_selector.h
+++ b/src/selection/target_selector.h
@@ -33,6 +33,17 @@
                            const selection_request& request,
                            timestamp now);
 
+  // Chooses who keeps a copy of a run's memory: in another failure domain than
+  // the run's, and only where much room is left. Nothing if there is none.
+  std::optional<target_id> ChooseBackup(const target_id& from,
+                                        const selection_request& request,
+                                        timestamp now) const;
+
+  // Notes a copy of a run's memory until its End.
+  run_number BeginCopy(const target_id& target,
+                       const selection_request& request,
+                       timestamp now);
+
   // Notes a run until its End.
   run_number Begin(const target_id& target,
                    const selection_request& request,
@@ -57,7 +68,7 @@
     target_id target;
     generation_size size;
     bool has_output = false;
-    bool is_generation = false;
+    bool is_copy = false;
     timestamp began_at;
   };
 
