Charge the retry budget for what arrived only; let unreachable engines rest

Cause: behind a cut, a stream that could not be connected used up the small retry budget and was refused although an engine of its own domain had room.

--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -298,7 +298,7 @@
     EndAttempt(run_end::unreachable);
     if (streaming_)
       return OnStreamBroken();
-    return OnRejected();
+    return OnRejected(false);
   }
   if (outcome.end != call_end::complete)
     return OnFailure(run_end::broken, true);
@@ -313,7 +313,7 @@
     EndAttempt(run_end::rejected);
     if (streaming_)
       return OnStreamBroken();
-    return OnRejected();
+    return OnRejected(true);
   }
   if (facts.kind == answer_kind::invalid)
     return OnFailure(run_end::broken, true);
@@ -329,13 +329,14 @@
   PassOn();
 }
 
-// The target did not run the request, so any other may.
-void exchange::OnRejected() {
+// The target did not run the request, so any other may. Only what arrived at a
+// target counts against the retry budget.
+void exchange::OnRejected(bool arrived) {
   const timestamp now = services_.scheduler.Now();
   if (may_have_run_ && match_.route->kind != call_kind::idempotent)
     return Refuse(error_code::target_failed, run_verdict::may_have_run);
-  if (sends_ >= kMaxSends ||
-      !services_.BudgetOf(service_).TryRetry(services_.instance_count, now))
+  if (sends_ >= kMaxSends || (arrived && !services_.BudgetOf(service_).TryRetry(
+                                             services_.instance_count, now)))
     return RefuseFull(milliseconds(0));
   Dispatch();
 }
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -64,7 +64,7 @@
   void OnBody(std::string bytes);
   void OnDone(call_outcome outcome);
   void OnComplete();
-  void OnRejected();
+  void OnRejected(bool arrived);
   void OnFailure(run_end end, bool may_have_run);
   void OnStreamBroken();
   void OnSlowAttempt();
--- a/src/selection/internal/target_selector.cc
+++ b/src/selection/internal/target_selector.cc
@@ -114,10 +114,10 @@
       std::uniform_real_distribution<double>(0, kCostJitter)(random_);
   if (service.engine && request.size) {
     const auto cost = EngineCost(target, *service.engine, request, now);
-    if (!cost)
+    // A caller comes back sooner than a cut engine would answer.
+    if (!cost || avoided)
       return std::nullopt;
-    return *cost + failures * kFailureCost + jitter +
-           (avoided ? kAvoidedCost : 0);
+    return *cost + failures * kFailureCost + jitter;
   }
   const target_load load = TotalLoad(target.entry.id, now);
   const double latency =
