--- a/src/selection/internal/target_selector.cc
+++ b/src/selection/internal/target_selector.cc
@@ -35,8 +35,10 @@
 // Latency assumed of a plain target that has not answered yet, in ms.
 constexpr double kUnknownLatencyMs = 20;
 
-// Spreads equal choices of several instances.
-constexpr double kCostJitter = 0.02;
+// Spreads choices of several instances that read the same loads: the more there
+// are, the more of them choose before one hears of another's choice.
+constexpr double kCostJitterPerInstance = 0.0025;
+constexpr double kMaxCostJitter = 0.25;
 
 // Sessions remembered at the most.
 constexpr std::size_t kMaxSessions = 20'000;
@@ -111,7 +113,7 @@
   const bool avoided = state && state->health.IsAvoided(now);
   const double failures = state ? state->health.failure_share() : 0;
   const double jitter =
-      std::uniform_real_distribution<double>(0, kCostJitter)(random_);
+      std::uniform_real_distribution<double>(0, CostJitter())(random_);
   if (service.engine && request.size) {
     const auto cost = EngineCost(target, *service.engine, request, now);
     // A caller comes back sooner than a cut engine would answer.
@@ -179,6 +181,11 @@
   return static_cast<double>(recent) < part;
 }
 
+double target_selector::CostJitter() const {
+  return std::min(kCostJitterPerInstance * static_cast<double>(instance_count_),
+                  kMaxCostJitter);
+}
+
 run_number target_selector::Begin(const target_id& target,
                                   const selection_request& request,
                                   timestamp now) {
--- a/src/selection/target_selector.h
+++ b/src/selection/target_selector.h
@@ -83,6 +83,7 @@
     timestamp deadline;
   };
 
+  double CostJitter() const;
   target_load TotalLoad(const target_id& target, timestamp now) const;
   std::optional<double> Cost(const known_target& target,
                              const routed_service& service,
--- a/src/selection/tests/target_selector_test.cc
+++ b/src/selection/tests/target_selector_test.cc
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include <map>
+
 #include "selection/target_selector.h"
 
 using namespace wist;
@@ -198,3 +200,35 @@
   for (int i = 0; i < 20; ++i)
     CHECK(f.Choose(request, At(100)) == "b");
 }
+
+// Pattern: many instances choose by the same loads before they hear of each
+// other's choices.
+TEST_CASE("many instances that know the same spread over the engines") {
+  constexpr int kInstances = 80;
+  constexpr int kEngines = 10;
+  std::map<std::string, int> chosen;
+  for (int instance = 0; instance < kInstances; ++instance) {
+    target_directory directory{milliseconds(2000)};
+    target_selector selector{{domain_id("here")},
+                             directory,
+                             static_cast<std::uint32_t>(instance + 1)};
+    selector.ApplyConfiguration(
+        std::make_shared<const route_table>(Configuration()));
+    selector.SetInstanceCount(kInstances);
+    for (int engine = 0; engine < kEngines; ++engine) {
+      target_entry entry;
+      entry.id = target_id("e" + std::to_string(engine));
+      entry.service = service_id("engines");
+      entry.domain = domain_id("here");
+      entry.sequence = 1;
+      directory.Put(entry, At(0));
+      // Loads differ a little, as they do between any two engines.
+      selector.SetPeerLoads("p" + std::to_string(engine),
+                            {{entry.id, 1, 1000 + 60 * engine, 0}}, At(0));
+    }
+    const selection result = selector.Choose(fixture::Generation(500), At(1));
+    ++chosen[std::get<target_id>(result).text()];
+  }
+  for (const auto& [id, count] : chosen)
+    CHECK(count <= 3 * kInstances / kEngines);
+}
