Log the verdict that the caller was told

Cause: a refused request that was sent once and rejected was logged with the verdict may_have_run, though its caller was told, truly, that it did not run.

--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -297,7 +297,7 @@
   if (!connected || !outcome.may_have_left) {
     EndAttempt(run_end::unreachable);
     if (streaming_)
-      return OnStreamBroken();
+      return BreakStream("target_ended_stream");
     return OnRejected(false);
   }
   if (outcome.end != call_end::complete)
@@ -312,7 +312,7 @@
       services_.caller.Forget(attempt_->target.address);
     EndAttempt(run_end::rejected);
     if (streaming_)
-      return OnStreamBroken();
+      return BreakStream("target_ended_stream");
     return OnRejected(true);
   }
   if (facts.kind == answer_kind::invalid)
@@ -350,7 +350,7 @@
     may_have_run_ = true;
   }
   if (streaming_)
-    return OnStreamBroken();
+    return BreakStream("target_ended_stream");
   const bool repeatable = match_.route->kind == call_kind::idempotent;
   if (repeatable && runs_ < match_.route->max_attempts && sends_ < kMaxSends &&
       (end == run_end::failed ||
@@ -360,9 +360,9 @@
   Refuse(error_code::target_failed, run_verdict::may_have_run);
 }
 
-void exchange::OnStreamBroken() {
+void exchange::BreakStream(const std::string& reason) {
   reply_->Abort();
-  Over("broken", "target_ended_stream");
+  Over("broken", reason, run_verdict::may_have_run);
 }
 
 void exchange::OnSlowAttempt() {
@@ -386,10 +386,8 @@
     attempt_->call->Cancel();
   if (attempt_)
     EndAttempt(run_end::timed_out);
-  if (streaming_) {
-    reply_->Abort();
-    return Over("broken", "deadline");
-  }
+  if (streaming_)
+    return BreakStream("deadline");
   Refuse(error_code::deadline_exceeded, sent || may_have_run_
                                             ? run_verdict::may_have_run
                                             : run_verdict::not_run);
@@ -420,7 +418,7 @@
   if (streaming_) {
     EndAttempt(run_end::answered);
     reply_->Finish(std::string(LastChunk()));
-    return Over("answered", "");
+    return Over("answered", "", run_verdict::ran);
   }
   std::string bytes = EncodeHttpAnswer(
       attempt_->head.status, services_.dialect.CallerHeaders(attempt_->head),
@@ -429,7 +427,7 @@
   services_.metrics.OnFirstByte(KindName(match_.route->kind),
                                 services_.scheduler.Now() - received_at_);
   reply_->Send(std::move(bytes));
-  Over(answered ? "answered" : "target_failure", "");
+  Over(answered ? "answered" : "target_failure", "", run_verdict::ran);
 }
 
 void exchange::OnTargetLeaves(const target_id& target) {
@@ -474,7 +472,7 @@
 void exchange::Resume(const moved_run& moved) {
   may_have_run_ = true;
   if (++resumes_ > kMaxResumes)
-    return OnStreamBroken();
+    return BreakStream("target_ended_stream");
   Send(moved.receiver, moved.memory);
 }
 
@@ -525,10 +523,13 @@
 void exchange::OnCallerGone() {
   if (over_)
     return;
+  const bool sent = attempt_ && attempt_->call && attempt_->call->MayHaveLeft();
   if (attempt_ && attempt_->call)
     attempt_->call->Cancel();
   EndAttempt(run_end::withdrawn);
-  Over("caller_gone", "");
+  Over(
+      "caller_gone", "",
+      sent || may_have_run_ ? run_verdict::may_have_run : run_verdict::not_run);
 }
 
 void exchange::RefuseFull(milliseconds retry_after) {
@@ -543,7 +544,7 @@
                                 (1 + kRetrySpread * PointOf(request_.id, 2))));
   reply_->Send(services_.dialect.EncodeRefusal(request_.id, refused,
                                                reply_->KeepsChannel()));
-  Over("refused", "overloaded");
+  Over("refused", "overloaded", run_verdict::not_run);
 }
 
 void exchange::Refuse(error_code code, run_verdict verdict) {
@@ -553,21 +554,21 @@
     reply_->CloseAfterAnswer();
   if (verdict == run_verdict::not_run)
     refused.retry_after = kElsewhereRetryAfter;
-  if (streaming_) {
-    reply_->Abort();
-    return Over("broken", std::string(ErrorCodeName(code)));
-  }
+  if (streaming_)
+    return BreakStream(std::string(ErrorCodeName(code)));
   reply_->Send(services_.dialect.EncodeRefusal(request_.id, refused,
                                                reply_->KeepsChannel()));
   Over(verdict == run_verdict::not_run ? "refused" : "failed",
-       std::string(ErrorCodeName(code)));
+       std::string(ErrorCodeName(code)), verdict);
 }
 
-void exchange::Over(const std::string& outcome, const std::string& reason) {
+void exchange::Over(const std::string& outcome,
+                    const std::string& reason,
+                    run_verdict verdict) {
   if (over_)
     return;
   over_ = true;
-  Log(outcome, reason);
+  Log(outcome, reason, verdict);
   if (attempt_ && attempt_->call)
     attempt_->call->Cancel();
   EndAttempt(run_end::withdrawn);
@@ -581,7 +582,9 @@
     std::exchange(on_over_, nullptr)();
 }
 
-void exchange::Log(const std::string& outcome, const std::string& reason) {
+void exchange::Log(const std::string& outcome,
+                   const std::string& reason,
+                   run_verdict verdict) {
   const timestamp now = services_.scheduler.Now();
   const char* kind = match_.route ? KindName(match_.route->kind) : "unrouted";
   services_.metrics.OnEnd(kind, outcome, now - received_at_);
@@ -598,9 +601,7 @@
        {"route", match_.route ? match_.route->name : ""},
        {"outcome", outcome},
        {"reason", reason},
-       {"verdict", std::string(VerdictName(may_have_run_ || sends_ > 0
-                                               ? run_verdict::may_have_run
-                                               : run_verdict::not_run))},
+       {"verdict", std::string(VerdictName(verdict))},
        {"targets", targets},
        {"sends", static_cast<std::int64_t>(sends_)},
        {"events", splitter_.events()},
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -66,7 +66,7 @@
   void OnComplete();
   void OnRejected(bool arrived);
   void OnFailure(run_end end, bool may_have_run);
-  void OnStreamBroken();
+  void BreakStream(const std::string& reason);
   void OnSlowAttempt();
   void OnDeadline();
   void EndAttempt(run_end end);
@@ -80,8 +80,12 @@
   void PassOn();
   void Refuse(error_code code, run_verdict verdict);
   void RefuseFull(milliseconds retry_after);
-  void Over(const std::string& outcome, const std::string& reason);
-  void Log(const std::string& outcome, const std::string& reason);
+  void Over(const std::string& outcome,
+            const std::string& reason,
+            run_verdict verdict);
+  void Log(const std::string& outcome,
+           const std::string& reason,
+           run_verdict verdict);
 
   gateway_services& services_;
   const caller_request request_;
--- a/src/gateway/tests/exchange_test.cc
+++ b/src/gateway/tests/exchange_test.cc
@@ -245,3 +245,21 @@
   CHECK(f.connector.channels.empty());
   CHECK(f.Sent("Code: stopping"));
 }
+
+TEST_CASE("the log's verdict is the one that the caller was told") {
+  exchange_fixture refused;
+  refused.settings.retry_slack = 100;
+  refused.Request("/once/x");
+  refused.target().Receive(refused.Answer("503 Full", "", "Not-Run: 1\r\n"));
+  refused.target().Receive(refused.Answer("503 Full", "", "Not-Run: 1\r\n"));
+  CHECK(refused.logger.Last("request", "outcome") == "refused");
+  CHECK(refused.logger.Last("request", "verdict") == "not_run");
+  exchange_fixture failed;
+  failed.Request("/once/x");
+  failed.target().End(channel_end::reset);
+  CHECK(failed.logger.Last("request", "verdict") == "may_have_run");
+  exchange_fixture answered;
+  answered.Request("/once/x");
+  answered.target().Receive(answered.Answer("200 OK", "done"));
+  CHECK(answered.logger.Last("request", "verdict") == "ran");
+}
--- a/src/gateway/tests/mocks/exchange_fixture.h
+++ b/src/gateway/tests/mocks/exchange_fixture.h
@@ -4,11 +4,11 @@
 #include <memory>
 #include <string>
 
-#include "framework/logging/logging_module.h"
 #include "framework/net/tests/mocks/scripted_connector.h"
 #include "framework/net/tests/mocks/virtual_scheduler.h"
 #include "gateway/internal/caller_connection.h"
 #include "gateway/tests/mocks/plain_dialect.h"
+#include "gateway/tests/mocks/recorded_logger.h"
 
 namespace wist {
 
@@ -121,13 +121,13 @@
   gateway_settings settings;
   plain_dialect dialect;
   gateway_metrics metrics;
-  std::shared_ptr<i_logger> logger = MakeNullLogger();
+  recorded_logger logger;
   std::unique_ptr<i_http_caller> caller = MakeHttpCaller(connector, scheduler);
   configuration_belief belief;
   target_directory directory{milliseconds(2000)};
   target_selector selector{{domain_id("d")}, directory, 1};
   gateway_services services{settings,  scheduler, *caller, dialect, belief,
-                            directory, selector,  *logger, metrics, [] {}};
+                            directory, selector,  logger,  metrics, [] {}};
   std::shared_ptr<scripted_channel> caller_channel =
       std::make_shared<scripted_channel>();
   std::shared_ptr<caller_connection> connection;
--- /dev/null
+++ b/src/gateway/tests/mocks/recorded_logger.h
@@ -0,0 +1,36 @@
+#ifndef GATEWAY_TESTS_MOCKS_RECORDED_LOGGER_H_
+#define GATEWAY_TESTS_MOCKS_RECORDED_LOGGER_H_
+
+#include <map>
+#include <string>
+#include <variant>
+
+#include "framework/logging/i_logger.h"
+
+namespace wist {
+
+// Keeps the text fields of the last event of each name.
+class recorded_logger final : public i_logger {
+ public:
+  void Write(log_level,
+             std::string_view event,
+             const log_fields& fields) override {
+    auto& last = last_[std::string(event)];
+    last.clear();
+    for (const log_field& field : fields) {
+      if (const auto* text = std::get_if<std::string>(&field.value))
+        last[field.name] = *text;
+    }
+  }
+
+  std::string Last(const std::string& event, const std::string& field) {
+    return last_[event][field];
+  }
+
+ private:
+  std::map<std::string, std::map<std::string, std::string>> last_;
+};
+
+}  // namespace wist
+
+#endif  // GATEWAY_TESTS_MOCKS_RECORDED_LOGGER_H_
