--- a/src/framework/net/internal/http_caller.cc
+++ b/src/framework/net/internal/http_caller.cc
@@ -18,8 +18,9 @@
 // How long a channel is kept when the other side names no time.
 constexpr milliseconds kDefaultKeepAlive{4000};
 
-// Kept channels to one address at the most.
-constexpr std::size_t kMaxIdlePerAddress = 16;
+// Kept channels to one address at the most: all instances together stay below
+// what a target accepts.
+constexpr std::size_t kMaxIdlePerAddress = 8;
 
 // Reads "timeout=N" of a Keep-Alive header.
 milliseconds KeepAliveOf(const http_answer_head& head) {
--- a/src/framework/net/internal/http_codec.cc
+++ b/src/framework/net/internal/http_codec.cc
@@ -153,7 +153,8 @@
 
 class answer_reader final : public i_http_answer_reader {
  public:
-  explicit answer_reader(std::size_t max_header_bytes) {
+  explicit answer_reader(std::size_t max_header_bytes)
+      : max_header_bytes_(max_header_bytes) {
     parser_.header_limit(static_cast<std::uint32_t>(max_header_bytes));
     parser_.body_limit(kNoLimit);
     parser_.eager(true);
@@ -185,30 +186,50 @@
   }
 
  private:
-  // The parser takes the status line and the headers in one piece each.
+  // The parser gets the head in one piece, so that it reads the same however
+  // the bytes arrive.
   std::size_t FeedHead(std::string_view bytes) {
     head_bytes_.append(bytes);
-    boost::system::error_code error;
-    const std::size_t used = parser_.put(asio::buffer(head_bytes_), error);
-    if (error && error != http::error::need_more) {
-      state_ = answer_state::malformed;
+    const std::size_t end = head_bytes_.find(kHeadEnd);
+    if (end == std::string::npos) {
+      if (head_bytes_.size() > max_header_bytes_)
+        state_ = answer_state::malformed;
       return bytes.size();
     }
-    head_bytes_.erase(0, used);
-    if (!parser_.is_header_done())
+    const std::string head = head_bytes_.substr(0, end + kHeadEnd.size());
+    const std::size_t taken = bytes.size() - (head_bytes_.size() - head.size());
+    head_bytes_.clear();
+    if (!PutHead(head)) {
+      state_ = answer_state::malformed;
       return bytes.size();
-    const std::size_t taken = bytes.size() - head_bytes_.size();
+    }
     head_.status = static_cast<int>(parser_.get().result_int());
     head_.headers = CopyHeaders(parser_.get());
     head_.keep_alive = parser_.get().keep_alive();
-    state_ =
-        parser_.is_done() ? answer_state::complete : answer_state::body_missing;
-    head_bytes_.clear();
-    if (state_ == answer_state::complete)
+    if (parser_.is_done()) {
+      state_ = answer_state::complete;
       return taken;
+    }
+    state_ = answer_state::body_missing;
     return taken + FeedBody(bytes.substr(taken));
   }
 
+  // Returns whether the parser took the whole head.
+  bool PutHead(const std::string& head) {
+    std::size_t used = 0;
+    while (used < head.size()) {
+      boost::system::error_code error;
+      const std::size_t taken = parser_.put(
+          asio::buffer(head.data() + used, head.size() - used), error);
+      used += taken;
+      if (error && error != http::error::need_more)
+        return false;
+      if (taken == 0)
+        break;
+    }
+    return used == head.size() && parser_.is_header_done();
+  }
+
   std::size_t FeedBody(std::string_view bytes) {
     std::string_view rest = bytes;
     if (!pending_.empty()) {
@@ -237,6 +258,7 @@
     return bytes.size();
   }
 
+  const std::size_t max_header_bytes_;
   http::response_parser<http::string_body> parser_;
   answer_state state_ = answer_state::head_missing;
   http_answer_head head_;
--- /dev/null
+++ b/src/framework/net/tests/http_codec_fuzz_test.cc
@@ -0,0 +1,103 @@
+#include <catch2/catch.hpp>
+
+#include <random>
+
+#include "framework/net/http_codec.h"
+
+using namespace wist;
+
+namespace {
+
+constexpr int kRounds = 4000;
+
+const std::vector<std::string> kSeeds = {
+    "POST /a/b HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello",
+    "GET /a?b=c HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+    "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "3\r\nabc\r\n0\r\n\r\n",
+    "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"};
+
+const std::vector<std::string> kAnswers = {
+    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "5\r\nhello\r\n0\r\n\r\n",
+    "HTTP/1.1 503 No\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n"};
+
+std::string Mutate(std::string bytes, std::mt19937& random) {
+  const std::string alphabet = "\r\n :;0159afTC\t\x80-";
+  const int changes = static_cast<int>(random() % 4);
+  for (int i = 0; i < changes && !bytes.empty(); ++i) {
+    const std::size_t at = random() % bytes.size();
+    switch (random() % 3) {
+      case 0:
+        bytes[at] = alphabet[random() % alphabet.size()];
+        break;
+      case 1:
+        bytes.erase(at, 1 + random() % 3);
+        break;
+      default:
+        bytes.insert(at, 1, alphabet[random() % alphabet.size()]);
+    }
+  }
+  return bytes;
+}
+
+struct read_all {
+  std::vector<std::string> requests;
+  std::optional<http_read_fault> fault;
+
+  bool operator==(const read_all&) const = default;
+};
+
+// Feeds `bytes` in parts of at most `step` bytes.
+read_all Read(const std::string& bytes, std::size_t step) {
+  const auto reader = MakeHttpRequestReader({512, 512});
+  read_all got;
+  for (std::size_t at = 0; at < bytes.size(); at += step) {
+    reader->Feed(std::string_view(bytes).substr(at, step));
+    while (const auto request = reader->Next())
+      got.requests.push_back(request->method + " " + request->target + " " +
+                             request->body);
+  }
+  got.fault = reader->fault();
+  return got;
+}
+
+}  // namespace
+
+TEST_CASE("requests are read alike however their bytes arrive") {
+  std::mt19937 random(20261204);
+  for (int round = 0; round < kRounds; ++round) {
+    const std::string bytes = Mutate(
+        kSeeds[random() % kSeeds.size()] + kSeeds[random() % kSeeds.size()],
+        random);
+    const read_all whole = Read(bytes, bytes.size() + 1);
+    const read_all parts = Read(bytes, 1 + random() % 7);
+    INFO(bytes);
+    CHECK(parts.requests == whole.requests);
+    CHECK(parts.fault.has_value() == whole.fault.has_value());
+  }
+}
+
+TEST_CASE("answers are read alike however their bytes arrive") {
+  std::mt19937 random(4122026);
+  for (int round = 0; round < kRounds; ++round) {
+    const std::string bytes =
+        Mutate(kAnswers[random() % kAnswers.size()], random);
+    const auto whole = MakeHttpAnswerReader(512);
+    whole->Feed(bytes);
+    const std::string whole_body = whole->TakeBody();
+    const auto parts = MakeHttpAnswerReader(512);
+    const std::size_t step = 1 + random() % 5;
+    std::string parts_body;
+    for (std::size_t at = 0; at < bytes.size(); at += step) {
+      parts->Feed(std::string_view(bytes).substr(at, step));
+      parts_body += parts->TakeBody();
+    }
+    INFO(bytes);
+    CHECK(parts->state() == whole->state());
+    if (whole->state() == answer_state::complete)
+      CHECK(parts_body == whole_body);
+  }
+}
--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -33,9 +33,13 @@
 // the most.
 constexpr milliseconds kMoveLimit{8000};
 
-// Runs that break again while they move end after this many continuations.
+// Notices that one run may outlive: each move was ordered, so it does no harm.
 constexpr int kMaxResumes = 12;
 
+// Ends without notice that one run may outlive. A request may be what ends its
+// targets, so it gets no more of them.
+constexpr int kMaxBackupResumes = 2;
+
 // An answer is kept whole before it is passed on; larger ones are broken off.
 constexpr std::size_t kMaxWholeAnswer = 8 * 1024 * 1024;
 
@@ -500,7 +504,7 @@
 
 // Returns whether the run goes on from its copy.
 bool exchange::ResumeFromBackup() {
-  if (!attempt_->backup)
+  if (!attempt_->backup || backup_resumes_ >= kMaxBackupResumes)
     return false;
   const known_target* holder = services_.directory.Find(attempt_->backup->id);
   if (!holder || !services_.directory.Takes(*holder))
@@ -512,6 +516,7 @@
                           {"from", attempt_->target.id.text()},
                           {"receiver", holder->entry.id.text()},
                           {"events", splitter_.events()}});
+  ++backup_resumes_;
   splitter_.DropPartial();
   if (mover_)
     std::exchange(mover_, nullptr)->Cancel();
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -110,6 +110,7 @@
   std::shared_ptr<run_mover> mover_;
   bool move_wanted_ = false;
   int resumes_ = 0;
+  int backup_resumes_ = 0;
   std::unique_ptr<i_timer> deadline_timer_;
   std::unique_ptr<i_timer> attempt_timer_;
   std::unique_ptr<i_timer> hold_timer_;
--- a/src/gateway/tests/run_backup_test.cc
+++ b/src/gateway/tests/run_backup_test.cc
@@ -79,3 +79,18 @@
   f.target(0).Receive(std::string(LastChunk()));
   CHECK(f.selector.OwnLoads().empty());
 }
+
+TEST_CASE("a request that ends its targets gets few of them") {
+  backed_up_stream f;
+  for (int i = 0; i < 8; ++i)
+    f.AddTarget("far" + std::to_string(i), "engines",
+                "other" + std::to_string(i));
+  for (int i = 0; i < 8 && f.caller_channel->open(); ++i) {
+    f.target().End(channel_end::reset);
+    if (!f.caller_channel->open())
+      break;
+    f.target().Receive(f.StreamHead() + f.Event(3 + i));
+  }
+  CHECK_FALSE(f.caller_channel->open());
+  CHECK(f.connector.channels.size() <= 3);
+}
