--- a/src/gateway/tests/mocks/plain_dialect.h
+++ b/src/gateway/tests/mocks/plain_dialect.h
@@ -8,7 +8,7 @@
 namespace wist {
 
 // A small dialect for tests: short header names, statuses by verdict.
-class plain_dialect final : public i_dialect {
+class plain_dialect : public i_dialect {
  public:
   std::variant<caller_request, error_code> DecodeRequest(
       http_request_message message) const override {
--- /dev/null
+++ b/src/gateway/tests/store_view_test.cc
@@ -0,0 +1,192 @@
+#include <catch2/catch.hpp>
+
+#include "framework/net/tests/mocks/virtual_scheduler.h"
+#include "gateway/internal/store_view.h"
+#include "gateway/tests/mocks/plain_dialect.h"
+#include "gateway/tests/mocks/recorded_logger.h"
+
+using namespace wist;
+
+namespace {
+
+// Reads "version" and "service domain" texts in place of a wire.
+class text_dialect final : public plain_dialect {
+ public:
+  bool IsConfigurationKey(const std::string& key) const override {
+    return key == "operator/configuration";
+  }
+  std::optional<domain_id> EvacuatedDomain(
+      const std::string& key) const override {
+    if (!key.starts_with("operator/out/"))
+      return std::nullopt;
+    return domain_id(key.substr(13));
+  }
+  routing_configuration DecodeConfiguration(
+      const std::string& value) const override {
+    routing_configuration configuration;
+    configuration.version = std::stoll(value);
+    return configuration;
+  }
+  std::optional<target_entry> DecodeTarget(
+      const std::string& key,
+      const std::string& value) const override {
+    if (value == "unreadable")
+      return std::nullopt;
+    target_entry entry;
+    entry.id = TargetOfKey(key);
+    entry.service = service_id("s");
+    entry.domain = domain_id(value);
+    entry.sequence = 1;
+    return entry;
+  }
+  target_id TargetOfKey(const std::string& key) const override {
+    return target_id(key.substr(8));
+  }
+};
+
+class scripted_store final : public i_async_store {
+ public:
+  void ReadRange(const std::string&,
+                 const std::string&,
+                 std::function<void(range_result)> done) override {
+    range_done = std::move(done);
+  }
+  void Watch(const std::string&,
+             std::int64_t,
+             milliseconds,
+             std::function<void(watch_result)> done) override {
+    watch_done = std::move(done);
+  }
+  void PutForAWhile(const std::string& key,
+                    const std::string&,
+                    milliseconds,
+                    std::function<void(bool)> done) override {
+    puts.push_back(key);
+    put_done = std::move(done);
+  }
+
+  std::function<void(range_result)> range_done;
+  std::function<void(watch_result)> watch_done;
+  std::vector<std::string> puts;
+  std::function<void(bool)> put_done;
+};
+
+struct fixture {
+  fixture() {
+    settings.instance = "self";
+    settings.domain = domain_id("d");
+    settings.peer_listen = {"10.0.0.1", 7200};
+    view.Start();
+  }
+
+  void Snapshot(const std::vector<store_change>& items,
+                std::int64_t revision = 10) {
+    std::exchange(store.range_done,
+                  nullptr)(range_page{items, false, revision});
+  }
+
+  void Change(const store_change& change) {
+    std::exchange(store.watch_done,
+                  nullptr)(watch_page{{change}, change.revision});
+    scheduler.Advance(milliseconds(50));
+  }
+
+  void Fault() {
+    std::exchange(store.watch_done, nullptr)(store_fault::unavailable);
+    scheduler.Advance(milliseconds(150));
+  }
+
+  bool Takes(const std::string& id) {
+    const known_target* target = directory.Find(target_id(id));
+    return target && directory.Takes(*target);
+  }
+
+  virtual_scheduler scheduler;
+  scripted_store store;
+  text_dialect dialect;
+  gateway_settings settings;
+  gateway_metrics metrics;
+  recorded_logger logger;
+  configuration_belief belief;
+  target_directory directory{milliseconds(2000)};
+  target_selector selector{{domain_id("d")}, directory, 1};
+  struct no_caller final : i_http_caller {
+    std::shared_ptr<i_http_call> Call(const http_address&,
+                                      std::string,
+                                      const call_options&,
+                                      call_callbacks) override {
+      return nullptr;
+    }
+    void Forget(const http_address&) override {}
+    std::uint64_t OpenedChannels() const override { return 0; }
+  } caller;
+  gateway_services services{settings,  scheduler, caller, dialect, belief,
+                            directory, selector,  logger, metrics, [] {}};
+  store_view view{settings, dialect, store, store, services, 1};
+};
+
+}  // namespace
+
+TEST_CASE("a snapshot brings configuration, domains, targets and instances") {
+  fixture f;
+  f.Snapshot({{"operator/configuration", "7", 3},
+              {"operator/out/d2", "", 4},
+              {"targets/a", "d1", 5},
+              {"targets/b", "d2", 6},
+              {"targets/c", "unreadable", 7},
+              {"wist/instances/peer", "10.0.0.2:7200 d", 8},
+              {"wist/instances/self", "10.0.0.1:7200 d", 9}});
+  CHECK(f.belief.version() == 7);
+  CHECK(f.Takes("a"));
+  CHECK_FALSE(f.Takes("b"));
+  CHECK(f.directory.Find(target_id("c")) == nullptr);
+  REQUIRE(f.view.OtherInstances().size() == 1);
+  CHECK(f.view.OtherInstances()[0].name == "peer");
+  CHECK(f.store.puts == std::vector<std::string>{"wist/instances/self"});
+}
+
+TEST_CASE("changes take effect as they come") {
+  fixture f;
+  f.Snapshot({{"operator/configuration", "7", 3}, {"targets/a", "d1", 5}});
+  f.Change({"operator/configuration", "9", 11});
+  CHECK(f.belief.version() == 9);
+  f.Change({"operator/configuration", "8", 12});
+  CHECK(f.belief.version() == 9);
+  f.Change({"operator/out/d1", "", 13});
+  CHECK_FALSE(f.Takes("a"));
+  f.Change({"operator/out/d1", std::nullopt, 14});
+  CHECK(f.Takes("a"));
+  f.Change({"targets/a", std::nullopt, 15});
+  CHECK_FALSE(f.Takes("a"));
+}
+
+TEST_CASE("entries that lapsed with the store may come back in time") {
+  fixture f;
+  f.Snapshot({{"targets/a", "d1", 5}, {"targets/b", "d1", 6}});
+  f.Fault();
+  f.Change({"targets/a", std::nullopt, 20});
+  f.Change({"targets/b", std::nullopt, 21});
+  CHECK(f.Takes("a"));
+  f.Change({"targets/a", "d1", 22});
+  f.directory.Expire(f.scheduler.Now() + milliseconds(2000));
+  CHECK(f.Takes("a"));
+  CHECK_FALSE(f.Takes("b"));
+}
+
+TEST_CASE("history that was lost does not bring back what left meanwhile") {
+  fixture f;
+  f.Snapshot({{"targets/a", "d1", 5}, {"targets/b", "d1", 6}});
+  std::exchange(f.store.watch_done, nullptr)(store_fault::history_gone);
+  f.scheduler.Advance(milliseconds(1));
+  f.Snapshot({{"targets/a", "d1", 5}}, 90);
+  CHECK(f.Takes("a"));
+  CHECK_FALSE(f.Takes("b"));
+}
+
+TEST_CASE("an announcement that failed is made again") {
+  fixture f;
+  f.Snapshot({});
+  f.store.put_done(false);
+  f.scheduler.Advance(milliseconds(2100));
+  CHECK(f.store.puts.size() == 2);
+}
