--- a/src/framework/logging/internal/stdout_logger.cc
+++ b/src/framework/logging/internal/stdout_logger.cc
@@ -14,7 +14,7 @@
 constexpr std::size_t kPipeBytes = 4096;
 
 // Lines held while the reader of the pipe is slow, in bytes.
-constexpr std::size_t kMaxHeldBytes = 256 * 1024;
+constexpr std::size_t kMaxHeldBytes = 262'144;
 
 class stdout_logger final : public i_buffered_logger {
  public:
--- a/src/framework/net/internal/asio_event_loop.cc
+++ b/src/framework/net/internal/asio_event_loop.cc
@@ -15,7 +15,7 @@
 using asio::ip::udp;
 
 // Largest datagram taken, in bytes.
-constexpr std::size_t kDatagramBytes = 64 * 1024;
+constexpr std::size_t kDatagramBytes = 65'536;
 
 // How long accepting rests after it failed, e.g. for want of descriptors.
 constexpr milliseconds kAcceptPause{50};
--- a/src/framework/net/internal/http_caller.cc
+++ b/src/framework/net/internal/http_caller.cc
@@ -10,7 +10,7 @@
 namespace {
 
 // Largest head of an answer, in bytes.
-constexpr std::size_t kMaxAnswerHead = 64 * 1024;
+constexpr std::size_t kMaxAnswerHead = 65'536;
 
 // A kept channel is given up this long before its other side closes it.
 constexpr milliseconds kKeepAliveMargin{500};
--- a/src/framework/net/internal/tcp_channel.cc
+++ b/src/framework/net/internal/tcp_channel.cc
@@ -26,7 +26,7 @@
 constexpr std::chrono::milliseconds kLingerLimit{1000};
 
 // One buffer serves all channels of a thread: reads are handled at once.
-constexpr std::size_t kReadBytes = 16 * 1024;
+constexpr std::size_t kReadBytes = 16'384;
 thread_local std::array<char, kReadBytes> read_buffer;
 
 void SetOption(int socket, int level, int name, int value) {
--- a/src/framework/net/tests/tcp_channel_test.cc
+++ b/src/framework/net/tests/tcp_channel_test.cc
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include <signal.h>
+
 #include <optional>
 
 #include "framework/base/system_clock.h"
@@ -78,3 +80,18 @@
   loop->Run();
   CHECK_FALSE(ran);
 }
+
+TEST_CASE("signals are handled on the loop, again and again") {
+  const auto loop = MakeEventLoop(MakeSystemClock());
+  int handled = 0;
+  const auto hang =
+      loop->RunAt(loop->Now() + kHangLimit, [&] { loop->Stop(); });
+  loop->OnSignal(SIGHUP, [&] {
+    if (++handled == 2)
+      return loop->Stop();
+    raise(SIGHUP);
+  });
+  raise(SIGHUP);
+  loop->Run();
+  CHECK(handled == 2);
+}
--- a/src/gateway/internal/caller_connection.cc
+++ b/src/gateway/internal/caller_connection.cc
@@ -4,7 +4,7 @@
 namespace {
 
 // A caller that doesn't read its stream is cut off past this many bytes.
-constexpr std::size_t kMaxUnsentBytes = 1024 * 1024;
+constexpr std::size_t kMaxUnsentBytes = 1'048'576;
 
 }  // namespace
 
--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -29,19 +29,8 @@
 constexpr int kHoldDivisor = 8;
 constexpr milliseconds kHoldPause{20};
 
-// The word of a target on its own leaving comes this long before its end at
-// the most.
-constexpr milliseconds kMoveLimit{8000};
-
-// Notices that one run may outlive: each move was ordered, so it does no harm.
-constexpr int kMaxResumes = 12;
-
-// Ends without notice that one run may outlive. A request may be what ends its
-// targets, so it gets no more of them.
-constexpr int kMaxBackupResumes = 2;
-
 // An answer is kept whole before it is passed on; larger ones are broken off.
-constexpr std::size_t kMaxWholeAnswer = 8 * 1024 * 1024;
+constexpr std::size_t kMaxWholeAnswer = 8'388'608;
 
 // Refused callers return spread over this part of their Retry-After.
 constexpr double kRetrySpread = 0.5;
@@ -50,12 +39,6 @@
 // back at once, on another channel.
 constexpr milliseconds kElsewhereRetryAfter{10};
 
-// Time that a token of a generation takes on a well filled engine.
-constexpr milliseconds kAssumedTokenTime{12};
-
-// Runs that are expected to end sooner are not copied.
-constexpr milliseconds kMinBackedUp{1500};
-
 // Covers the resolution of timers and clocks. A request is judged by the time
 // at which its caller sent it, which is before the check.
 constexpr milliseconds kKeyMargin{100};
@@ -434,97 +417,6 @@
   Over(answered ? "answered" : "target_failure", "", run_verdict::ran);
 }
 
-void exchange::OnTargetLeaves(const target_id& target) {
-  if (over_ || !attempt_ || attempt_->target.id != target || mover_)
-    return;
-  if (match_.route->kind != call_kind::streaming || !request_.generation)
-    return;
-  const routed_service* service = table_->FindService(service_);
-  if (!service || !service->engine || !service->engine->can_move_runs)
-    return;
-  // A run that has not begun has no memory to copy yet.
-  if (attempt_->facts.kind == answer_kind::success && streaming_)
-    return BeginMove();
-  move_wanted_ = true;
-}
-
-void exchange::BeginMove() {
-  const timestamp now = services_.scheduler.Now();
-  move_wanted_ = false;
-  mover_ = std::make_shared<run_mover>(
-      services_, request_.id, attempt_->target, SelectionRequest(),
-      std::min(deadline_, now + kMoveLimit),
-      [weak = weak_from_this()](std::optional<moved_run> moved) {
-        if (const auto self = weak.lock())
-          self->OnMoved(std::move(moved));
-      });
-  mover_->Start();
-}
-
-void exchange::OnMoved(std::optional<moved_run> moved) {
-  mover_.reset();
-  if (over_ || !moved)
-    return;
-  // The target drops the run when its channel closes, so that no two targets
-  // work on it; what came since the copy is read again at the receiver.
-  attempt_->call->Cancel();
-  splitter_.DropPartial();
-  EndAttempt(run_end::withdrawn);
-  Resume(*moved);
-}
-
-void exchange::Resume(const moved_run& moved) {
-  may_have_run_ = true;
-  if (++resumes_ > kMaxResumes)
-    return BreakStream("target_ended_stream");
-  Send(moved.receiver, moved.memory);
-}
-
-// Long runs are copied as they grow, so that they survive an engine that ends
-// without notice and a cut between failure domains.
-void exchange::AddBackup(target_dispatch& dispatch) {
-  const routed_service* service = table_->FindService(service_);
-  const selection_request wanted = SelectionRequest();
-  if (!service || !service->engine || !service->engine->can_back_up_runs ||
-      !wanted.size ||
-      kAssumedTokenTime * wanted.size->expected_output_tokens < kMinBackedUp)
-    return;
-  const timestamp now = services_.scheduler.Now();
-  const auto holder =
-      services_.selector.ChooseBackup(dispatch.target.id, wanted, now);
-  const known_target* target =
-      holder ? services_.directory.Find(*holder) : nullptr;
-  if (!target)
-    return;
-  dispatch.backup = target->entry.address;
-  attempt_->backup = target->entry;
-  attempt_->backup_copy =
-      services_.selector.BeginCopy(target->entry.id, wanted, now);
-}
-
-// Returns whether the run goes on from its copy.
-bool exchange::ResumeFromBackup() {
-  if (!attempt_->backup || backup_resumes_ >= kMaxBackupResumes)
-    return false;
-  const known_target* holder = services_.directory.Find(attempt_->backup->id);
-  if (!holder || !services_.directory.Takes(*holder))
-    return false;
-  // The run's copy bears the id of its request.
-  const moved_run copy{holder->entry, {holder->entry.address, request_.id}};
-  services_.logger.Write(log_level::info, "resume_from_backup",
-                         {{"request_id", request_.id},
-                          {"from", attempt_->target.id.text()},
-                          {"receiver", holder->entry.id.text()},
-                          {"events", splitter_.events()}});
-  ++backup_resumes_;
-  splitter_.DropPartial();
-  if (mover_)
-    std::exchange(mover_, nullptr)->Cancel();
-  EndAttempt(run_end::broken);
-  Resume(copy);
-  return true;
-}
-
 void exchange::OnCallerGone() {
   if (over_)
     return;
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -13,6 +13,22 @@
 
 namespace wist {
 
+// Time that a token of a generation takes on a well filled engine.
+inline constexpr milliseconds kAssumedTokenTime{12};
+
+// A request on its way to one target.
+struct target_attempt {
+  target_entry target;
+  run_number run = 0;
+  std::shared_ptr<i_http_call> call;
+  answer_facts facts;
+  http_answer_head head;
+  std::string body;
+  // Who copies the run's memory as it grows.
+  std::optional<target_entry> backup;
+  run_number backup_copy = 0;
+};
+
 // One request from its arrival to the end of its answer: where it is sent, when
 // it is sent again, and what its caller is told.
 class exchange : public std::enable_shared_from_this<exchange> {
@@ -36,19 +52,6 @@
   void OnTargetLeaves(const target_id& target);
 
  private:
-  // A request on its way to one target.
-  struct attempt {
-    target_entry target;
-    run_number run = 0;
-    std::shared_ptr<i_http_call> call;
-    answer_facts facts;
-    http_answer_head head;
-    std::string body;
-    // Who copies the run's memory as it grows.
-    std::optional<target_entry> backup;
-    run_number backup_copy = 0;
-  };
-
   bool Route();
   bool FitsBeforeStop() const;
   void RefuseRoute(route_fault fault);
@@ -99,7 +102,7 @@
   service_id service_;
   std::int32_t priority_ = 0;
 
-  std::optional<attempt> attempt_;
+  std::optional<target_attempt> attempt_;
   std::set<target_id> excluded_;
   int sends_ = 0;
   int runs_ = 0;  // Attempts that may have run.
