Take repeats from one place; drop what nothing used; format all sources

Cause: three paths decided on their own whether a request may run again. Two functions and a counter were never called.

--- a/src/framework/net/i_http_caller.h
+++ b/src/framework/net/i_http_caller.h
@@ -66,9 +66,6 @@
 
   // Closes the kept channels to `address`.
   virtual void Forget(const http_address& address) = 0;
-
-  // Channels opened since the start.
-  virtual std::uint64_t OpenedChannels() const = 0;
 };
 
 std::unique_ptr<i_http_caller> MakeHttpCaller(i_connector& connector,
--- a/src/framework/net/internal/http_caller.cc
+++ b/src/framework/net/internal/http_caller.cc
@@ -268,18 +268,15 @@
       call->Use(std::move(kept), std::move(request));
       return call;
     }
-    ++opened_;
     call->Open(connector_, options.connect_deadline, std::move(request));
     return call;
   }
 
   void Forget(const http_address& address) override { pool_->Forget(address); }
-  std::uint64_t OpenedChannels() const override { return opened_; }
 
  private:
   i_connector& connector_;
   const std::shared_ptr<idle_pool> pool_;
-  std::uint64_t opened_ = 0;
 };
 
 }  // namespace
--- a/src/gateway/internal/caller_connection.cc
+++ b/src/gateway/internal/caller_connection.cc
@@ -120,7 +120,6 @@
 
 void caller_connection::OnEnd() {
   const auto self = shared_from_this();
-  caller_ended_ = true;
   channel_.reset();
   timer_.reset();
   if (const auto current = exchange_)
--- a/src/gateway/internal/caller_connection.h
+++ b/src/gateway/internal/caller_connection.h
@@ -63,7 +63,6 @@
   bool keep_alive_ = true;
   bool stopping_ = false;
   bool aborted_ = false;
-  bool caller_ended_ = false;
 };
 
 }  // namespace wist
--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -288,7 +288,7 @@
     return OnRejected(false);
   }
   if (outcome.end != call_end::complete)
-    return OnFailure(run_end::broken, true);
+    return OnFailure(run_end::broken);
   OnComplete();
 }
 
@@ -303,16 +303,14 @@
     return OnRejected(true);
   }
   if (facts.kind == answer_kind::invalid)
-    return OnFailure(run_end::broken, true);
+    return OnFailure(run_end::broken);
   if (facts.kind == answer_kind::failure && !streaming_) {
-    if (MayRunMore() &&
-        services_.BudgetOf(service_).TryRetry(services_.instance_count,
-                                              services_.scheduler.Now()))
-      return OnFailure(run_end::failed, true);
+    if (TakeRepeat())
+      return RepeatElsewhere(run_end::failed);
     return PassOn();
   }
   if (facts.kind == answer_kind::failure || splitter_.HasPartial())
-    return OnFailure(run_end::broken, true);
+    return OnFailure(run_end::broken);
   PassOn();
 }
 
@@ -328,41 +326,46 @@
   Dispatch();
 }
 
-void exchange::OnFailure(run_end end, bool may_have_run) {
-  if (streaming_ && ResumeFromBackup())
-    return;
-  EndAttempt(end);
-  if (may_have_run) {
-    ++runs_;
-    may_have_run_ = true;
-  }
-  if (streaming_)
+// The target may have run the request, and its answer is of no use.
+void exchange::OnFailure(run_end end) {
+  if (streaming_) {
+    if (ResumeFromBackup())
+      return;
+    EndAttempt(end);
     return BreakStream("target_ended_stream");
-  const bool repeatable = match_.route->kind == call_kind::idempotent;
-  if (repeatable && runs_ < match_.route->max_attempts && sends_ < kMaxSends &&
-      (end == run_end::failed ||
-       services_.BudgetOf(service_).TryRetry(services_.instance_count,
-                                             services_.scheduler.Now())))
-    return Dispatch();
+  }
+  if (TakeRepeat())
+    return RepeatElsewhere(end);
+  EndAttempt(end);
+  may_have_run_ = true;
   Refuse(error_code::target_failed, run_verdict::may_have_run);
 }
 
+// Returns whether the request may run on another target; takes it from the
+// retry budget if so.
+bool exchange::TakeRepeat() {
+  return MayRunMore() &&
+         services_.BudgetOf(service_).TryRetry(services_.instance_count,
+                                               services_.scheduler.Now());
+}
+
+void exchange::RepeatElsewhere(run_end end) {
+  EndAttempt(end);
+  ++runs_;
+  may_have_run_ = true;
+  Dispatch();
+}
+
 void exchange::BreakStream(const std::string& reason) {
   reply_->Abort();
   Over("broken", reason, run_verdict::may_have_run);
 }
 
 void exchange::OnSlowAttempt() {
-  if (!attempt_ || !MayRunMore() || !attempt_->body.empty())
-    return;
-  if (!services_.BudgetOf(service_).TryRetry(services_.instance_count,
-                                             services_.scheduler.Now()))
+  if (!attempt_ || !attempt_->body.empty() || !TakeRepeat())
     return;
   attempt_->call->Cancel();
-  ++runs_;
-  may_have_run_ = true;
-  EndAttempt(run_end::timed_out);
-  Dispatch();
+  RepeatElsewhere(run_end::timed_out);
 }
 
 void exchange::OnDeadline() {
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -62,13 +62,15 @@
             const std::optional<run_memory>& memory);
   milliseconds TimeLeft(timestamp now) const;
   bool MayRunMore() const;
+  bool TakeRepeat();
+  void RepeatElsewhere(run_end end);
 
   void OnHead(const http_answer_head& head);
   void OnBody(std::string bytes);
   void OnDone(call_outcome outcome);
   void OnComplete();
   void OnRejected(bool arrived);
-  void OnFailure(run_end end, bool may_have_run);
+  void OnFailure(run_end end);
   void BreakStream(const std::string& reason);
   void OnSlowAttempt();
   void OnDeadline();
--- a/src/gateway/tests/store_view_test.cc
+++ b/src/gateway/tests/store_view_test.cc
@@ -118,7 +118,6 @@
       return nullptr;
     }
     void Forget(const http_address&) override {}
-    std::uint64_t OpenedChannels() const override { return 0; }
   } caller;
   gateway_services services{settings,  scheduler, caller, dialect, belief,
                             directory, selector,  logger, metrics, [] {}};
--- a/src/selection/internal/target_health.cc
+++ b/src/selection/internal/target_health.cc
@@ -1,4 +1,4 @@
-#include "selection/internal/target_health.h"
+#include "selection/target_health.h"
 
 #include <algorithm>
 
--- a/src/selection/internal/target_selector.cc
+++ b/src/selection/internal/target_selector.cc
@@ -318,21 +318,6 @@
   return total;
 }
 
-double target_selector::FreeShare(const service_id& service,
-                                  timestamp now) const {
-  std::int64_t slots = 0;
-  std::int64_t runs = 0;
-  for (const auto& [id, target] : directory_.targets()) {
-    if (target.entry.service != service || !directory_.Takes(target))
-      continue;
-    slots += target.entry.slots;
-    runs += TotalLoad(id, now).runs;
-  }
-  if (slots == 0)
-    return 0;
-  return 1 - static_cast<double>(runs) / static_cast<double>(slots);
-}
-
 void target_selector::Expire() {
   std::erase_if(states_, [&](const auto& entry) {
     return entry.second.own.runs == 0 && entry.second.own.tokens == 0 &&
--- a/src/selection/internal/target_health.h
+++ b/src/selection/target_health.h
@@ -1,5 +1,5 @@
-#ifndef SELECTION_INTERNAL_TARGET_HEALTH_H_
-#define SELECTION_INTERNAL_TARGET_HEALTH_H_
+#ifndef SELECTION_TARGET_HEALTH_H_
+#define SELECTION_TARGET_HEALTH_H_
 
 #include <optional>
 
@@ -32,4 +32,4 @@
 
 }  // namespace wist
 
-#endif  // SELECTION_INTERNAL_TARGET_HEALTH_H_
+#endif  // SELECTION_TARGET_HEALTH_H_
--- a/src/selection/target_selector.h
+++ b/src/selection/target_selector.h
@@ -8,8 +8,8 @@
 
 #include "directory/target_directory.h"
 #include "routing/route_table.h"
-#include "selection/internal/target_health.h"
 #include "selection/selection_types.h"
+#include "selection/target_health.h"
 
 namespace wist {
 
@@ -57,9 +57,6 @@
                     const std::vector<target_load>& loads,
                     timestamp now);
 
-  // Whether new requests for the service find most of its targets idle.
-  double FreeShare(const service_id& service, timestamp now) const;
-
   // Drops what is kept of targets that the directory has forgotten.
   void Expire();
 
--- a/src/store/tests/mocks/model_kv_store.h
+++ b/src/store/tests/mocks/model_kv_store.h
@@ -4,8 +4,8 @@
 #include <memory>
 
 #include "framework/base/i_clock.h"
-#include "store/i_kv_store.h"
 #include "stand_ins/platform/platform_model.h"
+#include "store/i_kv_store.h"
 
 namespace wist {
 
