--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -11,10 +11,24 @@
 // this time is cut off or overloaded.
 constexpr milliseconds kConnectLimit{300};
 
-// A kept channel may be closed by its target at any time. Requests that may not
-// be repeated use young ones only.
+// A kept channel may be dead without a sign, and what was sent on it then may
+// have run. Requests that may not be repeated use young ones only, and long
+// generations none: a channel that can't be opened sent nothing.
 constexpr milliseconds kMaxIdleRepeatable{8000};
 constexpr milliseconds kMaxIdleOnce{2500};
+constexpr milliseconds kMaxIdleStream{0};
+
+milliseconds MaxIdle(call_kind kind) {
+  switch (kind) {
+    case call_kind::idempotent:
+      return kMaxIdleRepeatable;
+    case call_kind::non_idempotent:
+      return kMaxIdleOnce;
+    case call_kind::streaming:
+      return kMaxIdleStream;
+  }
+  return kMaxIdleStream;
+}
 
 // Targets tried for one request at the most, where the ones before said that
 // they did not run it.
@@ -233,8 +247,7 @@
   const bool repeatable = match_.route->kind == call_kind::idempotent;
   attempt_->call = services_.caller.Call(
       target.address, services_.dialect.EncodeDispatch(request_, dispatch),
-      {std::min(deadline_, now + kConnectLimit),
-       repeatable ? kMaxIdleRepeatable : kMaxIdleOnce},
+      {std::min(deadline_, now + kConnectLimit), MaxIdle(match_.route->kind)},
       std::move(callbacks));
   if (!repeatable)
     return;
--- a/src/gateway/tests/exchange_test.cc
+++ b/src/gateway/tests/exchange_test.cc
@@ -263,3 +263,17 @@
   answered.target().Receive(answered.Answer("200 OK", "done"));
   CHECK(answered.logger.Last("request", "verdict") == "ran");
 }
+
+TEST_CASE("a stream never starts on a kept channel, which may be dead") {
+  exchange_fixture f;
+  for (const char* name : {"e2", "e3"})
+    f.directory.Remove(target_id(name), false, f.scheduler.Now());
+  f.RequestStream();
+  f.target(0).Receive(f.StreamHead() + f.Event(1) + std::string(LastChunk()));
+  f.scheduler.Advance(milliseconds(1));
+  f.RequestStream();
+  REQUIRE(f.connector.channels.size() == 2);
+  f.target(1).connected = false;
+  f.target(1).End(channel_end::connect_failed);
+  CHECK(f.sent().find("HTTP/1.1 503") != std::string::npos);
+}
