--- /dev/null
+++ b/src/framework/net/internal/whole_call.cc
@@ -0,0 +1,53 @@
+#include "framework/net/whole_call.h"
+
+#include <utility>
+
+namespace wist {
+
+std::shared_ptr<whole_call> whole_call::Start(i_http_caller& caller,
+                                              i_scheduler& scheduler,
+                                              const http_address& address,
+                                              std::string request,
+                                              const whole_call_limits& limits,
+                                              done_handler on_done) {
+  const auto self = std::make_shared<whole_call>();
+  self->on_done_ = std::move(on_done);
+  const timestamp now = scheduler.Now();
+  self->timer_ = scheduler.RunAt(now + limits.answer, [self] {
+    std::exchange(self->call_, nullptr)->Cancel();
+    self->Done(std::nullopt);
+  });
+  call_callbacks callbacks;
+  callbacks.on_head = [self](const http_answer_head& head) {
+    self->answer_.status = head.status;
+  };
+  callbacks.on_body = [self](std::string bytes) {
+    self->answer_.body += bytes;
+  };
+  callbacks.on_done = [self](call_outcome outcome) {
+    self->call_.reset();
+    if (outcome.end != call_end::complete)
+      return self->Done(std::nullopt);
+    self->Done(std::move(self->answer_));
+  };
+  self->call_ = caller.Call(address, std::move(request),
+                            {now + limits.connect, limits.max_idle},
+                            std::move(callbacks));
+  return self;
+}
+
+void whole_call::Cancel() {
+  on_done_ = nullptr;
+  timer_.reset();
+  if (call_)
+    std::exchange(call_, nullptr)->Cancel();
+}
+
+void whole_call::Done(std::optional<whole_answer> answer) {
+  timer_.reset();
+  const auto on_done = std::exchange(on_done_, nullptr);
+  if (on_done)
+    on_done(std::move(answer));
+}
+
+}  // namespace wist
--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include "framework/base/hashing.h"
-
 namespace wist {
 namespace {
 
@@ -49,14 +47,13 @@
 // Refused callers return spread over this part of their Retry-After.
 constexpr double kRetrySpread = 0.5;
 
+// Distinguishes the spread of Retry-After from other uses of a request's point.
+constexpr std::uint64_t kRetrySeed = 2;
+
 // Another instance serves a caller that this one can't serve, so it may come
 // back at once, on another channel.
 constexpr milliseconds kElsewhereRetryAfter{10};
 
-// Covers the resolution of timers and clocks. A request is judged by the time
-// at which its caller sent it, which is before the check.
-constexpr milliseconds kKeyMargin{100};
-
 const char* KindName(call_kind kind) {
   switch (kind) {
     case call_kind::idempotent:
@@ -69,12 +66,6 @@
   return "unknown";
 }
 
-// A number in [0, 1) that depends on the request only.
-double PointOf(const std::string& request_id, std::uint64_t seed) {
-  constexpr double kRange = 18446744073709551616.0;  // 2^64
-  return static_cast<double>(StableHash(request_id, seed)) / kRange;
-}
-
 }  // namespace
 
 exchange::exchange(gateway_services& services,
@@ -90,89 +81,27 @@
 exchange::~exchange() = default;
 
 void exchange::Start() {
-  if (!Route())
-    return;
-  services_.BudgetOf(service_).OnRequest(received_at_);
+  auto routed = RouteRequest(services_, request_, received_at_);
+  if (const auto* code = std::get_if<error_code>(&routed))
+    return Refuse(*code, run_verdict::not_run);
+  routed_ = std::move(std::get<routed_request>(routed));
+  services_.BudgetOf(routed_.service).OnRequest(received_at_);
   deadline_timer_ = services_.scheduler.RunAt(
-      deadline_, [self = shared_from_this()] { self->OnDeadline(); });
+      routed_.deadline, [self = shared_from_this()] { self->OnDeadline(); });
   Dispatch();
 }
 
-bool exchange::Route() {
-  table_ = services_.belief.table();
-  if (!table_) {
-    Refuse(error_code::not_ready, run_verdict::not_run);
-    return false;
-  }
-  const auto matched =
-      table_->Match(request_.host, request_.message.target, request_.key);
-  const bool fresh = services_.belief.IsFresh(
-      received_at_, services_.settings.key_validity - kKeyMargin);
-  if (const auto* fault = std::get_if<route_fault>(&matched)) {
-    // A newer configuration may know what this one does not.
-    if (!fresh)
-      Refuse(error_code::not_ready, run_verdict::not_run);
-    else
-      RefuseRoute(*fault);
-    return false;
-  }
-  match_ = std::get<route_match>(matched);
-  if (match_.workspace && !fresh) {
-    Refuse(error_code::not_ready, run_verdict::not_run);
-    return false;
-  }
-  const route_spec& route = *match_.route;
-  priority_ = match_.workspace && match_.workspace->priority
-                  ? *match_.workspace->priority
-                  : route.priority;
-  service_ = PickService(route, PointOf(request_.id, 1));
-  milliseconds limit = route.timeout;
-  if (request_.time_left)
-    limit = std::min(limit, *request_.time_left);
-  deadline_ = received_at_ + limit;
-  if (!FitsBeforeStop()) {
-    Refuse(error_code::stopping, run_verdict::not_run);
-    return false;
-  }
-  return true;
-}
-
-// A request that would be cut by this instance's own stop is better served by
-// another one from its beginning.
-bool exchange::FitsBeforeStop() const {
-  if (!services_.stop_deadline)
-    return true;
-  if (received_at_ >= *services_.accept_deadline)
-    return false;
-  if (match_.route->kind != call_kind::streaming)
-    return true;
-  const auto size = SelectionRequest().size;
-  if (!size)
-    return false;
-  return received_at_ + kAssumedTokenTime * size->expected_output_tokens +
-             match_.route->objective <
-         *services_.stop_deadline;
-}
-
-void exchange::RefuseRoute(route_fault fault) {
-  Refuse(fault == route_fault::no_route ? error_code::no_route
-                                        : error_code::unknown_key,
-         run_verdict::not_run);
+const route_spec& exchange::Route() const {
+  return *routed_.match.route;
 }
 
 selection_request exchange::SelectionRequest() const {
   selection_request wanted;
-  wanted.service = service_;
+  wanted.service = routed_.service;
   wanted.excluded = excluded_;
-  if (!request_.generation)
-    return wanted;
-  const generation_facts& facts = *request_.generation;
-  // Half of the bound is the best guess where the caller gives none.
-  const std::int64_t output = std::min(
-      facts.estimated_output_tokens.value_or(facts.max_output_tokens / 2),
-      facts.max_output_tokens);
-  wanted.size = generation_size{facts.prompt_tokens, output};
-  wanted.session = facts.session;
+  wanted.size = ExpectedSize(request_);
+  if (request_.generation)
+    wanted.session = request_.generation->session;
   return wanted;
 }
 
@@ -190,7 +119,7 @@
 void exchange::Hold(const selection_fault& fault) {
   const timestamp now = services_.scheduler.Now();
   const timestamp hold_deadline =
-      received_at_ + match_.route->objective / kHoldDivisor;
+      received_at_ + Route().objective / kHoldDivisor;
   if (!fault.is_full || sends_ > 0 || now + kHoldPause >= hold_deadline)
     return RefuseFull(fault.retry_after);
   hold_timer_ = services_.scheduler.RunAt(
@@ -198,7 +127,7 @@
 }
 
 milliseconds exchange::TimeLeft(timestamp now) const {
-  return std::chrono::duration_cast<milliseconds>(deadline_ - now);
+  return std::chrono::duration_cast<milliseconds>(routed_.deadline - now);
 }
 
 void exchange::Send(const target_entry& target,
@@ -215,9 +144,10 @@
   target_dispatch dispatch;
   dispatch.target = target;
   dispatch.time_left = time_left;
-  dispatch.priority = priority_;
-  dispatch.workspace =
-      match_.workspace ? match_.workspace->id.text() : std::string();
+  dispatch.priority = routed_.priority;
+  dispatch.workspace = routed_.match.workspace
+                           ? routed_.match.workspace->id.text()
+                           : std::string();
   dispatch.memory = memory;
   if (memory)
     dispatch.last_event_id = splitter_.last_id().value_or("");
@@ -244,21 +174,21 @@
     if (current())
       self->OnDone(outcome);
   };
-  const bool repeatable = match_.route->kind == call_kind::idempotent;
+  const bool repeatable = Route().kind == call_kind::idempotent;
   attempt_->call = services_.caller.Call(
       target.address, services_.dialect.EncodeDispatch(request_, dispatch),
-      {std::min(deadline_, now + kConnectLimit), MaxIdle(match_.route->kind)},
+      {std::min(routed_.deadline, now + kConnectLimit), MaxIdle(Route().kind)},
       std::move(callbacks));
   if (!repeatable)
     return;
   attempt_timer_ = services_.scheduler.RunAt(
-      now + match_.route->objective * kSlowObjectives,
+      now + Route().objective * kSlowObjectives,
       [self = shared_from_this()] { self->OnSlowAttempt(); });
 }
 
 bool exchange::MayRunMore() const {
-  return match_.route->kind == call_kind::idempotent &&
-         runs_ + 1 < match_.route->max_attempts && sends_ < kMaxSends;
+  return Route().kind == call_kind::idempotent &&
+         runs_ + 1 < Route().max_attempts && sends_ < kMaxSends;
 }
 
 void exchange::OnHead(const http_answer_head& head) {
@@ -284,7 +214,7 @@
     streaming_ = true;
     const std::vector<http_header> headers =
         services_.dialect.CallerHeaders(attempt_->head);
-    services_.metrics.OnFirstByte(KindName(match_.route->kind),
+    services_.metrics.OnFirstByte(KindName(Route().kind),
                                   services_.scheduler.Now() - received_at_);
     reply_->Begin(EncodeChunkedAnswerHead(attempt_->head.status, headers));
   }
@@ -331,10 +261,11 @@
 // target counts against the retry budget.
 void exchange::OnRejected(bool arrived) {
   const timestamp now = services_.scheduler.Now();
-  if (may_have_run_ && match_.route->kind != call_kind::idempotent)
+  if (may_have_run_ && Route().kind != call_kind::idempotent)
     return Refuse(error_code::target_failed, run_verdict::may_have_run);
-  if (sends_ >= kMaxSends || (arrived && !services_.BudgetOf(service_).TryRetry(
-                                             services_.instance_count, now)))
+  if (sends_ >= kMaxSends ||
+      (arrived && !services_.BudgetOf(routed_.service)
+                       .TryRetry(services_.instance_count, now)))
     return RefuseFull(milliseconds(0));
   Dispatch();
 }
@@ -358,8 +289,8 @@
 // retry budget if so.
 bool exchange::TakeRepeat() {
   return MayRunMore() &&
-         services_.BudgetOf(service_).TryRetry(services_.instance_count,
-                                               services_.scheduler.Now());
+         services_.BudgetOf(routed_.service)
+             .TryRetry(services_.instance_count, services_.scheduler.Now());
 }
 
 void exchange::RepeatElsewhere(run_end end) {
@@ -427,7 +358,7 @@
       attempt_->head.status, services_.dialect.CallerHeaders(attempt_->head),
       attempt_->body);
   EndAttempt(answered ? run_end::answered : run_end::failed);
-  services_.metrics.OnFirstByte(KindName(match_.route->kind),
+  services_.metrics.OnFirstByte(KindName(Route().kind),
                                 services_.scheduler.Now() - received_at_);
   reply_->Send(std::move(bytes));
   Over(answered ? "answered" : "target_failure", "", run_verdict::ran);
@@ -451,10 +382,10 @@
   refusal refused{error_code::overloaded, run_verdict::not_run, std::nullopt};
   const milliseconds base = std::max(
       retry_after, milliseconds(std::chrono::duration_cast<milliseconds>(
-                       match_.route->objective / 4)));
-  refused.retry_after = milliseconds(
-      static_cast<std::int64_t>(static_cast<double>(base.count()) *
-                                (1 + kRetrySpread * PointOf(request_.id, 2))));
+                       Route().objective / 4)));
+  refused.retry_after = milliseconds(static_cast<std::int64_t>(
+      static_cast<double>(base.count()) *
+      (1 + kRetrySpread * PointOf(request_.id, kRetrySeed))));
   reply_->Send(services_.dialect.EncodeRefusal(request_.id, refused,
                                                reply_->KeepsChannel()));
   Over("refused", "overloaded", run_verdict::not_run);
@@ -499,7 +430,7 @@
                    const std::string& reason,
                    run_verdict verdict) {
   const timestamp now = services_.scheduler.Now();
-  const char* kind = match_.route ? KindName(match_.route->kind) : "unrouted";
+  const char* kind = routed_.match.route ? KindName(Route().kind) : "unrouted";
   services_.metrics.OnEnd(kind, outcome, now - received_at_);
   std::string targets;
   for (const target_id& target : excluded_)
@@ -511,7 +442,7 @@
       log_level::info, "request",
       {{"request_id", request_.id},
        {"kind", std::string(kind)},
-       {"route", match_.route ? match_.route->name : ""},
+       {"route", routed_.match.route ? Route().name : ""},
        {"outcome", outcome},
        {"reason", reason},
        {"verdict", std::string(VerdictName(verdict))},
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -8,14 +8,12 @@
 
 #include "gateway/internal/gateway_services.h"
 #include "gateway/internal/i_reply.h"
+#include "gateway/internal/request_routing.h"
 #include "gateway/internal/run_mover.h"
 #include "streams/event_splitter.h"
 
 namespace wist {
 
-// Time that a token of a generation takes on a well filled engine.
-inline constexpr milliseconds kAssumedTokenTime{12};
-
 // A request on its way to one target.
 struct target_attempt {
   target_entry target;
@@ -52,9 +50,7 @@
   void OnTargetLeaves(const target_id& target);
 
  private:
-  bool Route();
-  bool FitsBeforeStop() const;
-  void RefuseRoute(route_fault fault);
+  const route_spec& Route() const;
   selection_request SelectionRequest() const;
   void Dispatch();
   void Hold(const selection_fault& fault);
@@ -97,12 +93,8 @@
   i_reply* reply_;
   std::function<void()> on_over_;
   const timestamp received_at_;
-  timestamp deadline_;
-  // Keeps `match_` valid across changes of the configuration.
-  std::shared_ptr<const route_table> table_;
-  route_match match_;
-  service_id service_;
-  std::int32_t priority_ = 0;
+  // Its route is null until the request was routed.
+  routed_request routed_;
 
   std::optional<target_attempt> attempt_;
   std::set<target_id> excluded_;
--- a/src/gateway/internal/exchange_continuation.cc
+++ b/src/gateway/internal/exchange_continuation.cc
@@ -26,9 +26,9 @@
 void exchange::OnTargetLeaves(const target_id& target) {
   if (over_ || !attempt_ || attempt_->target.id != target || mover_)
     return;
-  if (match_.route->kind != call_kind::streaming || !request_.generation)
+  if (Route().kind != call_kind::streaming || !request_.generation)
     return;
-  const routed_service* service = table_->FindService(service_);
+  const routed_service* service = routed_.table->FindService(routed_.service);
   if (!service || !service->engine || !service->engine->can_move_runs)
     return;
   // A run that has not begun has no memory to copy yet.
@@ -42,7 +42,7 @@
   move_wanted_ = false;
   mover_ = std::make_shared<run_mover>(
       services_, request_.id, attempt_->target, SelectionRequest(),
-      std::min(deadline_, now + kMoveLimit),
+      std::min(routed_.deadline, now + kMoveLimit),
       [weak = weak_from_this()](std::optional<moved_run> moved) {
         if (const auto self = weak.lock())
           self->OnMoved(std::move(moved));
@@ -72,7 +72,7 @@
 // Long runs are copied as they grow, so that they survive an engine that ends
 // without notice and a cut between failure domains.
 void exchange::AddBackup(target_dispatch& dispatch) {
-  const routed_service* service = table_->FindService(service_);
+  const routed_service* service = routed_.table->FindService(routed_.service);
   const selection_request wanted = SelectionRequest();
   if (!service || !service->engine || !service->engine->can_back_up_runs ||
       !wanted.size ||
--- /dev/null
+++ b/src/gateway/internal/request_routing.cc
@@ -0,0 +1,93 @@
+#include "gateway/internal/request_routing.h"
+
+#include <algorithm>
+
+#include "framework/base/hashing.h"
+
+namespace wist {
+namespace {
+
+// Covers the resolution of timers and clocks. A request is judged by the time
+// at which its caller sent it, which is before the check.
+constexpr milliseconds kKeyMargin{100};
+
+// Distinguishes the choice of a service from other uses of a request's point.
+constexpr std::uint64_t kServiceSeed = 1;
+
+error_code ToError(route_fault fault) {
+  return fault == route_fault::no_route ? error_code::no_route
+                                        : error_code::unknown_key;
+}
+
+// A request that would be cut by this instance's own stop is better served by
+// another one from its beginning.
+bool FitsBeforeStop(const gateway_services& services,
+                    const caller_request& request,
+                    const route_spec& route,
+                    timestamp received_at) {
+  if (!services.stop_deadline)
+    return true;
+  if (received_at >= *services.accept_deadline)
+    return false;
+  if (route.kind != call_kind::streaming)
+    return true;
+  const auto size = ExpectedSize(request);
+  if (!size)
+    return false;
+  return received_at + kAssumedTokenTime * size->expected_output_tokens +
+             route.objective <
+         *services.stop_deadline;
+}
+
+}  // namespace
+
+std::variant<routed_request, error_code> RouteRequest(
+    const gateway_services& services,
+    const caller_request& request,
+    timestamp received_at) {
+  routed_request routed;
+  routed.table = services.belief.table();
+  if (!routed.table)
+    return error_code::not_ready;
+  const auto matched =
+      routed.table->Match(request.host, request.message.target, request.key);
+  const bool fresh = services.belief.IsFresh(
+      received_at, services.settings.key_validity - kKeyMargin);
+  if (const auto* fault = std::get_if<route_fault>(&matched)) {
+    // A newer configuration may know what this one does not.
+    return fresh ? ToError(*fault) : error_code::not_ready;
+  }
+  routed.match = std::get<route_match>(matched);
+  if (routed.match.workspace && !fresh)
+    return error_code::not_ready;
+  const route_spec& route = *routed.match.route;
+  if (!FitsBeforeStop(services, request, route, received_at))
+    return error_code::stopping;
+  const keyed_workspace* workspace = routed.match.workspace;
+  routed.priority =
+      workspace && workspace->priority ? *workspace->priority : route.priority;
+  routed.service = PickService(route, PointOf(request.id, kServiceSeed));
+  routed.deadline =
+      received_at + (request.time_left
+                         ? std::min(route.timeout, *request.time_left)
+                         : route.timeout);
+  return routed;
+}
+
+std::optional<generation_size> ExpectedSize(const caller_request& request) {
+  if (!request.generation)
+    return std::nullopt;
+  const generation_facts& facts = *request.generation;
+  // Half of the bound is the best guess where the caller gives none.
+  const std::int64_t output = std::min(
+      facts.estimated_output_tokens.value_or(facts.max_output_tokens / 2),
+      facts.max_output_tokens);
+  return generation_size{facts.prompt_tokens, output};
+}
+
+double PointOf(const std::string& request_id, std::uint64_t seed) {
+  constexpr double kRange = 18446744073709551616.0;  // 2^64
+  return static_cast<double>(StableHash(request_id, seed)) / kRange;
+}
+
+}  // namespace wist
--- a/src/gateway/internal/run_mover.cc
+++ b/src/gateway/internal/run_mover.cc
@@ -67,27 +67,20 @@
   // The copy takes room from now on, so the other instances hear of it.
   reserved_ = services_.selector.Begin(receiver_->id, request_, now);
   services_.on_load_change();
-  status_ = 0;
-  body_.clear();
-  const auto self = shared_from_this();
-  call_callbacks callbacks;
-  callbacks.on_head = [self](const http_answer_head& head) {
-    self->status_ = head.status;
-  };
-  callbacks.on_body = [self](std::string bytes) { self->body_ += bytes; };
-  callbacks.on_done = [self](call_outcome outcome) {
-    self->call_.reset();
-    if (outcome.end == call_end::complete) {
-      return self->OnAnswer(
-          self->services_.dialect.DecodeMove(self->status_, self->body_));
-    }
-    self->Log("broken");
-    self->Done(std::nullopt);
-  };
-  call_ = services_.caller.Call(
-      source_.address,
+  call_ = whole_call::Start(
+      services_.caller, services_.scheduler, source_.address,
       services_.dialect.EncodeMove(source_, {request_id_, receiver_->address}),
-      {now + kConnectLimit, kMaxIdle}, std::move(callbacks));
+      {kConnectLimit, std::chrono::duration_cast<milliseconds>(deadline_ - now),
+       kMaxIdle},
+      [self = shared_from_this()](std::optional<whole_answer> answer) {
+        self->call_.reset();
+        if (answer) {
+          return self->OnAnswer(
+              self->services_.dialect.DecodeMove(answer->status, answer->body));
+        }
+        self->Log("broken");
+        self->Done(std::nullopt);
+      });
 }
 
 void run_mover::OnAnswer(const move_answer& answer) {
--- a/src/gateway/internal/run_mover.h
+++ b/src/gateway/internal/run_mover.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "framework/net/whole_call.h"
 #include "gateway/internal/gateway_services.h"
 
 namespace wist {
@@ -52,10 +53,8 @@
   std::optional<target_entry> receiver_;
   std::optional<run_number> reserved_;
   int tries_ = 0;
-  std::shared_ptr<i_http_call> call_;
+  std::shared_ptr<whole_call> call_;
   std::unique_ptr<i_timer> timer_;
-  int status_ = 0;
-  std::string body_;
 };
 
 }  // namespace wist
--- a/src/peers/internal/shared_store.cc
+++ b/src/peers/internal/shared_store.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "framework/net/whole_call.h"
 #include "peers/internal/page_codec.h"
 
 namespace wist {
@@ -24,53 +25,13 @@
 constexpr milliseconds kLongestDirect{16'000};
 constexpr int kMaxDoublings = 3;
 
-// One call to another instance, with its time limit.
-class parent_call : public std::enable_shared_from_this<parent_call> {
- public:
-  using done_handler = std::function<void(std::optional<std::string> body)>;
-
-  // `on_done` gets nothing if no answer came in time.
-  void Start(i_http_caller& caller,
-             i_scheduler& scheduler,
-             const http_address& address,
-             const std::string& target,
-             milliseconds limit,
-             done_handler on_done) {
-    on_done_ = std::move(on_done);
-    const auto self = shared_from_this();
-    const timestamp now = scheduler.Now();
-    timer_ = scheduler.RunAt(now + limit, [self] {
-      self->call_->Cancel();
-      self->Done(std::nullopt);
-    });
-    http_request_message request;
-    request.method = "GET";
-    request.target = target;
-    request.headers = {{"Host", address.host}};
-    call_callbacks callbacks;
-    callbacks.on_body = [self](std::string bytes) { self->body_ += bytes; };
-    callbacks.on_done = [self](call_outcome outcome) {
-      if (outcome.end == call_end::complete)
-        return self->Done(std::move(self->body_));
-      self->Done(std::nullopt);
-    };
-    call_ = caller.Call(address, EncodeHttpRequest(request),
-                        {now + kConnectLimit, kMaxIdle}, std::move(callbacks));
-  }
-
- private:
-  void Done(std::optional<std::string> body) {
-    timer_.reset();
-    const auto on_done = std::exchange(on_done_, nullptr);
-    if (on_done)
-      on_done(std::move(body));
-  }
-
-  done_handler on_done_;
-  std::shared_ptr<i_http_call> call_;
-  std::unique_ptr<i_timer> timer_;
-  std::string body_;
-};
+std::string EncodeQuestion(const http_address& address, const Poco::URI& uri) {
+  http_request_message request;
+  request.method = "GET";
+  request.target = uri.getPathEtc();
+  request.headers = {{"Host", address.host}};
+  return EncodeHttpRequest(request);
+}
 
 }  // namespace
 
@@ -108,18 +69,21 @@
     return store_.ReadRange(prefix, after_key, std::move(done));
   Poco::URI uri("/range");
   uri.addQueryParameter("prefix", prefix);
-  std::make_shared<parent_call>()->Start(
-      caller_, scheduler_, parent->address, uri.getPathEtc(), kAnswerLimit,
-      [this, prefix, done = std::move(done)](std::optional<std::string> body) {
-        range_result result = body ? DecodeRangePage(*body)
-                                   : range_result(store_fault::unavailable);
-        if (std::holds_alternative<range_page>(result)) {
-          OnParentAnswer();
-          return done(std::move(result));
-        }
-        OnParentFault();
-        store_.ReadRange(prefix, "", done);
-      });
+  whole_call::Start(caller_, scheduler_, parent->address,
+                    EncodeQuestion(parent->address, uri),
+                    {kConnectLimit, kAnswerLimit, kMaxIdle},
+                    [this, prefix, done = std::move(done)](
+                        std::optional<whole_answer> answer) {
+                      range_result result =
+                          answer ? DecodeRangePage(answer->body)
+                                 : range_result(store_fault::unavailable);
+                      if (std::holds_alternative<range_page>(result)) {
+                        OnParentAnswer();
+                        return done(std::move(result));
+                      }
+                      OnParentFault();
+                      store_.ReadRange(prefix, "", done);
+                    });
 }
 
 void shared_store::Watch(const std::string& prefix,
@@ -134,13 +98,14 @@
   uri.addQueryParameter("prefix", prefix);
   uri.addQueryParameter("since", std::to_string(since_revision));
   uri.addQueryParameter("wait_ms", std::to_string(parent_wait.count()));
-  std::make_shared<parent_call>()->Start(
-      caller_, scheduler_, parent->address, uri.getPathEtc(),
-      parent_wait + kAnswerLimit,
+  whole_call::Start(
+      caller_, scheduler_, parent->address,
+      EncodeQuestion(parent->address, uri),
+      {kConnectLimit, parent_wait + kAnswerLimit, kMaxIdle},
       [this, prefix, since_revision, wait,
-       done = std::move(done)](std::optional<std::string> body) {
-        watch_result result = body ? DecodeWatchPage(*body)
-                                   : watch_result(store_fault::unavailable);
+       done = std::move(done)](std::optional<whole_answer> answer) {
+        watch_result result = answer ? DecodeWatchPage(answer->body)
+                                     : watch_result(store_fault::unavailable);
         const auto* fault = std::get_if<store_fault>(&result);
         if (fault && *fault == store_fault::unavailable) {
           OnParentFault();
--- a/src/selection/internal/target_selector.cc
+++ b/src/selection/internal/target_selector.cc
@@ -186,19 +186,26 @@
                   kMaxCostJitter);
 }
 
+run_number target_selector::Add(const target_id& target,
+                                const selection_request& request,
+                                bool is_copy,
+                                timestamp now) {
+  const run_number number = next_run_++;
+  const generation_size size = request.size.value_or(generation_size{});
+  runs_[number] = {target, size, false, is_copy, now};
+  target_state& state = states_[target];
+  state.own.target = target;
+  state.own.tokens += size.Total();
+  return number;
+}
+
 run_number target_selector::Begin(const target_id& target,
                                   const selection_request& request,
                                   timestamp now) {
-  const run_number number = next_run_++;
-  run& begun = runs_[number];
-  begun.target = target;
-  begun.size = request.size.value_or(generation_size{});
-  begun.began_at = now;
+  const run_number number = Add(target, request, false, now);
   target_state& state = states_[target];
-  state.own.target = target;
   state.own.runs += 1;
-  state.own.tokens += begun.size.Total();
-  state.own.unread_tokens += begun.size.prompt_tokens;
+  state.own.unread_tokens += runs_[number].size.prompt_tokens;
   while (!state.recent_sends.empty() &&
          now >= state.recent_sends.front() + kColdWindow)
     state.recent_sends.pop_front();
@@ -244,16 +251,7 @@
 run_number target_selector::BeginCopy(const target_id& target,
                                       const selection_request& request,
                                       timestamp now) {
-  const run_number number = next_run_++;
-  run& begun = runs_[number];
-  begun.target = target;
-  begun.size = request.size.value_or(generation_size{});
-  begun.is_copy = true;
-  begun.began_at = now;
-  target_state& state = states_[target];
-  state.own.target = target;
-  state.own.tokens += begun.size.Total();
-  return number;
+  return Add(target, request, true, now);
 }
 
 void target_selector::OnFirstOutput(run_number number) {
--- a/src/selection/target_selector.h
+++ b/src/selection/target_selector.h
@@ -80,6 +80,10 @@
     timestamp deadline;
   };
 
+  run_number Add(const target_id& target,
+                 const selection_request& request,
+                 bool is_copy,
+                 timestamp now);
   double CostJitter() const;
   target_load TotalLoad(const target_id& target, timestamp now) const;
   std::optional<double> Cost(const known_target& target,
