Close five holes found by reading: large answers, slow heads, pipelined bytes, host names

Cause, each found by reading the diff: an answer past 8 MB was cut and passed on as whole; single bytes of a head held a channel for good; a caller could send ahead without bound; a target entry whose address is no IP number ended the process when it was chosen, and so did a malformed question on the internal port.

--- a/src/framework/net/http_codec.h
+++ b/src/framework/net/http_codec.h
@@ -58,6 +58,12 @@
 
   // Whether some bytes of a request are there.
   virtual bool Begun() const = 0;
+
+  // Whether the head of the request under way is whole.
+  virtual bool HeadRead() const = 0;
+
+  // Bytes taken and not read yet.
+  virtual std::size_t BufferedBytes() const = 0;
 };
 
 std::unique_ptr<i_http_request_reader> MakeHttpRequestReader(
--- a/src/framework/net/internal/asio_event_loop.cc
+++ b/src/framework/net/internal/asio_event_loop.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/signal_set.hpp>
 
 #include <list>
+#include <optional>
 
 #include "framework/net/i_event_loop.h"
 #include "framework/net/internal/tcp_channel.h"
@@ -71,12 +72,20 @@
   const std::shared_ptr<shared_state> state_;
 };
 
-udp::endpoint ToUdp(const http_address& address) {
+// Throws std::runtime_error if the host is no IP number.
+template <typename Endpoint>
+Endpoint ToEndpoint(const http_address& address) {
   return {asio::ip::make_address(address.host), address.port};
 }
 
-tcp::endpoint ToTcp(const http_address& address) {
-  return {asio::ip::make_address(address.host), address.port};
+// Returns nothing if the host is no IP number: there are no name look-ups.
+template <typename Endpoint>
+std::optional<Endpoint> TryEndpoint(const http_address& address) {
+  boost::system::error_code error;
+  const auto host = asio::ip::make_address(address.host, error);
+  if (error)
+    return std::nullopt;
+  return Endpoint(host, address.port);
 }
 
 class asio_datagram_port final : public i_datagram_port {
@@ -84,16 +93,20 @@
   asio_datagram_port(asio::io_context& context,
                      const http_address& address,
                      datagram_handler handler)
-      : socket_(context, ToUdp(address)), handler_(std::move(handler)) {
+      : socket_(context, ToEndpoint<udp::endpoint>(address)),
+        handler_(std::move(handler)) {
     socket_.non_blocking(true);
     buffer_.resize(kDatagramBytes);
     Receive();
   }
 
   void Send(const http_address& to, const std::string& bytes) override {
+    const auto endpoint = TryEndpoint<udp::endpoint>(to);
+    if (!endpoint)
+      return;
     boost::system::error_code error;
     // A datagram that can't be sent is lost, as any may be.
-    socket_.send_to(asio::buffer(bytes), ToUdp(to), 0, error);
+    socket_.send_to(asio::buffer(bytes), *endpoint, 0, error);
   }
 
  private:
@@ -134,12 +147,14 @@
                                      timestamp deadline,
                                      channel_callbacks callbacks) override {
     auto channel = std::make_shared<tcp_channel>(tcp::socket(context_));
-    channel->Connect(ToTcp(address), deadline - Now(), std::move(callbacks));
+    channel->Connect(TryEndpoint<tcp::endpoint>(address), deadline - Now(),
+                     std::move(callbacks));
     return channel;
   }
 
   void Listen(const http_address& address, accept_handler handler) override {
-    listeners_.emplace_back(context_, ToTcp(address), std::move(handler));
+    listeners_.emplace_back(context_, ToEndpoint<tcp::endpoint>(address),
+                            std::move(handler));
     Accept(listeners_.back());
   }
 
--- a/src/framework/net/internal/http_codec.cc
+++ b/src/framework/net/internal/http_codec.cc
@@ -90,6 +90,8 @@
   std::optional<http_read_fault> fault() const override { return fault_; }
 
   bool Begun() const override { return !buffer_.empty() || head_read_; }
+  bool HeadRead() const override { return head_read_; }
+  std::size_t BufferedBytes() const override { return buffer_.size(); }
 
  private:
   void Restart() {
--- a/src/framework/net/internal/tcp_channel.cc
+++ b/src/framework/net/internal/tcp_channel.cc
@@ -49,13 +49,14 @@
   SetOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, kUnackedLimitMs);
 }
 
-void tcp_channel::Connect(const tcp::endpoint& endpoint,
+void tcp_channel::Connect(const std::optional<tcp::endpoint>& endpoint,
                           asio::steady_timer::duration limit,
                           channel_callbacks callbacks) {
   callbacks_ = std::move(callbacks);
   boost::system::error_code error;
-  socket_.open(endpoint.protocol(), error);
-  if (error) {
+  if (endpoint)
+    socket_.open(endpoint->protocol(), error);
+  if (!endpoint || error) {
     asio::post(socket_.get_executor(), [self = shared_from_this()] {
       self->End(channel_end::connect_failed);
     });
@@ -68,10 +69,11 @@
         if (!cancelled && self->state_ == state::connecting)
           self->End(channel_end::connect_failed);
       });
-  socket_.async_connect(endpoint, [self = shared_from_this()](
-                                      const boost::system::error_code& failed) {
-    self->OnConnected(failed);
-  });
+  socket_.async_connect(
+      *endpoint,
+      [self = shared_from_this()](const boost::system::error_code& failed) {
+        self->OnConnected(failed);
+      });
 }
 
 void tcp_channel::OnConnected(const boost::system::error_code& error) {
--- a/src/framework/net/internal/tcp_channel.h
+++ b/src/framework/net/internal/tcp_channel.h
@@ -5,7 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <array>
-#include <deque>
+#include <optional>
 
 #include "framework/net/i_channel.h"
 
@@ -17,8 +17,8 @@
  public:
   explicit tcp_channel(boost::asio::ip::tcp::socket socket);
 
-  // Starts to connect; `deadline` is in the timer's clock.
-  void Connect(const boost::asio::ip::tcp::endpoint& endpoint,
+  // Starts to connect; fails at once without an endpoint.
+  void Connect(const std::optional<boost::asio::ip::tcp::endpoint>& endpoint,
                boost::asio::steady_timer::duration limit,
                channel_callbacks callbacks);
 
--- a/src/framework/net/tests/tcp_channel_test.cc
+++ b/src/framework/net/tests/tcp_channel_test.cc
@@ -95,3 +95,18 @@
   loop->Run();
   CHECK(handled == 2);
 }
+
+TEST_CASE("an address that is no IP number can't be reached") {
+  const auto loop = MakeEventLoop(MakeSystemClock());
+  std::optional<channel_end> end;
+  const auto hang =
+      loop->RunAt(loop->Now() + kHangLimit, [&] { loop->Stop(); });
+  const auto channel =
+      loop->Connect({"no-such-host", kPort}, loop->Now() + kHangLimit,
+                    {nullptr, [&](channel_end got) {
+                       end = got;
+                       loop->Stop();
+                     }});
+  loop->Run();
+  CHECK(end == channel_end::connect_failed);
+}
--- a/src/gateway/internal/caller_connection.cc
+++ b/src/gateway/internal/caller_connection.cc
@@ -6,6 +6,9 @@
 // A caller that doesn't read its stream is cut off past this many bytes.
 constexpr std::size_t kMaxUnsentBytes = 1'048'576;
 
+// Requests that a caller sends ahead of its answers are held up to this size.
+constexpr std::size_t kMaxPipelinedBytes = 262'144;
+
 }  // namespace
 
 caller_connection::caller_connection(gateway_services& services,
@@ -51,7 +54,13 @@
   const auto self = shared_from_this();
   reader_->Feed(bytes);
   if (!exchange_)
-    ReadNext();
+    return ReadNext();
+  if (reader_->BufferedBytes() <= kMaxPipelinedBytes)
+    return;
+  services_.logger.Write(log_level::warning, "too_many_pipelined_bytes", {});
+  aborted_ = true;
+  const auto current = exchange_;
+  current->OnCallerGone();
 }
 
 void caller_connection::ReadNext() {
@@ -129,6 +138,11 @@
 }
 
 void caller_connection::ArmTimer() {
+  // The time for a head counts from its first byte, so that single bytes don't
+  // hold a channel for good.
+  if (timer_ && waits_for_head_ && reader_->Begun() && !reader_->HeadRead())
+    return;
+  waits_for_head_ = reader_->Begun() && !reader_->HeadRead();
   const caller_limits limits = Limits();
   const milliseconds limit =
       reader_->Begun() ? limits.header_timeout : limits.idle_timeout;
--- a/src/gateway/internal/caller_connection.h
+++ b/src/gateway/internal/caller_connection.h
@@ -63,6 +63,8 @@
   bool keep_alive_ = true;
   bool stopping_ = false;
   bool aborted_ = false;
+  // Whether the timer bounds the head of a request.
+  bool waits_for_head_ = false;
 };
 
 }  // namespace wist
--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -200,9 +200,11 @@
   const bool is_stream = attempt_->facts.kind == answer_kind::success &&
                          attempt_->facts.is_event_stream;
   if (!is_stream) {
-    if (attempt_->body.size() + bytes.size() <= kMaxWholeAnswer)
-      attempt_->body += bytes;
-    return;
+    attempt_->body += bytes;
+    if (attempt_->body.size() <= kMaxWholeAnswer)
+      return;
+    attempt_->call->Cancel();
+    return OnFailure(run_end::broken);
   }
   std::string events = splitter_.Feed(bytes);
   if (events.empty())
@@ -348,7 +350,6 @@
 void exchange::PassOn() {
   services_.selector.OnFirstOutput(attempt_->run);
   const bool answered = attempt_->facts.kind == answer_kind::success;
-  const std::string target = attempt_->target.id.text();
   if (streaming_) {
     EndAttempt(run_end::answered);
     reply_->Finish(std::string(LastChunk()));
--- a/src/gateway/tests/exchange_test.cc
+++ b/src/gateway/tests/exchange_test.cc
@@ -277,3 +277,36 @@
   f.target(1).End(channel_end::connect_failed);
   CHECK(f.sent().find("HTTP/1.1 503") != std::string::npos);
 }
+
+TEST_CASE("an answer too large to keep is never passed on in part") {
+  exchange_fixture f;
+  f.Request("/once/x");
+  f.target().Receive(
+      "HTTP/1.1 200 OK\r\nId: r\r\nSigned: 1\r\n"
+      "Content-Length: 9000000\r\n\r\n");
+  const std::string part(1'000'000, 'x');
+  for (int i = 0; i < 9; ++i)
+    f.target().Receive(part);
+  CHECK(f.sent().starts_with("HTTP/1.1 502"));
+  CHECK(f.target().aborted);
+}
+
+TEST_CASE("a head that comes byte by byte has to be whole in time") {
+  exchange_fixture f;
+  for (int i = 0; i < 4; ++i) {
+    f.caller_channel->Receive("X");
+    f.scheduler.Advance(milliseconds(900));
+  }
+  CHECK(f.Sent("Code: request_timeout"));
+  CHECK(f.caller_channel->closed);
+}
+
+TEST_CASE("a caller that sends far ahead of its answers is cut off") {
+  exchange_fixture f;
+  f.Request("/once/x");
+  const std::string part(100'000, 'x');
+  for (int i = 0; i < 3; ++i)
+    f.caller_channel->Receive(part);
+  CHECK(f.caller_channel->aborted);
+  CHECK(f.target().aborted);
+}
--- a/src/peers/internal/mirror_server.cc
+++ b/src/peers/internal/mirror_server.cc
@@ -1,5 +1,6 @@
 #include "peers/mirror_server.h"
 
+#include <Poco/Exception.h>
 #include <Poco/URI.h>
 
 #include <algorithm>
@@ -44,10 +45,16 @@
 
 void mirror_server::Serve(const std::shared_ptr<i_channel>& channel,
                           const http_request_message& request) {
-  const Poco::URI uri(request.target);
+  Poco::URI uri;
   std::map<std::string, std::string> parameters;
-  for (const auto& [name, value] : uri.getQueryParameters())
-    parameters[name] = value;
+  try {
+    uri = request.target;
+    for (const auto& [name, value] : uri.getQueryParameters())
+      parameters[name] = value;
+  } catch (const Poco::Exception&) {
+    // Not a question of another instance.
+    return channel->Abort();
+  }
   const std::string& prefix = parameters["prefix"];
   const timestamp now = scheduler_.Now();
   if (uri.getPath() == "/range")
--- a/src/peers/tests/watch_sharing_test.cc
+++ b/src/peers/tests/watch_sharing_test.cc
@@ -200,3 +200,15 @@
   CHECK(channel->written.find("HTTP/1.1") ==
         channel->written.rfind("HTTP/1.1"));
 }
+
+TEST_CASE("a question that can't be read ends its channel only") {
+  virtual_scheduler scheduler;
+  store_mirror mirror;
+  mirror_server server(mirror, scheduler);
+  for (const char* target : {"/watch?%zz=%", "//:x", "/other"}) {
+    const auto channel = std::make_shared<scripted_channel>();
+    server.Accept(channel);
+    CHECK_NOTHROW(channel->Receive(std::string("GET ") + target +
+                                   " HTTP/1.1\r\nHost: h\r\n\r\n"));
+  }
+}
