Replace parents with old copies; one watcher of the store for all domains, paced

The follower refused these, but the store's reader had counted them as good answers and asked the same parent again until the cut ended. A parent refused its waiting children only, not those who asked later.

Change: too old a copy is a fault of the parent, which the store itself replaces at once; an instance without its source refuses all questions.

Ruled out: a refusal by the store (no call failed before 19.2 s); a late version (the children of other parents had it within 0.2 s).

--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -65,7 +65,7 @@
             }) {
     services_.on_load_change = [this] { loads_.OnLoadChange(); };
     view_.SubscribeToInstances([this] { OnInstances(); });
-    view_.SubscribeToLoss([this] { mirror_server_.RefuseWaiting(); });
+    view_.SubscribeToLoss([this] { mirror_server_.OnSourceLost(); });
     directory_.SubscribeToLeaves(
         [this](const known_target& target) { OnTargetLeaves(target); });
     view_.SubscribeToConfiguration(
--- a/src/gateway/internal/store_view.cc
+++ b/src/gateway/internal/store_view.cc
@@ -2,6 +2,8 @@
 
 #include <stdexcept>
 
+#include "peers/shared_store.h"
+
 namespace wist {
 namespace {
 
@@ -10,11 +12,10 @@
 
 // How long a watch waits. Other instances read this one's copy, so its age adds
 // to theirs; changes have to be in force within seconds everywhere.
-constexpr milliseconds kWatchWait{800};
+constexpr milliseconds kWatchWait{600};
 
-// Copies older than this are not used: a copy of a copy that is in good order
-// stays below it.
-constexpr milliseconds kMaxCopyAge{2000};
+// Changes that come within this time are taken together.
+constexpr milliseconds kChangePause{10};
 
 // Where instances announce themselves to each other.
 constexpr std::string_view kInstancePrefix = "wist/instances/";
@@ -29,6 +30,7 @@
   follower_settings follower;
   follower.watch_wait = kWatchWait;
   follower.max_age = kMaxCopyAge;
+  follower.change_pause = kChangePause;
   follower.outage_grace = settings.missing_grace;
   return follower;
 }
--- a/src/peers/internal/mirror_server.cc
+++ b/src/peers/internal/mirror_server.cc
@@ -26,7 +26,7 @@
 
 mirror_server::mirror_server(store_mirror& mirror, i_scheduler& scheduler)
     : mirror_(mirror), scheduler_(scheduler) {
-  mirror_.Subscribe([this] { AnswerWaiting(); });
+  mirror_.Subscribe([this] { OnConfirmed(); });
 }
 
 void mirror_server::Accept(std::shared_ptr<i_channel> channel) {
@@ -57,10 +57,13 @@
   }
   const std::string& prefix = parameters["prefix"];
   const timestamp now = scheduler_.Now();
-  if (uri.getPath() == "/range")
-    return Answer(channel, EncodePage(mirror_.ReadRange(prefix, now)));
-  if (uri.getPath() != "/watch")
+  const bool is_range = uri.getPath() == "/range";
+  if (!is_range && uri.getPath() != "/watch")
     return channel->Abort();
+  if (source_lost_)
+    return Answer(channel, EncodePage(watch_result(store_fault::unavailable)));
+  if (is_range)
+    return Answer(channel, EncodePage(mirror_.ReadRange(prefix, now)));
   const std::int64_t since = Number(parameters["since"]);
   if (const auto page = mirror_.Watch(prefix, since, now))
     return Answer(channel, EncodePage(*page));
@@ -82,7 +85,8 @@
   });
 }
 
-void mirror_server::AnswerWaiting() {
+void mirror_server::OnConfirmed() {
+  source_lost_ = false;
   for (auto entry = waiting_.begin(); entry != waiting_.end();) {
     const auto page =
         mirror_.Watch(entry->prefix, entry->since_revision, scheduler_.Now());
@@ -95,7 +99,8 @@
   }
 }
 
-void mirror_server::RefuseWaiting() {
+void mirror_server::OnSourceLost() {
+  source_lost_ = true;
   for (const waiting_watch& entry : waiting_) {
     Answer(entry.channel, EncodePage(watch_result(store_fault::unavailable)));
   }
--- a/src/peers/internal/shared_store.cc
+++ b/src/peers/internal/shared_store.cc
@@ -17,8 +17,14 @@
 constexpr milliseconds kAnswerLimit{400};
 constexpr milliseconds kMaxIdle{10'000};
 
-// Longest wait of a watch at a parent: the age of a confirmation grows with it.
-constexpr milliseconds kParentWait{400};
+// Longest wait of a watch at a parent: the age of a confirmation grows with it
+// at each level of the watch tree.
+constexpr milliseconds kParentWait{300};
+
+// Targets renew their entries all the time, and each call to the store is
+// charged: watches that bring changes follow each other no faster than this.
+// It adds to the time in which a notice of leaving is heard.
+constexpr milliseconds kDirectWatchPace{120};
 
 // How long the store is asked after a parent failed.
 constexpr milliseconds kFirstDirect{2000};
@@ -33,6 +39,14 @@
   return EncodeHttpRequest(request);
 }
 
+// Whether the parent's word is worth going on with: lost history is, since the
+// store itself would say the same.
+bool IsUsable(const watch_result& result) {
+  if (const auto* fault = std::get_if<store_fault>(&result))
+    return *fault == store_fault::history_gone;
+  return std::get<watch_page>(result).age <= kMaxCopyAge;
+}
+
 }  // namespace
 
 shared_store::shared_store(i_store_reader& store,
@@ -77,7 +91,8 @@
                       range_result result =
                           answer ? DecodeRangePage(answer->body)
                                  : range_result(store_fault::unavailable);
-                      if (std::holds_alternative<range_page>(result)) {
+                      const auto* page = std::get_if<range_page>(&result);
+                      if (page && page->age <= kMaxCopyAge) {
                         OnParentAnswer();
                         return done(std::move(result));
                       }
@@ -92,7 +107,7 @@
                          std::function<void(watch_result)> done) {
   const auto parent = Parent();
   if (!parent)
-    return store_.Watch(prefix, since_revision, wait, std::move(done));
+    return WatchDirectly(prefix, since_revision, wait, std::move(done));
   const milliseconds parent_wait = std::min(wait, kParentWait);
   Poco::URI uri("/watch");
   uri.addQueryParameter("prefix", prefix);
@@ -106,14 +121,27 @@
        done = std::move(done)](std::optional<whole_answer> answer) {
         watch_result result = answer ? DecodeWatchPage(answer->body)
                                      : watch_result(store_fault::unavailable);
-        const auto* fault = std::get_if<store_fault>(&result);
-        if (fault && *fault == store_fault::unavailable) {
+        if (!IsUsable(result)) {
           OnParentFault();
-          return store_.Watch(prefix, since_revision, wait, done);
+          return WatchDirectly(prefix, since_revision, wait, done);
         }
         OnParentAnswer();
         done(std::move(result));
       });
 }
 
+void shared_store::WatchDirectly(const std::string& prefix,
+                                 std::int64_t since_revision,
+                                 milliseconds wait,
+                                 std::function<void(watch_result)> done) {
+  const auto watch = [this, prefix, since_revision, wait,
+                      done = std::move(done)] {
+    next_direct_watch_ = scheduler_.Now() + kDirectWatchPace;
+    store_.Watch(prefix, since_revision, wait, done);
+  };
+  if (scheduler_.Now() >= next_direct_watch_)
+    return watch();
+  direct_timer_ = scheduler_.RunAt(next_direct_watch_, watch);
+}
+
 }  // namespace wist
--- a/src/peers/internal/watch_plan.cc
+++ b/src/peers/internal/watch_plan.cc
@@ -25,6 +25,16 @@
   }
 }
 
+namespace {
+
+// The order of instances in all trees.
+bool ComesFirst(const known_instance& left, const known_instance& right) {
+  return std::pair(StableHash(left.name), left.name) <
+         std::pair(StableHash(right.name), right.name);
+}
+
+}  // namespace
+
 std::optional<known_instance> WatchParent(
     const known_instance& self,
     const std::vector<known_instance>& live) {
@@ -33,16 +43,15 @@
     if (instance.domain == self.domain && instance.name != self.name)
       members.push_back(instance);
   }
-  std::sort(members.begin(), members.end(),
-            [](const known_instance& left, const known_instance& right) {
-              return std::pair(StableHash(left.name), left.name) <
-                     std::pair(StableHash(right.name), right.name);
-            });
+  std::sort(members.begin(), members.end(), ComesFirst);
   const auto found = std::find(members.begin(), members.end(), self);
   const auto rank = static_cast<std::size_t>(found - members.begin());
-  if (rank == 0)
+  if (rank > 0)
+    return members[(rank - 1) / kWatchFanOut];
+  const auto first = std::min_element(live.begin(), live.end(), ComesFirst);
+  if (first == live.end() || !ComesFirst(*first, self))
     return std::nullopt;
-  return members[(rank - 1) / kWatchFanOut];
+  return *first;
 }
 
 }  // namespace wist
--- a/src/peers/mirror_server.h
+++ b/src/peers/mirror_server.h
@@ -20,9 +20,9 @@
 
   void Accept(std::shared_ptr<i_channel> channel);
 
-  // The copy's source is lost: waiting callers are told, so that they ask
-  // elsewhere at once.
-  void RefuseWaiting();
+  // The copy's source is lost: all callers are refused until the copy is
+  // confirmed again, so that they ask elsewhere at once.
+  void OnSourceLost();
 
  private:
   // A watch that waits for a change.
@@ -39,13 +39,14 @@
             const std::string& prefix,
             std::int64_t since_revision,
             milliseconds wait);
-  void AnswerWaiting();
+  void OnConfirmed();
   static void Answer(const std::weak_ptr<i_channel>& channel,
                      const std::string& page);
 
   store_mirror& mirror_;
   i_scheduler& scheduler_;
   std::list<waiting_watch> waiting_;
+  bool source_lost_ = false;
 };
 
 }  // namespace wist
--- a/src/peers/shared_store.h
+++ b/src/peers/shared_store.h
@@ -13,8 +13,12 @@
 
 namespace wist {
 
-// Reads the store through another instance of the failure domain where one is
-// there, else from the store itself. Not thread-safe.
+// A copy that is older than this is of no use: what it lacks has to be in force
+// within the bound on changes of the configuration, two seconds at the least.
+inline constexpr milliseconds kMaxCopyAge{1700};
+
+// Reads the store through another instance where the watch plan names one, else
+// from the store itself. Not thread-safe.
 class shared_store final : public i_store_reader {
  public:
   // `parent` returns whom to ask; nothing for the store itself.
@@ -36,6 +40,10 @@
 
  private:
   std::optional<known_instance> Parent() const;
+  void WatchDirectly(const std::string& prefix,
+                     std::int64_t since_revision,
+                     milliseconds wait,
+                     std::function<void(watch_result)> done);
   void OnParentFault();
   void OnParentAnswer();
 
@@ -46,6 +54,9 @@
   // The store is asked until then, since the parent failed.
   std::optional<timestamp> direct_deadline_;
   int faults_ = 0;
+  // The next watch of the store itself begins no sooner.
+  timestamp next_direct_watch_{};
+  std::unique_ptr<i_timer> direct_timer_;
 };
 
 }  // namespace wist
--- a/src/peers/watch_plan.h
+++ b/src/peers/watch_plan.h
@@ -29,9 +29,10 @@
 // Instances that one instance tells of the store's changes.
 inline constexpr std::size_t kWatchFanOut = 8;
 
-// Returns whom `self` asks for the store's changes: the live instances of its
-// failure domain form a tree whose root asks the store itself. Nothing for the
-// root. All instances that know the same live ones build the same tree.
+// Returns whom `self` asks for the store's changes. The live instances of each
+// failure domain form a tree; the roots of the domains ask one of them, which
+// asks the store itself. Nothing for that one. All instances that know the same
+// live ones build the same tree.
 std::optional<known_instance> WatchParent(
     const known_instance& self,
     const std::vector<known_instance>& live);
