Refuse requests that crash their targets, on all instances

Change: limits/crash_ledger holds crashes by a digest of method, path, caller and body; three of them, apart in time and on different targets, refuse the request as not run until they lapse; an answer clears them. A target counts as crashed if its channel broke before it announced that it leaves and it takes no new channel (gateway/crash_watch): targets that lose answers are no crashes. Load words carry crashes and answers.

Ruled out: two crashes as in the entry instance (a request without a body shares its digest with many others, which may be in flight on two failing targets); strikes without a look at the target (answers are lost more often than targets crash).

--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -76,7 +76,8 @@
       request_(std::move(request)),
       reply_(&reply),
       on_over_(std::move(on_over)),
-      received_at_(services.scheduler.Now()) {}
+      received_at_(services.scheduler.Now()),
+      digest_(DigestOf(request_)) {}
 
 exchange::~exchange() = default;
 
@@ -85,6 +86,8 @@
   if (const auto* code = std::get_if<error_code>(&routed))
     return Refuse(*code, run_verdict::not_run);
   routed_ = std::move(std::get<routed_request>(routed));
+  if (IsQuarantined())
+    return Refuse(error_code::quarantined, run_verdict::not_run);
   services_.BudgetOf(routed_.service).OnRequest(received_at_);
   deadline_timer_ = services_.scheduler.RunAt(
       routed_.deadline, [self = shared_from_this()] { self->OnDeadline(); });
@@ -193,7 +196,13 @@
 
 bool exchange::MayRunMore() const {
   return Route().kind == call_kind::idempotent &&
-         runs_ + 1 < Route().max_attempts && sends_ < kMaxSends;
+         runs_ + 1 < Route().max_attempts && sends_ < kMaxSends &&
+         !IsQuarantined();
+}
+
+bool exchange::IsQuarantined() const {
+  return services_.crashes.QuarantinedUntil(digest_, services_.scheduler.Now())
+      .has_value();
 }
 
 void exchange::OnHead(const http_answer_head& head) {
@@ -289,6 +298,10 @@
 
 // The target may have run the request, and its answer is of no use.
 void exchange::OnFailure(run_end end) {
+  // One that leaves ends by itself.
+  const known_target* target = services_.directory.Find(attempt_->target.id);
+  if (target && !target->leaving)
+    services_.on_run_broken(digest_, attempt_->target);
   if (streaming_) {
     if (ResumeFromBackup())
       return;
@@ -365,6 +378,8 @@
 void exchange::PassOn() {
   services_.selector.OnFirstOutput(attempt_->run, services_.scheduler.Now());
   const bool answered = attempt_->facts.kind == answer_kind::success;
+  if (!services_.crashes.Empty())
+    services_.crashes.OnAnswered(digest_, services_.scheduler.Now());
   if (streaming_) {
     EndAttempt(run_end::answered);
     reply_->Finish(std::string(LastChunk()));
@@ -414,6 +429,11 @@
     reply_->CloseAfterAnswer();
   if (verdict == run_verdict::not_run)
     refused.retry_after = kElsewhereRetryAfter;
+  // Every instance refuses it until then.
+  const timestamp now = services_.scheduler.Now();
+  if (const auto until = services_.crashes.QuarantinedUntil(digest_, now))
+    refused.retry_after =
+        std::chrono::duration_cast<milliseconds>(*until - now);
   if (streaming_)
     return BreakStream(std::string(ErrorCodeName(code)));
   reply_->Send(services_.dialect.EncodeRefusal(request_.id, refused,
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -59,6 +59,7 @@
   milliseconds TimeLeft(timestamp now) const;
   bool MayRunMore() const;
   bool TakeRepeat();
+  bool IsQuarantined() const;
   void RepeatElsewhere(run_end end);
 
   void OnHead(const http_answer_head& head);
@@ -94,6 +95,7 @@
   i_reply* reply_;
   std::function<void()> on_over_;
   const timestamp received_at_;
+  const request_digest digest_;
   // Its route is null until the request was routed.
   routed_request routed_;
 
--- a/src/gateway/internal/exchange_continuation.cc
+++ b/src/gateway/internal/exchange_continuation.cc
@@ -93,7 +93,8 @@
 
 // Returns whether the run goes on from its copy.
 bool exchange::ResumeFromBackup() {
-  if (!attempt_->backup || backup_resumes_ >= kMaxBackupResumes)
+  if (!attempt_->backup || backup_resumes_ >= kMaxBackupResumes ||
+      IsQuarantined())
     return false;
   const known_target* holder = services_.directory.Find(attempt_->backup->id);
   if (!holder || !services_.directory.Takes(*holder))
--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -6,6 +6,7 @@
 #include "framework/base/hashing.h"
 #include "gateway/gateway_module.h"
 #include "gateway/internal/caller_connection.h"
+#include "gateway/internal/crash_watch.h"
 #include "gateway/internal/status_listener.h"
 #include "gateway/internal/store_view.h"
 #include "peers/load_exchange.h"
@@ -58,12 +59,21 @@
             settings.instance,
             StartedAt(),
             parts.loop,
-            [this] { return selector_.OwnLoads(); },
-            [this](const load_word& word) {
-              selector_.SetPeerLoads(word.instance, word.loads,
-                                     parts_.loop.Now());
-            }) {
+            [this] {
+              return own_word{selector_.OwnLoads(),
+                              services_.crashes.Notices(parts_.loop.Now())};
+            },
+            [this](const load_word& word) { OnWord(word); }),
+        crash_watch_(parts.loop,
+                     parts.loop,
+                     services_.crashes,
+                     parts.logger,
+                     [this] { loads_.OnLoadChange(); }) {
     services_.on_load_change = [this] { loads_.OnLoadChange(); };
+    services_.on_run_broken = [this](request_digest digest,
+                                     const target_entry& target) {
+      crash_watch_.OnRunBroken(digest, target);
+    };
     view_.SubscribeToInstances([this] { OnInstances(); });
     view_.SubscribeToLoss([this] { mirror_server_.OnSourceLost(); });
     directory_.SubscribeToLeaves(
@@ -127,6 +137,13 @@
     selector_.SetInstanceCount(services_.instance_count);
   }
 
+  void OnWord(const load_word& word) {
+    const timestamp now = parts_.loop.Now();
+    selector_.SetPeerLoads(word.instance, word.loads, now);
+    for (const crash_notice& notice : word.crashes)
+      services_.crashes.OnNotice(notice, now);
+  }
+
   // Whom this instance asks for the store's changes now.
   std::optional<known_instance> WatchParentNow() {
     std::vector<known_instance> live;
@@ -214,6 +231,7 @@
     const timestamp now = parts_.loop.Now();
     directory_.Expire(now);
     selector_.Expire();
+    services_.crashes.Expire(now);
     if (now >= reload_due_) {
       reload_due_ = now + kReloadPause;
       Reload();
@@ -279,6 +297,7 @@
   store_view view_;
   mirror_server mirror_server_;
   load_exchange loads_;
+  crash_watch crash_watch_;
   std::unique_ptr<i_datagram_port> peer_port_;
   timestamp reload_due_{};
   std::unique_ptr<status_listener> status_;
--- a/src/gateway/internal/gateway_services.h
+++ b/src/gateway/internal/gateway_services.h
@@ -11,6 +11,7 @@
 #include "framework/net/i_scheduler.h"
 #include "gateway/i_dialect.h"
 #include "gateway/internal/gateway_metrics.h"
+#include "limits/crash_ledger.h"
 #include "limits/window_retry_budget.h"
 #include "routing/configuration_belief.h"
 #include "selection/target_selector.h"
@@ -37,6 +38,10 @@
   // Instances that share budgets; an assumption until they are known.
   std::size_t instance_count = kAssumedInstances;
   std::map<service_id, window_retry_budget> budgets;
+  crash_ledger crashes = {};
+  // Told of a run that ended on a target without an answer.
+  std::function<void(request_digest, const target_entry&)> on_run_broken =
+      [](request_digest, const target_entry&) {};
   // Set by a planned stop: no request is taken after the first, and none is
   // served after the second.
   std::optional<timestamp> accept_deadline;
--- a/src/gateway/internal/request_routing.cc
+++ b/src/gateway/internal/request_routing.cc
@@ -85,6 +85,14 @@
   return generation_size{facts.prompt_tokens, output};
 }
 
+request_digest DigestOf(const caller_request& request) {
+  request_digest digest = StableHash(request.message.method);
+  for (const std::string* part :
+       {&request.message.target, &request.key, &request.message.body})
+    digest = StableHash(*part, digest);
+  return digest;
+}
+
 double PointOf(const std::string& request_id, std::uint64_t seed) {
   constexpr double kRange = 18446744073709551616.0;  // 2^64
   return static_cast<double>(StableHash(request_id, seed)) / kRange;
--- a/src/gateway/internal/request_routing.h
+++ b/src/gateway/internal/request_routing.h
@@ -32,6 +32,9 @@
 // What the generation that is asked for will hold; nothing for plain calls.
 std::optional<generation_size> ExpectedSize(const caller_request& request);
 
+// Equal for requests of the same method, path, caller and body.
+request_digest DigestOf(const caller_request& request);
+
 // Returns a number in [0, 1) that depends on the request and the seed only.
 double PointOf(const std::string& request_id, std::uint64_t seed);
 
--- a/src/peers/internal/load_exchange.cc
+++ b/src/peers/internal/load_exchange.cc
@@ -11,6 +11,17 @@
 // An instance that missed this many words in a row counts as gone.
 constexpr int kMissedWords = 3;
 
+crash_notice DecodeCrash(const json& fields) {
+  crash_notice notice;
+  notice.digest = fields.at(0).get<request_digest>();
+  const auto target = fields.at(1).get<std::string>();
+  if (!target.empty())
+    notice.target = target_id(target);
+  notice.age =
+      microseconds(std::max<std::int64_t>(0, fields.at(2).get<std::int64_t>()));
+  return notice;
+}
+
 }  // namespace
 
 std::string EncodeLoadWord(const load_word& word) {
@@ -19,8 +30,14 @@
     loads.push_back(json::array(
         {load.target.text(), load.runs, load.tokens, load.unread_tokens}));
   }
-  const auto bytes = json::to_msgpack(
-      json::array({word.instance, word.started_at, word.number, loads}));
+  json crashes = json::array();
+  for (const crash_notice& notice : word.crashes) {
+    crashes.push_back(
+        json::array({notice.digest, notice.target ? notice.target->text() : "",
+                     notice.age.count()}));
+  }
+  const auto bytes = json::to_msgpack(json::array(
+      {word.instance, word.started_at, word.number, loads, crashes}));
   return {bytes.begin(), bytes.end()};
 }
 
@@ -37,24 +54,28 @@
                             load.at(2).get<std::int64_t>(),
                             load.at(3).get<std::int64_t>()});
     }
+    // Words of earlier versions end here.
+    if (fields.size() < 5)
+      return word;
+    for (const json& fields_of_crash : fields.at(4))
+      word.crashes.push_back(DecodeCrash(fields_of_crash));
     return word;
   } catch (const json::exception&) {
     return std::nullopt;
   }
 }
 
-load_exchange::load_exchange(
-    const load_exchange_settings& settings,
-    std::string instance,
-    std::int64_t started_at,
-    i_scheduler& scheduler,
-    std::function<std::vector<target_load>()> own_loads,
-    word_handler on_word)
+load_exchange::load_exchange(const load_exchange_settings& settings,
+                             std::string instance,
+                             std::int64_t started_at,
+                             i_scheduler& scheduler,
+                             std::function<own_word()> own,
+                             word_handler on_word)
     : settings_(settings),
       instance_(std::move(instance)),
       started_at_(started_at),
       scheduler_(scheduler),
-      own_loads_(std::move(own_loads)),
+      own_(std::move(own)),
       on_word_(std::move(on_word)) {}
 
 void load_exchange::Start(i_datagram_port& port) {
@@ -84,8 +105,9 @@
 void load_exchange::Tell() {
   change_pending_ = false;
   told_at_ = scheduler_.Now();
-  const std::string bytes =
-      EncodeLoadWord({instance_, started_at_, next_number_++, own_loads_()});
+  const own_word own = own_();
+  const std::string bytes = EncodeLoadWord(
+      {instance_, started_at_, next_number_++, own.loads, own.crashes});
   for (const http_address& peer : peers_)
     port_->Send(peer, bytes);
   timer_ = scheduler_.RunAt(told_at_ + RefreshPause(), [this] { Tell(); });
--- a/src/peers/load_exchange.h
+++ b/src/peers/load_exchange.h
@@ -11,17 +11,19 @@
 
 #include "framework/net/i_channel.h"
 #include "framework/net/i_scheduler.h"
+#include "limits/crash_ledger.h"
 #include "selection/selection_types.h"
 
 namespace wist {
 
-// What one instance has running, as it tells the others. Words of one instance
-// are ordered by (started_at, number).
+// What one instance has running and which requests crashed targets, as it tells
+// the others. Words of one instance are ordered by (started_at, number).
 struct load_word {
   std::string instance;
   std::int64_t started_at = 0;  // Calendar time of the start, microseconds.
   std::uint64_t number = 0;
   std::vector<target_load> loads;
+  std::vector<crash_notice> crashes;
 
   auto operator<=>(const load_word&) const = default;
 };
@@ -41,6 +43,12 @@
   milliseconds refresh{1000};
 };
 
+// What an instance has to tell.
+struct own_word {
+  std::vector<target_load> loads;
+  std::vector<crash_notice> crashes;
+};
+
 // Tells the other instances what runs here, and takes what they tell. Any word
 // may be lost. Not thread-safe.
 class load_exchange {
@@ -51,7 +59,7 @@
                 std::string instance,
                 std::int64_t started_at,
                 i_scheduler& scheduler,
-                std::function<std::vector<target_load>()> own_loads,
+                std::function<own_word()> own,
                 word_handler on_word);
 
   // `port` has to live longer than the exchange.
@@ -62,7 +70,7 @@
   // words were due.
   bool HeardLately(const std::string& instance) const;
 
-  // The own loads changed: the others hear of it soon.
+  // What is to be told changed: the others hear of it soon.
   void OnLoadChange();
   void OnDatagram(std::string_view bytes);
 
@@ -75,7 +83,7 @@
   const std::string instance_;
   const std::int64_t started_at_;
   i_scheduler& scheduler_;
-  const std::function<std::vector<target_load>()> own_loads_;
+  const std::function<own_word()> own_;
   const word_handler on_word_;
   i_datagram_port* port_ = nullptr;
   std::vector<http_address> peers_;
--- a/src/peers/tests/load_exchange_test.cc
+++ b/src/peers/tests/load_exchange_test.cc
@@ -34,7 +34,9 @@
       "self",
       1,
       scheduler,
-      [this] { return loads; },
+      [this] {
+        return own_word{loads, {}};
+      },
       [this](const load_word& word) { heard.push_back(word); }};
 };
 
@@ -44,6 +46,13 @@
   CHECK(DecodeLoadWord(EncodeLoadWord(Word(3, 2))) == Word(3, 2));
 }
 
+TEST_CASE("crashes and answers are told along with the loads") {
+  load_word word = Word(3, 2);
+  word.crashes = {{0xfedcba9876543210, target_id("t"), milliseconds(5)},
+                  {4, std::nullopt, milliseconds(0)}};
+  CHECK(DecodeLoadWord(EncodeLoadWord(word)) == word);
+}
+
 TEST_CASE("bytes that are no word are dropped") {
   fixture f;
   f.exchange.OnDatagram("");
@@ -95,7 +104,10 @@
   load_exchange_settings settings;
   settings.datagrams_per_second = 150;
   load_exchange exchange(
-      settings, "self", 1, f.scheduler, [&] { return f.loads; },
+      settings, "self", 1, f.scheduler,
+      [&] {
+        return own_word{f.loads, {}};
+      },
       [](const load_word&) {});
   exchange.Start(f.port);
   exchange.SetPeers(std::vector<http_address>(400, {"a", 1}));
