Audit the gateway's log lines as well

Change: a request told twice, events of a request said not to have run, a verdict of having run without a dispatch, and a configuration that goes back within a process are findings in the gateway's lines too.

--- a/src/apps/wistctl/audit_command.cc
+++ b/src/apps/wistctl/audit_command.cc
@@ -23,6 +23,8 @@
   fmt::print("requests {}\ndispatches {}\ntokens {}\nkeys {}\nunfinished {}\n",
              report.requests, report.dispatches, report.tokens, report.keys,
              report.unfinished);
+  fmt::print("gateway_requests {}\ngateway_events {}\n",
+             report.gateway_requests, report.gateway_events);
   for (const audit_finding& finding : report.findings)
     fmt::print("finding {} {}: {}\n", FindingName(finding.kind),
                finding.subject, finding.text);
--- a/src/record/internal/audit.cc
+++ b/src/record/internal/audit.cc
@@ -8,6 +8,7 @@
 #include <set>
 #include <sstream>
 
+#include "record/internal/gateway_audit.h"
 #include "record/record_module.h"
 
 namespace wist {
@@ -51,8 +52,7 @@
 }
 
 // Returns nothing for lines that are not of the audit level.
-std::optional<audit_line> ParseLine(const std::string& text) {
-  const json object = json::parse(text);
+std::optional<audit_line> ParseLine(const json& object) {
   if (object.value("level", "") != "audit")
     return std::nullopt;
   audit_line line;
@@ -96,7 +96,9 @@
     if (text.empty())
       return;
     try {
-      const auto line = ParseLine(text);
+      const json object = json::parse(text);
+      gateway_.Add(object);
+      const auto line = ParseLine(object);
       if (!line)
         return;
       if (line->event == "request")
@@ -118,6 +120,7 @@
     CheckDispatches();
     CheckKeys();
     CheckOutDomains();
+    gateway_.Report(report_);
     return report_;
   }
 
@@ -224,6 +227,7 @@
   std::vector<audit_line> requests_;
   std::vector<audit_line> dispatches_;
   std::vector<audit_line> configurations_;
+  gateway_auditor gateway_;
   audit_report report_;
 };
 
@@ -243,6 +247,10 @@
       return "dispatch_into_out_domain";
     case finding_kind::tokens_not_in_order:
       return "tokens_not_in_order";
+    case finding_kind::ran_without_dispatch:
+      return "ran_without_dispatch";
+    case finding_kind::configuration_went_back:
+      return "configuration_went_back";
     case finding_kind::unreadable_line:
       return "unreadable_line";
   }
--- a/src/record/record_types.h
+++ b/src/record/record_types.h
@@ -15,6 +15,8 @@
   false_not_run,
   dispatch_into_out_domain,
   tokens_not_in_order,
+  ran_without_dispatch,
+  configuration_went_back,
   unreadable_line,
 };
 
@@ -32,6 +34,9 @@
   std::int64_t dispatches = 0;
   std::int64_t tokens = 0;
   std::int64_t keys = 0;
+  // Requests and events of streams that gateways served.
+  std::int64_t gateway_requests = 0;
+  std::int64_t gateway_events = 0;
   // Requests of instances that ended before they could write the request's
   // line; their dispatches are counted here and are no finding.
   std::int64_t unfinished = 0;
