Leave engines alone that break runs at once; tell crashes for a few seconds only

Change: a run that breaks before its first output lets the engine rest at once; what two instances found failing is left alone by the others, unless nothing else is there. Notices of crashes are told for 4 s, four refreshes of a word.

Ruled out: targets that can't be reached (these cost no request: no byte left).

--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -60,7 +60,7 @@
             StartedAt(),
             parts.loop,
             [this] {
-              return own_word{selector_.OwnLoads(),
+              return own_word{selector_.OwnLoads(parts_.loop.Now()),
                               services_.crashes.Notices(parts_.loop.Now())};
             },
             [this](const load_word& word) { OnWord(word); }),
--- a/src/limits/crash_ledger.h
+++ b/src/limits/crash_ledger.h
@@ -42,7 +42,7 @@
   // Whether nothing is held against any request.
   bool Empty() const { return entries_.empty(); }
 
-  // What the others should know, newest first.
+  // What the others may not know yet, newest first.
   std::vector<crash_notice> Notices(timestamp now) const;
 
   void Expire(timestamp now);
--- a/src/limits/internal/crash_ledger.cc
+++ b/src/limits/internal/crash_ledger.cc
@@ -16,6 +16,9 @@
 // How long a crash is held against a request. Its caller gives up before.
 constexpr seconds kHeldFor{60};
 
+// Words are told about once a second at least, and any may be lost.
+constexpr seconds kToldFor{4};
+
 // Requests that are remembered, and notices that are told, at the most.
 constexpr std::size_t kMaxEntries = 1024;
 constexpr std::size_t kMaxNotices = 16;
@@ -94,6 +97,9 @@
     if (held.answered_at)
       notices.push_back({digest, std::nullopt, now - *held.answered_at});
   }
+  std::erase_if(notices, [](const crash_notice& notice) {
+    return notice.age > kToldFor;
+  });
   std::sort(notices.begin(), notices.end(),
             [](const crash_notice& left, const crash_notice& right) {
               return left.age < right.age;
--- a/src/peers/internal/load_exchange.cc
+++ b/src/peers/internal/load_exchange.cc
@@ -27,8 +27,8 @@
 std::string EncodeLoadWord(const load_word& word) {
   json loads = json::array();
   for (const target_load& load : word.loads) {
-    loads.push_back(json::array(
-        {load.target.text(), load.runs, load.tokens, load.unread_tokens}));
+    loads.push_back(json::array({load.target.text(), load.runs, load.tokens,
+                                 load.unread_tokens, load.is_failing}));
   }
   json crashes = json::array();
   for (const crash_notice& notice : word.crashes) {
@@ -52,7 +52,8 @@
       word.loads.push_back({target_id(load.at(0).get<std::string>()),
                             load.at(1).get<std::int32_t>(),
                             load.at(2).get<std::int64_t>(),
-                            load.at(3).get<std::int64_t>()});
+                            load.at(3).get<std::int64_t>(),
+                            load.size() > 4 && load.at(4).get<bool>()});
     }
     // Words of earlier versions end here.
     if (fields.size() < 5)
--- a/src/selection/internal/target_health.cc
+++ b/src/selection/internal/target_health.cc
@@ -31,6 +31,7 @@
       smooth(*latency_ms_, ToMilliseconds(took), kLatencyWeight);
       failures_in_a_row_ = 0;
       avoided_deadline_.reset();
+      failing_deadline_.reset();
       return;
     case run_end::failed:
     case run_end::rejected:
@@ -54,6 +55,17 @@
   }
 }
 
+// A target that breaks its runs at once looks empty, so that every instance
+// would send to it.
+void target_health::OnEarlyBreak(timestamp now) {
+  Avoid(now);
+  failing_deadline_ = avoided_deadline_;
+}
+
+bool target_health::IsFailing(timestamp now) const {
+  return failing_deadline_ && now < *failing_deadline_;
+}
+
 void target_health::Avoid(timestamp now) {
   const int doublings =
       std::clamp(failures_in_a_row_ - kFailuresToAvoid, 0, 10);
--- a/src/selection/internal/target_selector.cc
+++ b/src/selection/internal/target_selector.cc
@@ -30,6 +30,9 @@
 // Runs slow each other: weight of a full batch against a full memory.
 constexpr double kBatchWeight = 0.4;
 
+// Instances that have to say that a target breaks its runs.
+constexpr int kPeersToHeed = 2;
+
 // Gain of a target that read the same session before.
 constexpr double kSessionGain = 0.04;
 
@@ -74,23 +77,55 @@
       table_ ? table_->FindService(request.service) : nullptr;
   if (!service)
     return selection_fault{false, kNoTargetRetryAfter};
+  const known_target* best = Cheapest(*service, request, true, now);
+  // Peers may have met what this instance would not.
+  if (!best)
+    best = Cheapest(*service, request, false, now);
+  if (best)
+    return best->entry.id;
+  const bool any = std::any_of(
+      directory_.targets().begin(), directory_.targets().end(),
+      [&](const auto& known) { return MayTake(known.second, request); });
+  return selection_fault{any, any ? kFullRetryAfter : kNoTargetRetryAfter};
+}
+
+bool target_selector::MayTake(const known_target& target,
+                              const selection_request& request) const {
+  return target.entry.service == request.service && directory_.Takes(target) &&
+         !request.excluded.contains(target.entry.id);
+}
+
+const known_target* target_selector::Cheapest(const routed_service& service,
+                                              const selection_request& request,
+                                              bool heeds_peers,
+                                              timestamp now) const {
   const known_target* best = nullptr;
   double best_cost = 0;
-  bool any = false;
   for (const auto& [id, target] : directory_.targets()) {
-    if (target.entry.service != request.service || !directory_.Takes(target) ||
-        request.excluded.contains(id))
+    if (!MayTake(target, request) ||
+        (heeds_peers && IsFailingForPeers(id, now)))
       continue;
-    any = true;
-    const auto cost = Cost(target, *service, request, now);
+    const auto cost = Cost(target, service, request, now);
     if (!cost || (best && *cost >= best_cost))
       continue;
     best = &target;
     best_cost = *cost;
   }
-  if (!best)
-    return selection_fault{any, any ? kFullRetryAfter : kNoTargetRetryAfter};
-  return best->entry.id;
+  return best;
+}
+
+// One instance may be cut off from a target; two hardly in the same moment.
+bool target_selector::IsFailingForPeers(const target_id& target,
+                                        timestamp now) const {
+  int peers = 0;
+  for (const auto& [peer, state] : peers_) {
+    if (now >= state.deadline)
+      continue;
+    const auto found = state.loads.find(target);
+    if (found != state.loads.end() && found->second.is_failing)
+      ++peers;
+  }
+  return peers >= kPeersToHeed;
 }
 
 selection target_selector::ChooseReceiver(const target_id& from,
@@ -315,13 +350,20 @@
   state.own.runs -= 1;
   state.own.unread_tokens -= ended.unread_tokens;
   state.health.OnEnd(end, now - ended.began_at, now);
+  if (end == run_end::broken && !ended.has_output)
+    state.health.OnEarlyBreak(now);
 }
 
-std::vector<target_load> target_selector::OwnLoads() const {
+std::vector<target_load> target_selector::OwnLoads(timestamp now) const {
   std::vector<target_load> loads;
   for (const auto& [id, state] : states_) {
-    if (state.own.runs > 0 || state.own.tokens > 0)
-      loads.push_back(state.own);
+    const bool is_failing = state.health.IsFailing(now);
+    if (state.own.runs == 0 && state.own.tokens == 0 && !is_failing)
+      continue;
+    target_load load = state.own;
+    load.target = id;
+    load.is_failing = is_failing;
+    loads.push_back(load);
   }
   return loads;
 }
--- a/src/selection/selection_types.h
+++ b/src/selection/selection_types.h
@@ -68,6 +68,8 @@
   std::int64_t tokens = 0;
   // Prompt tokens of runs that have not produced anything yet.
   std::int64_t unread_tokens = 0;
+  // Whether it takes channels and breaks what it gets on them.
+  bool is_failing = false;
 
   auto operator<=>(const target_load&) const = default;
 };
--- a/src/selection/target_health.h
+++ b/src/selection/target_health.h
@@ -12,6 +12,9 @@
  public:
   void OnEnd(run_end end, microseconds took, timestamp now);
 
+  // A run broke before its first output.
+  void OnEarlyBreak(timestamp now);
+
   // Part of recent requests that the target spoilt, in [0, 1].
   double failure_share() const { return failure_share_; }
 
@@ -21,6 +24,9 @@
   // Whether the target is left alone after failures in a row.
   bool IsAvoided(timestamp now) const;
 
+  // Whether that is for runs that broke before their first output.
+  bool IsFailing(timestamp now) const;
+
  private:
   void Avoid(timestamp now);
 
@@ -28,6 +34,7 @@
   std::optional<double> latency_ms_;
   int failures_in_a_row_ = 0;
   std::optional<timestamp> avoided_deadline_;
+  std::optional<timestamp> failing_deadline_;
 };
 
 }  // namespace wist
--- a/src/selection/target_selector.h
+++ b/src/selection/target_selector.h
@@ -56,7 +56,7 @@
   target_load TotalLoad(const target_id& target, timestamp now) const;
 
   // What runs here, to be told to the other instances.
-  std::vector<target_load> OwnLoads() const;
+  std::vector<target_load> OwnLoads(timestamp now) const;
   void SetPeerLoads(const std::string& peer,
                     const std::vector<target_load>& loads,
                     timestamp now);
@@ -93,6 +93,13 @@
                  const selection_request& request,
                  bool is_copy,
                  timestamp now);
+  const known_target* Cheapest(const routed_service& service,
+                               const selection_request& request,
+                               bool heeds_peers,
+                               timestamp now) const;
+  bool MayTake(const known_target& target,
+               const selection_request& request) const;
+  bool IsFailingForPeers(const target_id& target, timestamp now) const;
   double CostJitter() const;
   std::optional<double> Cost(const known_target& target,
                              const routed_service& service,
