Replace a failed parent by the next one; ask an instance where the store refuses

Change: a parent that failed is left out of the plan for a while, so that all agree on the next one; the store is asked after two of them; an instance that the store refuses asks another one for three seconds.

Ruled out: heartbeats of targets (a watch returns twice a second in calm).

--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -43,10 +43,13 @@
         selector_({settings.domain}, directory_, Seed()),
         services_{settings_,  parts.loop, *caller_,     parts.dialect, belief_,
                   directory_, selector_,  parts.logger, metrics_,      [] {}},
-        shared_store_(parts.store,
-                      *caller_,
-                      parts.loop,
-                      [this] { return WatchParentNow(); }),
+        shared_store_(
+            parts.store,
+            *caller_,
+            parts.loop,
+            [this](const std::set<std::string>& unusable, bool store_refuses) {
+              return WatchParentNow(unusable, store_refuses);
+            }),
         view_(settings_,
               parts.dialect,
               shared_store_,
@@ -145,13 +148,16 @@
   }
 
   // Whom this instance asks for the store's changes now.
-  std::optional<known_instance> WatchParentNow() {
+  std::optional<known_instance> WatchParentNow(
+      const std::set<std::string>& unusable,
+      bool store_refuses) {
     std::vector<known_instance> live;
     for (const known_instance& instance : view_.OtherInstances()) {
-      if (loads_.HeardLately(instance.name))
+      if (loads_.HeardLately(instance.name) &&
+          !unusable.contains(instance.name))
         live.push_back(instance);
     }
-    return WatchParent(view_.Self(), live);
+    return WatchParent(view_.Self(), live, store_refuses);
   }
 
   // Bounds take effect at once; addresses stay those of the start.
--- a/src/peers/internal/watch_plan.cc
+++ b/src/peers/internal/watch_plan.cc
@@ -47,7 +47,8 @@
 
 std::optional<known_instance> WatchParent(
     const known_instance& self,
-    const std::vector<known_instance>& live) {
+    const std::vector<known_instance>& live,
+    bool self_last) {
   std::vector<known_instance> members = {self};
   for (const known_instance& instance : live) {
     if (instance.domain == self.domain && instance.name != self.name)
@@ -59,7 +60,7 @@
   if (rank > 0)
     return members[(rank - 1) / kWatchFanOut];
   const auto first = std::min_element(live.begin(), live.end(), ComesFirst);
-  if (first == live.end() || !ComesFirst(*first, self))
+  if (first == live.end() || (!self_last && !ComesFirst(*first, self)))
     return std::nullopt;
   return *first;
 }
--- a/src/peers/tests/watch_sharing_test.cc
+++ b/src/peers/tests/watch_sharing_test.cc
@@ -41,9 +41,12 @@
              milliseconds,
              std::function<void(watch_result)> done) override {
     ++calls;
+    if (refuses)
+      return done(store_fault::unavailable);
     done(watch_page{{}, 5});
   }
   int calls = 0;
+  bool refuses = false;
 };
 
 struct fixture {
@@ -56,8 +59,22 @@
   scripted_connector connector;
   std::unique_ptr<i_http_caller> caller = MakeHttpCaller(connector, scheduler);
   counted_store direct;
-  std::optional<known_instance> parent = Instance(1);
-  shared_store store{direct, *caller, scheduler, [this] { return parent; }};
+  // In the order in which they are asked.
+  std::vector<known_instance> parents = {Instance(1)};
+  // Who is asked only if the store refuses.
+  std::optional<known_instance> substitute;
+  shared_store store{
+      direct, *caller, scheduler,
+      [this](const std::set<std::string>& unusable, bool store_refuses) {
+        std::optional<known_instance> found;
+        if (store_refuses)
+          found = substitute;
+        for (const known_instance& parent : parents) {
+          if (!found && !unusable.contains(parent.name))
+            found = parent;
+        }
+        return found;
+      }};
   std::optional<watch_result> got;
 };
 
@@ -196,7 +213,7 @@
 // watch of the store brings a change at once.
 TEST_CASE("watches of the store that bring changes are paced") {
   fixture f;
-  f.parent.reset();
+  f.parents.clear();
   int answers = 0;
   std::function<void(watch_result)> again = [&](watch_result) {
     ++answers;
@@ -217,6 +234,61 @@
   CHECK(f.direct.calls == 1);
 }
 
+// A run of the grown Korrigan site (scale-2): the store refused the one
+// instance that asks it, and eighty others went to the store themselves.
+TEST_CASE(
+    "a parent that refuses is replaced by the next one, not by the store") {
+  fixture f;
+  f.parents = {Instance(1), Instance(2), Instance(3)};
+  const std::string refused =
+      Http(EncodePage(watch_result(store_fault::unavailable)));
+  f.Watch();
+  f.connector.channels[0]->Receive(refused);
+  REQUIRE(f.connector.addresses.size() == 2);
+  CHECK(f.connector.addresses[1] == Instance(2).address);
+  const watch_page page{{{"k", "v", 6}}, 6, milliseconds(40)};
+  f.connector.channels[1]->Receive(Http(EncodePage(watch_result(page))));
+  CHECK(f.direct.calls == 0);
+  CHECK(std::get<watch_page>(*f.got) == page);
+}
+
+TEST_CASE("after two parents that refuse the store is asked") {
+  fixture f;
+  f.parents = {Instance(1), Instance(2), Instance(3)};
+  const std::string refused =
+      Http(EncodePage(watch_result(store_fault::unavailable)));
+  f.Watch();
+  f.connector.channels[0]->Receive(refused);
+  f.connector.channels[1]->Receive(refused);
+  CHECK(f.direct.calls == 1);
+  CHECK(f.got);
+}
+
+TEST_CASE("an instance that the store refuses asks another one for a while") {
+  fixture f;
+  f.parents.clear();
+  f.substitute = Instance(2);
+  f.direct.refuses = true;
+  f.Watch();
+  CHECK(f.direct.calls == 1);
+  f.Watch();
+  CHECK(f.direct.calls == 1);
+  REQUIRE(f.connector.addresses.size() == 1);
+  CHECK(f.connector.addresses[0] == Instance(2).address);
+  f.scheduler.Advance(milliseconds(3000));
+  f.Watch();
+  CHECK(f.direct.calls >= 2);
+}
+
+TEST_CASE("a root that the store refuses has a substitute parent") {
+  const auto all = Instances(9);
+  for (const known_instance& self : all) {
+    if (!WatchParent(self, all))
+      CHECK(WatchParent(self, all, true));
+  }
+  CHECK_FALSE(WatchParent(all[0], {}, true));
+}
+
 TEST_CASE("bytes that are no page count as a fault of the parent") {
   fixture f;
   f.Watch();
--- a/src/peers/watch_plan.h
+++ b/src/peers/watch_plan.h
@@ -36,9 +36,13 @@
 // failure domain form a tree; the roots of the domains ask one of them, which
 // asks the store itself. Nothing for that one. All instances that know the same
 // live ones build the same tree.
+//
+// `self_last` finds another instance for one that is to ask the store but
+// can't.
 std::optional<known_instance> WatchParent(
     const known_instance& self,
-    const std::vector<known_instance>& live);
+    const std::vector<known_instance>& live,
+    bool self_last = false);
 
 }  // namespace wist
 
