--- a/src/limits/tests/crash_ledger_test.cc
+++ b/src/limits/tests/crash_ledger_test.cc
@@ -96,8 +96,8 @@
   CHECK(ledger.Notices(At(300'000)).empty());
 }
 
-// A run of the grown Korrigan site (scale-2): words with a minute of notices made
-// the bytes between failure domains four times as many.
+// A run of the grown Korrigan site (scale-2): words with a minute of notices
+// made the bytes between failure domains four times as many.
 TEST_CASE("notices are told for a few seconds only") {
   crash_ledger ledger;
   ledger.OnCrash(kPoison, Target(1), At(0));
