--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -44,6 +44,10 @@
 // An answer is kept whole before it is passed on; larger ones are broken off.
 constexpr std::size_t kMaxWholeAnswer = 8'388'608;
 
+// A full service has room several times a second. A caller that comes back
+// after this part of its objective can still be served in time.
+constexpr int kRetryDivisor = 4;
+
 // Refused callers return spread over this part of their Retry-After.
 constexpr double kRetrySpread = 0.5;
 
@@ -413,7 +417,7 @@
   refusal refused{error_code::overloaded, run_verdict::not_run, std::nullopt};
   const milliseconds base = std::max(
       retry_after, milliseconds(std::chrono::duration_cast<milliseconds>(
-                       Route().objective / 4)));
+                       Route().objective / kRetryDivisor)));
   refused.retry_after = milliseconds(static_cast<std::int64_t>(
       static_cast<double>(base.count()) *
       (1 + kRetrySpread * PointOf(request_.id, kRetrySeed))));
--- a/src/gateway/tests/exchange_test.cc
+++ b/src/gateway/tests/exchange_test.cc
@@ -310,3 +310,22 @@
   CHECK(f.caller_channel->aborted);
   CHECK(f.target().aborted);
 }
+
+// Pattern: a burst fills all engines for a moment.
+TEST_CASE("a refused generation comes back while it can be served in time") {
+  exchange_fixture f;
+  selection_request large;
+  large.service = service_id("engines");
+  large.size = generation_size{9000, 0};
+  for (const char* name : {"e1", "e2", "e3"})
+    f.selector.Begin(target_id(name), large, f.scheduler.Now());
+  f.RequestStream();
+  f.scheduler.Advance(milliseconds(100));
+  REQUIRE(f.sent().starts_with("HTTP/1.1 503"));
+  const std::size_t field = f.sent().find("Again: ");
+  REQUIRE(field != std::string::npos);
+  const int again = std::stoi(f.sent().substr(field + 7));
+  // Half of the objective of 400 ms is left for the answer.
+  CHECK(again >= 100);
+  CHECK(again <= 150);
+}
--- a/src/selection/internal/target_selector.cc
+++ b/src/selection/internal/target_selector.cc
@@ -50,9 +50,7 @@
 // Window of the bound on requests to a cold target.
 constexpr seconds kColdWindow{1};
 
-// After this time a full service is worth another try: engines free memory
-// several times a second.
-constexpr milliseconds kFullRetryAfter{700};
+// Targets that ended are replaced within seconds.
 constexpr milliseconds kNoTargetRetryAfter{1000};
 
 }  // namespace
@@ -86,7 +84,7 @@
   const bool any = std::any_of(
       directory_.targets().begin(), directory_.targets().end(),
       [&](const auto& known) { return MayTake(known.second, request); });
-  return selection_fault{any, any ? kFullRetryAfter : kNoTargetRetryAfter};
+  return selection_fault{any, any ? milliseconds(0) : kNoTargetRetryAfter};
 }
 
 bool target_selector::MayTake(const known_target& target,
--- a/src/selection/selection_types.h
+++ b/src/selection/selection_types.h
@@ -42,6 +42,7 @@
 struct selection_fault {
   // Whether a target of the service exists that is only full at present.
   bool is_full = false;
+  // Time after which a target may be there; zero if targets are full only.
   milliseconds retry_after{0};
 };
 
