--- a/src/selection/internal/target_health.cc
+++ b/src/selection/internal/target_health.cc
@@ -17,6 +17,9 @@
 constexpr milliseconds kFirstRest{400};
 constexpr milliseconds kLongestRest{3200};
 
+// Rest of a target that breaks runs at once: each further try costs a request.
+constexpr milliseconds kEarlyBreakRest{1000};
+
 }  // namespace
 
 void target_health::OnEnd(run_end end, microseconds took, timestamp now) {
@@ -59,6 +62,7 @@
 // would send to it.
 void target_health::OnEarlyBreak(timestamp now) {
   Avoid(now);
+  avoided_deadline_ = std::max(*avoided_deadline_, now + kEarlyBreakRest);
   failing_deadline_ = avoided_deadline_;
 }
 
