--- a/src/selection/tests/target_selector_test.cc
+++ b/src/selection/tests/target_selector_test.cc
@@ -255,11 +255,10 @@
   selection_request request = f.Generation(100);
   request.size = generation_size{2000, 0};
   request.objective = milliseconds(500);
-  for (int i = 0; i < 100; ++i) {
-    const run_number run =
-        f.selector.Begin(target_id("a"), request, At(1000 * i));
-    f.selector.OnFirstOutput(run, At(1000 * i + 200));
-    f.selector.End(run, run_end::answered, At(1000 * i + 300));
+  for (int begin = 0; begin < 100'000; begin += 1000) {
+    const run_number run = f.selector.Begin(target_id("a"), request, At(begin));
+    f.selector.OnFirstOutput(run, At(begin + 200));
+    f.selector.End(run, run_end::answered, At(begin + 300));
   }
   f.selector.Begin(target_id("a"), request, At(200'000));
   CHECK(f.Choose(request, At(200'001)) == "a");
