--- a/src/gateway/internal/request_routing.cc
+++ b/src/gateway/internal/request_routing.cc
@@ -85,6 +85,18 @@
   return generation_size{facts.prompt_tokens, output};
 }
 
+const char* CallKindName(call_kind kind) {
+  switch (kind) {
+    case call_kind::idempotent:
+      return "idempotent";
+    case call_kind::non_idempotent:
+      return "non_idempotent";
+    case call_kind::streaming:
+      return "streaming";
+  }
+  return "unknown";
+}
+
 request_digest DigestOf(const caller_request& request) {
   request_digest digest = StableHash(request.message.method);
   for (const std::string* part :
--- a/src/gateway/internal/request_routing.h
+++ b/src/gateway/internal/request_routing.h
@@ -32,6 +32,8 @@
 // What the generation that is asked for will hold; nothing for plain calls.
 std::optional<generation_size> ExpectedSize(const caller_request& request);
 
+const char* CallKindName(call_kind kind);
+
 // Equal for requests of the same method, path, caller and body.
 request_digest DigestOf(const caller_request& request);
 
--- a/src/peers/tests/watch_sharing_test.cc
+++ b/src/peers/tests/watch_sharing_test.cc
@@ -82,6 +82,11 @@
   return EncodeHttpAnswer(200, {}, body);
 }
 
+// What an instance says that lost its source.
+std::string Refused() {
+  return Http(EncodePage(watch_result(store_fault::unavailable)));
+}
+
 }  // namespace
 
 TEST_CASE("one instance of a domain asks the store, the others form a tree") {
@@ -240,8 +245,7 @@
     "a parent that refuses is replaced by the next one, not by the store") {
   fixture f;
   f.parents = {Instance(1), Instance(2), Instance(3)};
-  const std::string refused =
-      Http(EncodePage(watch_result(store_fault::unavailable)));
+  const std::string refused = Refused();
   f.Watch();
   f.connector.channels[0]->Receive(refused);
   REQUIRE(f.connector.addresses.size() == 2);
@@ -255,8 +259,7 @@
 TEST_CASE("after two parents that refuse the store is asked") {
   fixture f;
   f.parents = {Instance(1), Instance(2), Instance(3)};
-  const std::string refused =
-      Http(EncodePage(watch_result(store_fault::unavailable)));
+  const std::string refused = Refused();
   f.Watch();
   f.connector.channels[0]->Receive(refused);
   f.connector.channels[1]->Receive(refused);
@@ -354,8 +357,7 @@
   server.OnSourceLost();
   const auto channel = std::make_shared<scripted_channel>();
   server.Accept(channel);
-  const std::string refused =
-      Http(EncodePage(watch_result(store_fault::unavailable)));
+  const std::string refused = Refused();
   for (const char* question :
        {"/watch?prefix=&since=5&wait_ms=300", "/range?prefix="}) {
     channel->written.clear();
