--- a/src/selection/internal/reading_pace.cc
+++ b/src/selection/internal/reading_pace.cc
@@ -7,7 +7,7 @@
 
 // Assumed before the first output: an engine reads some ten thousand tokens a
 // second.
-constexpr double kAssumedPace = 100;
+constexpr double kAssumedMicrosecondsPerToken = 100;
 
 // Weight of the newest output.
 constexpr double kWeight = 0.05;
@@ -18,7 +18,8 @@
 
 }  // namespace
 
-reading_pace::reading_pace() : microseconds_per_token_(kAssumedPace) {}
+reading_pace::reading_pace()
+    : microseconds_per_token_(kAssumedMicrosecondsPerToken) {}
 
 void reading_pace::OnFirstOutput(std::int64_t tokens, microseconds took) {
   if (tokens <= 0)
--- a/src/selection/internal/target_health.cc
+++ b/src/selection/internal/target_health.cc
@@ -59,7 +59,8 @@
 }
 
 // A target that breaks its runs at once looks empty, so that every instance
-// would send to it.
+// would send to it. A call to a plain service has no output before its whole
+// answer, so that each of its breaks counts.
 void target_health::OnEarlyBreak(timestamp now) {
   Avoid(now);
   avoided_deadline_ = std::max(*avoided_deadline_, now + kEarlyBreakRest);
