Pass sums of loads along the watch tree instead of a report to each instance

Change: an instance exchanges sums of loads with its neighbors in the watch tree: its parent, at most 8 children and, if it is the root of its failure domain, the roots of the other domains. Each neighbor is sent the load of all instances that it does not learn of by another link, so that each run is counted once. load_table holds the sums, tree_neighbors decides from what it hears who the neighbors are, load_exchange sends; the first two read no clock. A parent always precedes its children in one order, so that there are no cycles while instances disagree about who is alive. The first watch after a range read waits, so that the parent can be read instead of the store.

Weighed: subsets of targets that neighbors share (rendezvous hashing). With 67 targets, 195 instances and subsets of 16 nearly each pair shares a target, so that reports go to nearly all; smaller subsets refuse while others have room.

Replaced tests: 'changed loads expire' of the selector is now the table's; 'a change is reported to eighty peers within 20 ms' is now 'a run is known to 195 instances of five domains within 50 ms', over a simulated network. New: each load counted once at 1 to 195 instances, killed roots, lost datagrams, a domain cut off and back, silent instances that are still announced, messages and bytes at 30, 100, 300 and 1,000 instances.

--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -127,7 +127,7 @@
   ++dispatch_count_;
   attempt_.emplace();
   attempt_->target = target;
-  load_at_dispatch_ = services_.selector.TotalLoad(target.id, now);
+  load_at_dispatch_ = services_.selector.TotalLoad(target.id);
   selection_request request = SelectionRequest();
   request.continues_run = kv_cache.has_value();
   attempt_->run = services_.selector.BeginRun(target.id, request, now);
--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -11,6 +11,7 @@
 #include "gateway/internal/store_view.h"
 #include "peers/load_exchange.h"
 #include "peers/mirror_server.h"
+#include "peers/tree_neighbors.h"
 #include "peers/watch_tree_reader.h"
 
 namespace wist {
@@ -69,7 +70,7 @@
         mirror_server_(store_view_.mirror(), dependencies.loop),
         load_exchange_(
             {},
-            settings.instance,
+            store_view_.Self(),
             StartedAt(),
             dependencies.loop,
             [this] {
@@ -77,7 +78,10 @@
                   selector_.OwnLoads(dependencies_.loop.Now()),
                   services_.crashes.RecentNotices(dependencies_.loop.Now())};
             },
-            [this](const peer_report& report) { OnLoadReport(report); }),
+            [this](const target_load& load) { selector_.SetOthersLoad(load); },
+            [this](const crash_notice& notice) {
+              services_.crashes.OnNotice(notice, dependencies_.loop.Now());
+            }),
         crash_detector_(dependencies.loop,
                         dependencies.loop,
                         services_.crashes,
@@ -111,8 +115,8 @@
                               });
     peer_port_ = dependencies_.loop.OpenDatagramPort(
         settings_.peer_listen,
-        [this](std::string_view bytes, const http_address&) {
-          load_exchange_.OnDatagram(bytes);
+        [this](std::string_view bytes, const http_address& sender) {
+          load_exchange_.OnDatagram(bytes, sender);
         });
     load_exchange_.Start(*peer_port_);
     dependencies_.loop.Listen(settings_.peer_listen,
@@ -126,6 +130,7 @@
     FlushLog();
     RunPeriodicChecks();
     dependencies_.loop.Run();
+    load_exchange_.Detach();
     dependencies_.logger.Write(
         log_level::info, "stop",
         {{"cut", static_cast<std::int64_t>(BusyConnections())}});
@@ -144,33 +149,19 @@
   }
 
   void OnInstancesChanged() {
-    std::vector<http_address> addresses;
-    for (const known_instance& instance : store_view_.OtherInstances())
-      addresses.push_back(instance.address);
-    load_exchange_.SetPeers(std::move(addresses));
+    load_exchange_.SetInstances(store_view_.OtherInstances());
     services_.instance_count = store_view_.OtherInstances().size() + 1;
     selector_.SetInstanceCount(services_.instance_count);
   }
 
-  void OnLoadReport(const peer_report& report) {
-    const timestamp now = dependencies_.loop.Now();
-    selector_.SetPeerLoads(report.instance, report.loads, now);
-    for (const crash_notice& notice : report.crashes)
-      services_.crashes.OnNotice(notice, now);
-  }
-
   // Returns the instance from which to read the store's changes; nullopt to
   // read the store directly.
   std::optional<known_instance> ChooseWatchParent(
       const std::set<std::string>& unusable,
       bool store_refuses) {
-    std::vector<known_instance> live;
-    for (const known_instance& instance : store_view_.OtherInstances()) {
-      if (load_exchange_.HeardFromRecently(instance.name) &&
-          !unusable.contains(instance.name))
-        live.push_back(instance);
-    }
-    return FindWatchParent(store_view_.Self(), live, store_refuses);
+    return ChooseMirror(store_view_.Self(), store_view_.OtherInstances(),
+                        load_exchange_.neighbors(), unusable, store_refuses,
+                        dependencies_.loop.Now());
   }
 
   // Applies the limits below at once; other settings take effect only after a
--- a/src/peers/internal/load_exchange.cc
+++ b/src/peers/internal/load_exchange.cc
@@ -1,147 +1,237 @@
 #include "peers/load_exchange.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
+#include <cstddef>
+#include <utility>
 
 namespace wist {
 namespace {
 
-using nlohmann::json;
-
-// An instance counts as lost if no report of it was received for this many
-// refresh intervals.
-constexpr int kMaxMissedReports = 3;
-
-crash_notice DecodeCrash(const json& fields) {
-  crash_notice notice;
-  notice.digest = fields.at(0).get<request_digest>();
-  const auto target = fields.at(1).get<std::string>();
-  if (!target.empty())
-    notice.target = target_id(target);
-  notice.age =
-      microseconds(std::max<std::int64_t>(0, fields.at(2).get<std::int64_t>()));
-  return notice;
-}
+// Loads per datagram; keeps it far below the maximum size of one.
+constexpr std::ptrdiff_t kMaxLoadsPerReport = 500;
 
 }  // namespace
 
-std::string EncodePeerReport(const peer_report& report) {
-  json loads = json::array();
-  for (const target_load& load : report.loads) {
-    loads.push_back(
-        json::array({load.target.text(), load.runs, load.tokens,
-                     load.pending_prefill_tokens, load.is_failing}));
-  }
-  json crashes = json::array();
-  for (const crash_notice& notice : report.crashes) {
-    crashes.push_back(
-        json::array({notice.digest, notice.target ? notice.target->text() : "",
-                     notice.age.count()}));
-  }
-  const auto bytes =
-      json::to_msgpack(json::array({report.instance, report.started_at,
-                                    report.sequence_number, loads, crashes}));
-  return {bytes.begin(), bytes.end()};
-}
-
-std::optional<peer_report> DecodePeerReport(std::string_view bytes) {
-  try {
-    const json fields = json::from_msgpack(bytes.begin(), bytes.end());
-    peer_report report;
-    report.instance = fields.at(0).get<std::string>();
-    report.started_at = fields.at(1).get<std::int64_t>();
-    report.sequence_number = fields.at(2).get<std::uint64_t>();
-    for (const json& load : fields.at(3)) {
-      report.loads.push_back({target_id(load.at(0).get<std::string>()),
-                              load.at(1).get<std::int32_t>(),
-                              load.at(2).get<std::int64_t>(),
-                              load.at(3).get<std::int64_t>(),
-                              load.size() > 4 && load.at(4).get<bool>()});
-    }
-    // Reports of earlier versions contain no crash notices.
-    if (fields.size() < 5)
-      return report;
-    for (const json& crash_fields : fields.at(4))
-      report.crashes.push_back(DecodeCrash(crash_fields));
-    return report;
-  } catch (const json::exception&) {
-    return std::nullopt;
-  }
-}
-
 load_exchange::load_exchange(const load_exchange_settings& settings,
-                             std::string instance,
+                             const known_instance& self,
                              std::int64_t started_at,
                              i_scheduler& scheduler,
                              std::function<local_report()> collect_report,
-                             report_handler on_report)
+                             load_handler on_load,
+                             crash_handler on_crash)
     : settings_(settings),
-      instance_(std::move(instance)),
+      instance_(self.name),
       started_at_(started_at),
       scheduler_(scheduler),
       collect_report_(std::move(collect_report)),
-      on_report_(std::move(on_report)) {}
+      on_load_(std::move(on_load)),
+      on_crash_(std::move(on_crash)),
+      neighbors_(self) {}
 
 void load_exchange::Start(i_datagram_port& port) {
   port_ = &port;
-  SendReport();
+  Check();
 }
 
-void load_exchange::SetPeers(std::vector<http_address> peers) {
-  peers_ = std::move(peers);
+void load_exchange::SetInstances(std::vector<known_instance> others) {
+  neighbors_.SetInstances(std::move(others), scheduler_.Now());
+  HandleDropped();
+  ScheduleSend();
 }
 
 void load_exchange::ScheduleReport() {
-  if (send_pending_ || !port_)
+  ScheduleSend();
+}
+
+void load_exchange::ScheduleSend() {
+  if (send_timer_ || !port_)
     return;
-  send_pending_ = true;
-  const timestamp coalesced_at = scheduler_.Now() + settings_.coalescing_delay;
-  send_timer_ = scheduler_.RunAt(
-      std::max(coalesced_at, last_sent_at_ + MinSendInterval()),
-      [this] { SendReport(); });
+  send_timer_ =
+      scheduler_.RunAt(std::max(scheduler_.Now() + settings_.coalescing_delay,
+                                last_sent_at_ + settings_.min_send_interval),
+                       [this] {
+                         send_timer_.reset();
+                         SendReports(/*keepalives_due=*/false);
+                       });
+}
+
+void load_exchange::Check() {
+  const timestamp now = scheduler_.Now();
+  neighbors_.Check(now);
+  table_.Expire(now);
+  HandleDropped();
+  SendReports(/*keepalives_due=*/true);
+  check_timer_ =
+      scheduler_.RunAt(now + settings_.check_interval, [this] { Check(); });
 }
 
-microseconds load_exchange::MinSendInterval() const {
-  const double interval_s =
-      static_cast<double>(peers_.size()) / settings_.max_datagrams_per_second;
-  return microseconds(static_cast<std::int64_t>(interval_s * 1e6));
+void load_exchange::HandleDropped() {
+  for (const tree_neighbor& dropped : neighbors_.TakeDropped()) {
+    table_.RemoveNeighbor(dropped.name);
+    states_.erase(dropped.name);
+    if (dropped.role == neighbor_role::parent)
+      SendDetachment(dropped);
+  }
+  if (DistributeChanges())
+    ScheduleSend();
+}
+
+// Applies changed sums to this instance and marks them for all neighbors except
+// `source`, whose sums do not contain its own reports. Returns whether there is
+// anything to send.
+bool load_exchange::DistributeChanges(const std::string& source) {
+  bool is_marked = false;
+  for (const target_id& target : table_.TakeChanged()) {
+    on_load_(table_.OthersLoad(target));
+    for (auto& [name, state] : states_) {
+      if (name == source)
+        continue;
+      state.unsent_targets.insert(target);
+      is_marked = true;
+    }
+  }
+  return is_marked;
 }
 
-void load_exchange::SendReport() {
-  send_pending_ = false;
-  last_sent_at_ = scheduler_.Now();
+void load_exchange::SendReports(bool keepalives_due) {
+  if (!port_)
+    return;
+  const timestamp now = scheduler_.Now();
   const local_report own = collect_report_();
-  const std::string bytes =
-      EncodePeerReport({instance_, started_at_, next_sequence_number_++,
-                        own.loads, own.crashes});
-  for (const http_address& peer : peers_)
-    port_->Send(peer, bytes);
-  send_timer_ = scheduler_.RunAt(last_sent_at_ + RefreshInterval(),
-                                 [this] { SendReport(); });
+  table_.SetOwn(own.loads);
+  DistributeChanges();
+  const bool has_new_notices = RecordNotices(own.crashes);
+  for (const tree_neighbor& neighbor : neighbors_.Current()) {
+    neighbor_state& state = states_[neighbor.name];
+    const std::vector<target_load> loads = TakeLoadsFor(neighbor, state);
+    const bool is_idle =
+        keepalives_due &&
+        now >= state.last_sent_at + settings_.keepalive_interval;
+    if (!loads.empty() || is_idle || has_new_notices ||
+        state.next_sequence_number == 1)
+      SendReport(neighbor, state, loads, own.crashes);
+  }
+  last_sent_at_ = now;
 }
 
-microseconds load_exchange::RefreshInterval() const {
-  return std::max<microseconds>(settings_.refresh_interval, MinSendInterval());
+// Returns whether there is a notice that was not sent yet.
+bool load_exchange::RecordNotices(const std::vector<crash_notice>& notices) {
+  std::set<notice_key> current;
+  for (const crash_notice& notice : notices)
+    current.insert({notice.digest, notice.target});
+  const bool has_new =
+      !std::includes(sent_notices_.begin(), sent_notices_.end(),
+                     current.begin(), current.end());
+  sent_notices_ = std::move(current);
+  return has_new;
 }
 
-bool load_exchange::HeardFromRecently(const std::string& instance) const {
-  const auto found = newest_reports_.find(instance);
-  return found != newest_reports_.end() &&
-         scheduler_.Now() <
-             found->second.received_at + RefreshInterval() * kMaxMissedReports;
+// Returns the loads that differ from those sent last and, from time to time,
+// all loads.
+std::vector<target_load> load_exchange::TakeLoadsFor(
+    const tree_neighbor& neighbor,
+    neighbor_state& state) {
+  const bool is_refresh = scheduler_.Now() >= state.refresh_due;
+  std::set<target_id> targets = std::exchange(state.unsent_targets, {});
+  if (is_refresh) {
+    state.refresh_due = scheduler_.Now() + settings_.refresh_interval;
+    for (const target_id& target : table_.LoadedTargets())
+      targets.insert(target);
+    for (const auto& [target, load] : state.sent_loads)
+      targets.insert(target);
+  }
+  std::vector<target_load> loads;
+  for (const target_id& target : targets) {
+    const target_load load =
+        table_.LoadFor(neighbor.name, neighbor.role, target);
+    const target_load none{target};
+    const auto sent = state.sent_loads.find(target);
+    const bool was_sent = sent != state.sent_loads.end();
+    if (load == (was_sent ? sent->second : none) && !(is_refresh && was_sent))
+      continue;
+    loads.push_back(load);
+    // The end of a load is sent twice: when it changes and with the refresh.
+    if (load == none && was_sent && sent->second == none)
+      state.sent_loads.erase(sent);
+    else
+      state.sent_loads[target] = load;
+  }
+  return loads;
 }
 
-void load_exchange::OnDatagram(std::string_view bytes) {
+void load_exchange::SendReport(const tree_neighbor& neighbor,
+                               neighbor_state& state,
+                               const std::vector<target_load>& loads,
+                               const std::vector<crash_notice>& crashes) {
+  state.last_sent_at = scheduler_.Now();
+  peer_report report{instance_, started_at_, 0, neighbor.role};
+  report.crashes = crashes;
+  auto next = loads.begin();
+  do {
+    const auto count =
+        std::min<std::ptrdiff_t>(kMaxLoadsPerReport, loads.end() - next);
+    report.sequence_number = state.next_sequence_number++;
+    report.loads.assign(next, next + count);
+    next += count;
+    port_->Send(neighbor.address, EncodePeerReport(report));
+  } while (next != loads.end());
+}
+
+void load_exchange::SendDetachment(const tree_neighbor& neighbor) {
+  if (!port_)
+    return;
+  peer_report report{instance_, started_at_, ~std::uint64_t{0}, neighbor.role};
+  report.detaches = true;
+  port_->Send(neighbor.address, EncodePeerReport(report));
+}
+
+void load_exchange::Detach() {
+  for (const tree_neighbor& neighbor : neighbors_.Current()) {
+    if (neighbor.role == neighbor_role::parent)
+      SendDetachment(neighbor);
+  }
+}
+
+void load_exchange::OnDatagram(std::string_view bytes,
+                               const http_address& sender) {
   const auto report = DecodePeerReport(bytes);
   if (!report || report->instance == instance_)
     return;
-  received_report& newest = newest_reports_[report->instance];
+  const timestamp now = scheduler_.Now();
+  bool has_unsent = false;
+  for (const crash_notice& notice : report->crashes) {
+    on_crash_(notice);
+    has_unsent =
+        has_unsent || !sent_notices_.contains({notice.digest, notice.target});
+  }
+  if (has_unsent)
+    ScheduleSend();
+  if (report->detaches) {
+    if (report->receiver_role == neighbor_role::parent)
+      neighbors_.OnDetached(report->instance);
+    return HandleDropped();
+  }
+  const auto role =
+      neighbors_.OnReport(report->instance, sender, report->receiver_role, now);
+  // Loads of a former parent are removed before those of the new one arrive.
+  HandleDropped();
+  if (!role)
+    return;
+  const auto [entry, is_new] = states_.try_emplace(report->instance);
+  neighbor_state& state = entry->second;
   const auto order = std::pair(report->started_at, report->sequence_number);
   // Datagrams may arrive out of order or more than once.
-  if (order <= newest.order)
+  if (order <= state.newest_received)
     return;
-  newest = {order, scheduler_.Now()};
-  on_report_(*report);
+  if (report->started_at != state.newest_received.first) {
+    // The neighbor has restarted, or is new: it needs all loads.
+    table_.RemoveNeighbor(report->instance);
+    state.refresh_due = now;
+  }
+  state.newest_received = order;
+  table_.SetReported(report->instance, *role, report->loads, now);
+  if (DistributeChanges(report->instance) || is_new)
+    ScheduleSend();
 }
 
 }  // namespace wist
--- a/src/peers/internal/watch_plan.cc
+++ b/src/peers/internal/watch_plan.cc
@@ -34,21 +34,16 @@
   }
 }
 
-namespace {
-
-// The order of instances in all trees. Those with fast links come first,
-// because a parent sends the whole configuration to each of its children.
+// Instances with fast links come first, because a parent sends the whole
+// configuration to each of its children.
 bool PrecedesInTree(const known_instance& left, const known_instance& right) {
   return std::tuple(right.link_mbps, StableHash(left.name), left.name) <
          std::tuple(left.link_mbps, StableHash(right.name), right.name);
 }
 
-}  // namespace
-
-std::optional<known_instance> FindWatchParent(
+std::optional<known_instance> FindDomainParent(
     const known_instance& self,
-    const std::vector<known_instance>& live,
-    bool store_refuses_self) {
+    const std::vector<known_instance>& live) {
   std::vector<known_instance> members = {self};
   for (const known_instance& instance : live) {
     if (instance.domain == self.domain && instance.name != self.name)
@@ -57,8 +52,17 @@
   std::sort(members.begin(), members.end(), PrecedesInTree);
   const auto found = std::find(members.begin(), members.end(), self);
   const auto rank = static_cast<std::size_t>(found - members.begin());
-  if (rank > 0)
-    return members[(rank - 1) / kWatchFanOut];
+  if (rank == 0)
+    return std::nullopt;
+  return members[(rank - 1) / kWatchFanOut];
+}
+
+std::optional<known_instance> FindWatchParent(
+    const known_instance& self,
+    const std::vector<known_instance>& live,
+    bool store_refuses_self) {
+  if (const auto parent = FindDomainParent(self, live))
+    return parent;
   const auto first = std::min_element(live.begin(), live.end(), PrecedesInTree);
   if (first == live.end() ||
       (!store_refuses_self && !PrecedesInTree(*first, self)))
--- a/src/peers/internal/watch_tree_reader.cc
+++ b/src/peers/internal/watch_tree_reader.cc
@@ -105,7 +105,11 @@
                                   std::function<void(range_result)> done) {
   const auto read_from_store = [this, prefix, after_key, done] {
     store_.ReadRange(prefix, after_key, [this, done](range_result result) {
-      OnStoreResponse(std::holds_alternative<store_error>(result));
+      const bool refused = std::holds_alternative<store_error>(result);
+      OnStoreResponse(refused);
+      // The range is as new as a watch would be.
+      if (!refused)
+        next_direct_watch_at_ = scheduler_.Now() + kMinDirectWatchInterval;
       done(std::move(result));
     });
   };
@@ -176,18 +180,20 @@
 }
 
 void watch_tree_reader::WatchDirectly(watch_call call) {
-  const auto watch = [this, call = std::move(call)] {
-    next_direct_watch_at_ = scheduler_.Now() + kMinDirectWatchInterval;
-    store_.Watch(call.prefix, call.since_revision, call.wait,
-                 [this, done = call.done](watch_result result) {
-                   const auto* error = std::get_if<store_error>(&result);
-                   OnStoreResponse(error && *error == store_error::unavailable);
-                   done(std::move(result));
-                 });
-  };
-  if (scheduler_.Now() >= next_direct_watch_at_)
-    return watch();
-  direct_watch_timer_ = scheduler_.RunAt(next_direct_watch_at_, watch);
+  if (scheduler_.Now() < next_direct_watch_at_) {
+    // By then there may be a parent that can be read instead.
+    direct_watch_timer_ = scheduler_.RunAt(
+        next_direct_watch_at_,
+        [this, call = std::move(call)]() mutable { Watch(std::move(call)); });
+    return;
+  }
+  next_direct_watch_at_ = scheduler_.Now() + kMinDirectWatchInterval;
+  store_.Watch(call.prefix, call.since_revision, call.wait,
+               [this, done = call.done](watch_result result) {
+                 const auto* error = std::get_if<store_error>(&result);
+                 OnStoreResponse(error && *error == store_error::unavailable);
+                 done(std::move(result));
+               });
 }
 
 }  // namespace wist
--- a/src/peers/load_exchange.h
+++ b/src/peers/load_exchange.h
@@ -5,44 +5,31 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "framework/net/i_channel.h"
 #include "framework/net/i_scheduler.h"
-#include "limits/crash_ledger.h"
-#include "selection/selection_types.h"
+#include "peers/load_table.h"
+#include "peers/peer_report.h"
+#include "peers/tree_neighbors.h"
 
 namespace wist {
 
-// Message of one instance to its peers: its load on each target and its
-// crash notices. Messages of one instance are ordered by (started_at,
-// sequence_number).
-struct peer_report {
-  std::string instance;
-  std::int64_t started_at = 0;  // Start of the instance, in Unix microseconds.
-  std::uint64_t sequence_number = 0;
-  std::vector<target_load> loads;
-  std::vector<crash_notice> crashes;
-
-  auto operator<=>(const peer_report&) const = default;
-};
-
-std::string EncodePeerReport(const peer_report& report);
-
-// Returns nothing if the bytes cannot be decoded.
-std::optional<peer_report> DecodePeerReport(std::string_view bytes);
-
 struct load_exchange_settings {
   // Changes within this time are sent together.
   milliseconds coalescing_delay{5};
-  // Limit on the datagrams that one instance sends per second. With more peers,
-  // it sends to each of them less often.
-  double max_datagrams_per_second = 2000;
-  // Unchanged reports are sent again after this time, because datagrams may be
-  // lost.
+  // Minimum interval between two reports to a neighbor.
+  milliseconds min_send_interval{25};
+  // A neighbor is sent a report after this time even if nothing changed.
+  milliseconds keepalive_interval{250};
+  // All loads are sent again after this time, because datagrams may be lost.
   milliseconds refresh_interval{1000};
+  // Interval of the checks for silent neighbors and due keepalives.
+  milliseconds check_interval{125};
 };
 
 // What this instance reports to its peers.
@@ -51,53 +38,82 @@
   std::vector<crash_notice> crashes;
 };
 
-// Sends this instance's loads and crash notices to its peers in datagrams, and
-// receives theirs. Any datagram may be lost. Not thread-safe.
+// Exchanges sums of loads and crash notices with the neighbors in the watch
+// tree, in datagrams. Any datagram may be lost. An instance sends and receives
+// as many messages as it has neighbors, however many instances there are. Not
+// thread-safe.
 class load_exchange {
  public:
-  using report_handler = std::function<void(const peer_report&)>;
+  // Receives the load of all other instances on a target.
+  using load_handler = std::function<void(const target_load&)>;
+  using crash_handler = std::function<void(const crash_notice&)>;
 
   load_exchange(const load_exchange_settings& settings,
-                std::string instance,
+                const known_instance& self,
                 std::int64_t started_at,
                 i_scheduler& scheduler,
                 std::function<local_report()> collect_report,
-                report_handler on_report);
+                load_handler on_load,
+                crash_handler on_crash);
 
   // `port` has to outlive the exchange.
   void Start(i_datagram_port& port);
-  void SetPeers(std::vector<http_address> peers);
 
-  // Returns whether a report of `instance` was received within the last few
-  // refresh intervals.
-  bool HeardFromRecently(const std::string& instance) const;
+  // Sets the announced instances other than this one.
+  void SetInstances(std::vector<known_instance> others);
 
-  // Schedules a report because the loads or crash notices have changed.
+  // Schedules reports because the loads or crash notices have changed.
   void ScheduleReport();
-  void OnDatagram(std::string_view bytes);
+  void OnDatagram(std::string_view bytes, const http_address& sender);
+
+  // Tells the parent that this instance ends.
+  void Detach();
+
+  const tree_neighbors& neighbors() const { return neighbors_; }
 
  private:
-  void SendReport();
-  microseconds MinSendInterval() const;
-  microseconds RefreshInterval() const;
+  // What was sent to and received from a neighbor.
+  struct neighbor_state {
+    std::uint64_t next_sequence_number = 1;
+    timestamp last_sent_at{};
+    timestamp refresh_due{};
+    // Targets whose load may differ from the one sent last.
+    std::set<target_id> unsent_targets;
+    std::map<target_id, target_load> sent_loads;
+    std::pair<std::int64_t, std::uint64_t> newest_received;
+  };
+
+  using notice_key = std::pair<request_digest, std::optional<target_id>>;
+
+  void Check();
+  void ScheduleSend();
+  bool RecordNotices(const std::vector<crash_notice>& notices);
+  void SendReports(bool keepalives_due);
+  std::vector<target_load> TakeLoadsFor(const tree_neighbor& neighbor,
+                                        neighbor_state& state);
+  void SendReport(const tree_neighbor& neighbor,
+                  neighbor_state& state,
+                  const std::vector<target_load>& loads,
+                  const std::vector<crash_notice>& crashes);
+  void SendDetachment(const tree_neighbor& neighbor);
+  void HandleDropped();
+  bool DistributeChanges(const std::string& source = "");
 
   const load_exchange_settings settings_;
   const std::string instance_;
   const std::int64_t started_at_;
   i_scheduler& scheduler_;
   const std::function<local_report()> collect_report_;
-  const report_handler on_report_;
+  const load_handler on_load_;
+  const crash_handler on_crash_;
   i_datagram_port* port_ = nullptr;
-  std::vector<http_address> peers_;
-  std::uint64_t next_sequence_number_ = 1;
-  bool send_pending_ = false;
+  tree_neighbors neighbors_;
+  load_table table_;
+  std::map<std::string, neighbor_state> states_;
+  std::set<notice_key> sent_notices_;
   timestamp last_sent_at_{};
   std::unique_ptr<i_timer> send_timer_;
-  struct received_report {
-    std::pair<std::int64_t, std::uint64_t> order;
-    timestamp received_at;
-  };
-  std::map<std::string, received_report> newest_reports_;
+  std::unique_ptr<i_timer> check_timer_;
 };
 
 }  // namespace wist
--- /dev/null
+++ b/src/peers/peer_report.h
@@ -0,0 +1,45 @@
+#ifndef PEERS_PEER_REPORT_H_
+#define PEERS_PEER_REPORT_H_
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "limits/crash_ledger.h"
+#include "selection/selection_types.h"
+
+namespace wist {
+
+// Role of a neighbor in the watch tree. The roots of the failure domains are
+// neighbors of each other.
+enum class neighbor_role { parent, child, root };
+
+// Message of one instance to a neighbor in the watch tree. Messages of one
+// instance to one neighbor are ordered by (started_at, sequence_number).
+struct peer_report {
+  std::string instance;
+  std::int64_t started_at = 0;  // Start of the instance, in Unix microseconds.
+  std::uint64_t sequence_number = 0;
+  // Role that the receiver has for the sender.
+  neighbor_role receiver_role = neighbor_role::parent;
+  // The sender no longer uses the receiver in this role.
+  bool detaches = false;
+  // The load of all instances on the sender's side of the link, for the targets
+  // for which it changed and, from time to time, for all.
+  std::vector<target_load> loads;
+  std::vector<crash_notice> crashes;
+
+  auto operator<=>(const peer_report&) const = default;
+};
+
+std::string EncodePeerReport(const peer_report& report);
+
+// Returns nothing if the bytes cannot be decoded.
+std::optional<peer_report> DecodePeerReport(std::string_view bytes);
+
+}  // namespace wist
+
+#endif  // PEERS_PEER_REPORT_H_
--- a/src/peers/watch_plan.h
+++ b/src/peers/watch_plan.h
@@ -32,6 +32,16 @@
 // Maximum number of children of a node in the tree of a failure domain.
 inline constexpr std::size_t kWatchFanOut = 8;
 
+// Whether `left` precedes `right` in the order of instances in all trees.
+bool PrecedesInTree(const known_instance& left, const known_instance& right);
+
+// Returns the parent of `self` in the tree of its failure domain, which
+// consists of `self` and the instances of the domain in `live`. The parent
+// precedes `self`. Returns nothing for the root.
+std::optional<known_instance> FindDomainParent(
+    const known_instance& self,
+    const std::vector<known_instance>& live);
+
 // Returns the instance from which `self` reads the changes of the store: its
 // parent in the watch tree. The live instances of each failure domain form a
 // tree. The roots of the domains read from one of these roots, which reads from
--- a/src/selection/internal/target_selector.cc
+++ b/src/selection/internal/target_selector.cc
@@ -107,7 +107,7 @@
   double best_cost = 0;
   for (const auto& [id, target] : directory_.targets()) {
     if (!IsEligible(target, request) ||
-        (use_peer_reports && IsReportedFailing(id, now)))
+        (use_peer_reports && IsReportedFailing(id)))
       continue;
     const auto cost = Cost(target, service, request, now);
     if (!cost || (best && *cost >= best_cost))
@@ -120,17 +120,10 @@
 
 // A single report may come from an instance that has lost its own connection to
 // the target; two instances are unlikely to lose theirs at the same time.
-bool target_selector::IsReportedFailing(const target_id& target,
-                                        timestamp now) const {
-  int peers = 0;
-  for (const auto& [peer, state] : peers_) {
-    if (now >= state.deadline)
-      continue;
-    const auto found = state.loads.find(target);
-    if (found != state.loads.end() && found->second.is_failing)
-      ++peers;
-  }
-  return peers >= kMinPeerReports;
+bool target_selector::IsReportedFailing(const target_id& target) const {
+  const auto others = others_loads_.find(target);
+  return others != others_loads_.end() &&
+         others->second.failing_instances >= kMinPeerReports;
 }
 
 selection target_selector::ChooseReceiver(const target_id& from,
@@ -158,14 +151,14 @@
   const double jitter = std::uniform_real_distribution<double>(
       0, MaxCostJitter())(random_generator_);
   if (service.engine && request.size) {
-    const auto cost = EngineCost(target, *service.engine, request, now);
+    const auto cost = EngineCost(target, *service.engine, request);
     // A refused caller can retry before an attempt on an unreachable engine
     // would end.
     if (!cost || is_cooling_down)
       return std::nullopt;
     return *cost + failure_rate * kFailureMemoryCost + jitter;
   }
-  const target_load load = TotalLoad(target.entry.id, now);
+  const target_load load = TotalLoad(target.entry.id);
   const double latency =
       state ? state->health.latency_ms().value_or(kAssumedLatencyMs)
             : kAssumedLatencyMs;
@@ -180,9 +173,8 @@
 std::optional<double> target_selector::EngineCost(
     const known_target& target,
     const engine_spec& engine,
-    const selection_request& request,
-    timestamp now) const {
-  const target_load load = TotalLoad(target.entry.id, now);
+    const selection_request& request) const {
+  const target_load load = TotalLoad(target.entry.id);
   const auto memory = static_cast<double>(engine.memory_tokens);
   const double fill =
       static_cast<double>(load.tokens + request.size->Total()) / memory;
@@ -277,8 +269,7 @@
 run_number target_selector::BeginRun(const target_id& target,
                                      const selection_request& request,
                                      timestamp now) {
-  const std::int64_t backlog_before =
-      TotalLoad(target, now).pending_prefill_tokens;
+  const std::int64_t backlog_before = TotalLoad(target).pending_prefill_tokens;
   const run_number number = AddRun(target, request, false, now);
   run& new_run = runs_[number];
   new_run.prefill_backlog_tokens =
@@ -316,7 +307,7 @@
     if (target.entry.service != request.service ||
         !directory_.AcceptsNewWork(target))
       continue;
-    const auto tokens = static_cast<double>(TotalLoad(id, now).tokens);
+    const auto tokens = static_cast<double>(TotalLoad(id).tokens);
     used_tokens += tokens;
     engine_count += 1;
     const target_state* state = FindState(id);
@@ -380,37 +371,30 @@
       continue;
     target_load load = state.own_load;
     load.target = id;
-    load.is_failing = is_failing;
+    load.failing_instances = is_failing ? 1 : 0;
     loads.push_back(load);
   }
   return loads;
 }
 
-void target_selector::SetPeerLoads(const std::string& peer,
-                                   const std::vector<target_load>& loads,
-                                   timestamp now) {
-  peer_state& state = peers_[peer];
-  state.loads.clear();
-  for (const target_load& load : loads)
-    state.loads[load.target] = load;
-  state.deadline = now + settings_.peer_load_validity;
+void target_selector::SetOthersLoad(const target_load& load) {
+  const target_load none{load.target};
+  if (load == none)
+    others_loads_.erase(load.target);
+  else
+    others_loads_[load.target] = load;
 }
 
-target_load target_selector::TotalLoad(const target_id& target,
-                                       timestamp now) const {
+target_load target_selector::TotalLoad(const target_id& target) const {
   target_load total;
   if (const target_state* state = FindState(target))
     total = state->own_load;
-  for (const auto& [peer, state] : peers_) {
-    if (now >= state.deadline)
-      continue;
-    const auto found = state.loads.find(target);
-    if (found == state.loads.end())
-      continue;
-    total.runs += found->second.runs;
-    total.tokens += found->second.tokens;
-    total.pending_prefill_tokens += found->second.pending_prefill_tokens;
-  }
+  const auto others = others_loads_.find(target);
+  if (others == others_loads_.end())
+    return total;
+  total.runs += others->second.runs;
+  total.tokens += others->second.tokens;
+  total.pending_prefill_tokens += others->second.pending_prefill_tokens;
   return total;
 }
 
--- a/src/selection/selection_types.h
+++ b/src/selection/selection_types.h
@@ -64,7 +64,7 @@
   cancelled,  // Ended by this instance; says nothing about the target's health.
 };
 
-// Load that one instance has placed on a target.
+// Load that one or more instances have placed on a target.
 struct target_load {
   target_id target;
   std::int32_t runs = 0;
@@ -72,17 +72,15 @@
   std::int64_t tokens = 0;
   // Prompt tokens of runs that have not produced output yet.
   std::int64_t pending_prefill_tokens = 0;
-  // Whether the target accepts connections but breaks runs before their first
+  // Number of instances whose runs on the target break before their first
   // output.
-  bool is_failing = false;
+  std::int32_t failing_instances = 0;
 
   auto operator<=>(const target_load&) const = default;
 };
 
 struct selection_settings {
   domain_id own_domain;
-  // Loads reported by a peer are counted for this long.
-  milliseconds peer_load_validity{3000};
   // Fraction of an engine's memory that the expected size of its runs may fill.
   double memory_fill_limit = 0.9;
   // The same for runs that continue from another engine. It is higher because
--- a/src/selection/target_selector.h
+++ b/src/selection/target_selector.h
@@ -55,17 +55,14 @@
   void OnFirstOutput(run_number run, timestamp now);
   void EndRun(run_number run, run_end end, timestamp now);
 
-  // Returns the load on a target from this instance and its peers.
-  target_load TotalLoad(const target_id& target, timestamp now) const;
+  // Returns the load on a target from all instances.
+  target_load TotalLoad(const target_id& target) const;
 
   // Returns the load placed by this instance, to be reported to its peers.
   std::vector<target_load> OwnLoads(timestamp now) const;
 
-  // Replaces the loads reported by `peer`. They are counted until
-  // `peer_load_validity` has passed.
-  void SetPeerLoads(const std::string& peer,
-                    const std::vector<target_load>& loads,
-                    timestamp now);
+  // Sets the load that all other instances together have placed on a target.
+  void SetOthersLoad(const target_load& load);
 
   // Discards the state of idle targets that are no longer in the directory.
   void PruneRemovedTargets();
@@ -91,11 +88,6 @@
     std::deque<timestamp> recent_starts;
   };
 
-  struct peer_state {
-    std::unordered_map<target_id, target_load> loads;
-    timestamp deadline;
-  };
-
   run_number AddRun(const target_id& target,
                     const selection_request& request,
                     bool is_backup,
@@ -106,7 +98,7 @@
                                          timestamp now) const;
   bool IsEligible(const known_target& target,
                   const selection_request& request) const;
-  bool IsReportedFailing(const target_id& target, timestamp now) const;
+  bool IsReportedFailing(const target_id& target) const;
   double MaxCostJitter() const;
   std::optional<double> Cost(const known_target& target,
                              const routed_service& service,
@@ -114,8 +106,7 @@
                              timestamp now) const;
   std::optional<double> EngineCost(const known_target& target,
                                    const engine_spec& engine,
-                                   const selection_request& request,
-                                   timestamp now) const;
+                                   const selection_request& request) const;
   bool WouldMissObjective(const target_load& load,
                           const selection_request& request) const;
   bool IsWithinColdLimit(const known_target& target,
@@ -127,7 +118,7 @@
   const target_directory& directory_;
   std::shared_ptr<const route_table> table_;
   std::unordered_map<target_id, target_state> states_;
-  std::unordered_map<std::string, peer_state> peers_;
+  std::unordered_map<target_id, target_load> others_loads_;
   std::unordered_map<run_number, run> runs_;
   std::unordered_map<std::string, target_id> session_targets_;
   std::unordered_map<service_id, prefill_estimator> prefill_estimators_;
