--- a/src/follower/internal/store_mirror.cc
+++ b/src/follower/internal/store_mirror.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace wist {
 namespace {
@@ -31,18 +32,23 @@
     items_[change.key] = change;
   else
     items_.erase(change.key);
-  const auto last = last_logged_.find(change.key);
   if (kind == change_kind::replaces_earlier) {
     for (auto entry = change_log_.begin(); entry != change_log_.end();) {
       const auto earlier = entry++;
       if (earlier->change.key == change.key)
         EraseLogged(earlier);
     }
-  } else if (kind == change_kind::renewal && last != last_logged_.end() &&
-             last->second->is_renewal) {
+  }
+  const auto last = last_logged_.find(change.key);
+  logged_change logged{change, kind == change_kind::renewal, std::nullopt};
+  if (last != last_logged_.end() && last->second->is_renewal) {
+    // A reader that missed the last renewal before a removal could not tell
+    // whether a later entry is older than the removed one.
+    if (kind == change_kind::ordinary)
+      logged.preceding_renewal = last->second->change;
     EraseLogged(last->second);
   }
-  change_log_.push_back({change, kind == change_kind::renewal});
+  change_log_.push_back(std::move(logged));
   last_logged_[change.key] = std::prev(change_log_.end());
   if (change_log_.size() <=
       std::max(kMinLogEntries, kLogEntriesPerItem * items_.size()))
@@ -96,39 +102,28 @@
     return std::nullopt;
   if (since_revision < log_start_revision_)
     return store_error::history_gone;
-  const bool has_change = std::any_of(
-      change_log_.begin(), change_log_.end(), [&](const logged_change& logged) {
-        return !logged.is_renewal && logged.change.revision > since_revision &&
-               logged.change.key.starts_with(prefix);
-      });
-  if (!has_change)
-    return std::nullopt;
-  return ChangesSince(prefix, since_revision, now);
-}
-
-watch_page store_mirror::ChangesSince(const std::string& prefix,
-                                      std::int64_t since_revision,
-                                      timestamp now) const {
   watch_page page;
   page.at_revision = revision_;
   page.age = ContentAge(now);
   for (const logged_change& logged : change_log_) {
-    if (logged.change.revision > since_revision &&
-        logged.change.key.starts_with(prefix))
-      page.changes.push_back(logged.change);
+    if (logged.is_renewal || logged.change.revision <= since_revision ||
+        !logged.change.key.starts_with(prefix))
+      continue;
+    if (logged.preceding_renewal)
+      page.changes.push_back(*logged.preceding_renewal);
+    page.changes.push_back(logged.change);
   }
+  if (page.changes.empty())
+    return std::nullopt;
   return page;
 }
 
-watch_result store_mirror::WaitedWatchResult(const std::string& prefix,
-                                             std::int64_t since_revision,
-                                             timestamp now) const {
+watch_result store_mirror::EmptyWatchResult(std::int64_t since_revision,
+                                            timestamp now) const {
   // A mirror that is behind the caller cannot confirm that nothing changed.
   if (!confirmed_at_ || since_revision > revision_)
     return store_error::unavailable;
-  if (since_revision < log_start_revision_)
-    return store_error::history_gone;
-  return ChangesSince(prefix, since_revision, now);
+  return watch_page{{}, revision_, ContentAge(now)};
 }
 
 }  // namespace wist
--- a/src/follower/store_mirror.h
+++ b/src/follower/store_mirror.h
@@ -18,8 +18,8 @@
   // Earlier changes of the key are not passed on any more.
   replaces_earlier,
   // An entry was written again by its owner, and nothing but its age changed.
-  // It is passed on with the next page, but completes no watch; earlier
-  // renewals of the key are not passed on any more.
+  // Only the last renewal before another change of the key is passed on, with
+  // that change.
   renewal,
 };
 
@@ -46,28 +46,25 @@
 
   range_result ReadRange(const std::string& prefix, timestamp now) const;
 
-  // Returns the changes after `since_revision`, or nothing if there are none
-  // but renewals.
+  // Returns nothing if there is no change after `since_revision` to pass on.
   std::optional<watch_result> Watch(const std::string& prefix,
                                     std::int64_t since_revision,
                                     timestamp now) const;
 
-  // Returns the result of a watch whose wait ended: renewals or no changes.
-  watch_result WaitedWatchResult(const std::string& prefix,
-                                 std::int64_t since_revision,
-                                 timestamp now) const;
+  // Returns the result of a watch whose wait ended without a change.
+  watch_result EmptyWatchResult(std::int64_t since_revision,
+                                timestamp now) const;
 
  private:
   struct logged_change {
     store_change change;
     bool is_renewal = false;
+    // The last renewal of the key before this change.
+    std::optional<store_change> preceding_renewal;
   };
 
   microseconds ContentAge(timestamp now) const;
   void EraseLogged(std::list<logged_change>::iterator entry);
-  watch_page ChangesSince(const std::string& prefix,
-                          std::int64_t since_revision,
-                          timestamp now) const;
 
   std::function<void()> update_handler_;
   std::map<std::string, store_change> items_;
--- a/src/peers/internal/mirror_server.cc
+++ b/src/peers/internal/mirror_server.cc
@@ -94,9 +94,8 @@
 std::string mirror_server::TimedOutPage(const pending_read& read) const {
   if (!read.since_revision)
     return EncodePage(range_result(store_error::unavailable));
-  return WatchPage(read,
-                   mirror_.WaitedWatchResult(read.prefix, *read.since_revision,
-                                             scheduler_.Now()));
+  return WatchPage(
+      read, mirror_.EmptyWatchResult(*read.since_revision, scheduler_.Now()));
 }
 
 void mirror_server::Hold(pending_read read, milliseconds wait) {
