Send the differences to readers of the mirror after a lost history

Cause: after platform_compact the root reads all keys again, and each instance below it was told that its history is gone, so that the whole content passed through each level of the watch tree. Tested: readers get the differences only (store_view).

--- a/src/follower/internal/prefix_follower.cc
+++ b/src/follower/internal/prefix_follower.cc
@@ -72,7 +72,7 @@
     return ReadPage(page.items.back().key);
   OnSuccess();
   revision_ = range_revision_;
-  listener_.OnSnapshot(items_, IsAfterOutage());
+  listener_.OnSnapshot(items_, *revision_, IsAfterOutage());
   items_.clear();
   listener_.OnConfirmed(*revision_, called_at_ - max_page_age_);
   StartWatch();
--- a/src/follower/internal/store_mirror.cc
+++ b/src/follower/internal/store_mirror.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <utility>
+#include <vector>
 
 namespace wist {
 namespace {
@@ -58,6 +59,23 @@
   EraseLogged(change_log_.begin());
 }
 
+void store_mirror::ApplyRemovals(
+    const std::map<std::string, store_change>& items,
+    std::int64_t revision) {
+  std::vector<store_change> removals;
+  for (const auto& [key, item] : items_) {
+    if (!items.contains(key))
+      removals.push_back({key, std::nullopt, revision});
+  }
+  for (const store_change& removal : removals)
+    Apply(removal);
+}
+
+bool store_mirror::Contains(const store_change& entry) const {
+  const auto found = items_.find(entry.key);
+  return found != items_.end() && found->second == entry;
+}
+
 void store_mirror::EraseLogged(std::list<logged_change>::iterator entry) {
   const auto last = last_logged_.find(entry->change.key);
   if (last != last_logged_.end() && last->second == entry)
--- a/src/follower/prefix_follower.h
+++ b/src/follower/prefix_follower.h
@@ -16,10 +16,11 @@
  public:
   virtual ~i_prefix_listener() = default;
 
-  // `items` are all entries under the prefix. `after_outage` says that the
-  // store was unavailable until recently, so that entries may have expired
-  // because they could not be renewed.
+  // `items` are all entries under the prefix at `revision`. `after_outage` says
+  // that the store was unavailable until recently, so that entries may have
+  // expired because they could not be renewed.
   virtual void OnSnapshot(const std::map<std::string, store_change>& items,
+                          std::int64_t revision,
                           bool after_outage) = 0;
   virtual void OnChange(const store_change& change, bool after_outage) = 0;
 
--- a/src/follower/store_mirror.h
+++ b/src/follower/store_mirror.h
@@ -37,6 +37,14 @@
   void Apply(const store_change& change,
              change_kind kind = change_kind::ordinary);
 
+  // Applies the removal of all entries that are not in `items`, the content at
+  // `revision`.
+  void ApplyRemovals(const std::map<std::string, store_change>& items,
+                     std::int64_t revision);
+
+  // Whether the content has the entry with this value and revision.
+  bool Contains(const store_change& entry) const;
+
   // Records that the content is that of the store at `revision`, which was its
   // latest revision at `confirmed_at`.
   void Confirm(std::int64_t revision, timestamp confirmed_at);
--- a/src/follower/tests/prefix_follower_test.cc
+++ b/src/follower/tests/prefix_follower_test.cc
@@ -41,6 +41,7 @@
 
 struct recording_listener final : i_prefix_listener {
   void OnSnapshot(const std::map<std::string, store_change>& items,
+                  std::int64_t,
                   bool after) override {
     snapshots.push_back(items);
     after_outage = after;
--- a/src/gateway/internal/store_view.cc
+++ b/src/gateway/internal/store_view.cc
@@ -1,6 +1,7 @@
 #include "gateway/internal/store_view.h"
 
 #include <stdexcept>
+#include <utility>
 
 #include "peers/watch_tree_reader.h"
 
@@ -110,11 +111,20 @@
 }
 
 void store_view::OnSnapshot(const std::map<std::string, store_change>& items,
+                            std::int64_t revision,
                             bool after_outage) {
-  has_snapshot_ = true;
-  mirror_.SetAll(items);
-  for (const auto& [key, item] : items)
+  // After a lost history the mirror records the differences as changes, so that
+  // its readers do not have to read everything again.
+  const bool is_first = !std::exchange(has_snapshot_, true);
+  if (is_first)
+    mirror_.SetAll(items);
+  else
+    mirror_.ApplyRemovals(items, revision);
+  for (const auto& [key, item] : items) {
+    if (!is_first && !mirror_.Contains(item))
+      mirror_.Apply(item, KindOf(item));
     ApplyChange(item, after_outage);
+  }
   RemoveMissing(items, after_outage);
 }
 
--- a/src/gateway/internal/store_view.h
+++ b/src/gateway/internal/store_view.h
@@ -55,6 +55,7 @@
  private:
   // i_prefix_listener:
   void OnSnapshot(const std::map<std::string, store_change>& items,
+                  std::int64_t revision,
                   bool after_outage) override;
   void OnChange(const store_change& change, bool after_outage) override;
   void OnConfirmed(std::int64_t revision, timestamp confirmed_at) override;
--- a/src/gateway/tests/store_view_test.cc
+++ b/src/gateway/tests/store_view_test.cc
@@ -236,3 +236,27 @@
   f.DeliverChange({"wist/instances/self", std::nullopt, 20});
   CHECK(f.store.puts.size() == 2);
 }
+
+// Guards against the same content being sent to each instance again. When the
+// store forgets its history, a leaving target would otherwise be known only
+// once the whole content has passed through each level of the watch tree.
+TEST_CASE("readers of the mirror receive the differences after lost history") {
+  store_view_fixture f;
+  f.DeliverSnapshot({{"operator/configuration", "7", 3},
+                     {"targets/a", "d1", 5},
+                     {"targets/b", "d2", 6}});
+  std::exchange(f.store.watch_done, nullptr)(store_error::history_gone);
+  f.scheduler.Advance(milliseconds(1));
+  f.DeliverSnapshot({{"operator/configuration", "7", 3},
+                     {"targets/a", "d9", 40},
+                     {"targets/c", "d3", 50}},
+                    90);
+  const auto page = f.view.mirror().Watch("", 10, f.scheduler.Now());
+  REQUIRE(page);
+  const auto& changes = std::get<watch_page>(*page).changes;
+  const std::vector<store_change> expected = {{"targets/b", std::nullopt, 90},
+                                              {"targets/a", "d9", 40},
+                                              {"targets/c", "d3", 50}};
+  CHECK(changes == expected);
+  CHECK(std::get<watch_page>(*page).at_revision == 90);
+}
--- a/src/peers/internal/watch_tree_reader.cc
+++ b/src/peers/internal/watch_tree_reader.cc
@@ -24,15 +24,16 @@
 constexpr milliseconds kMaxFirstCopyWait{600};
 
 // Longest wait of a watch at a parent. Each level of the watch tree adds it to
-// the age of a confirmation.
-constexpr milliseconds kMaxParentWait{300};
+// the age of a confirmation, and a domain that is cut off serves requests with
+// API keys until its last confirmation is too old.
+constexpr milliseconds kMaxParentWait{150};
 
 // Interval of the checks for a source while the parent is not known.
 constexpr milliseconds kSourceSearchInterval{50};
 
 // Minimum time between direct watches after one that failed: of an instance
 // that has to find a source for others, and of the others.
-constexpr milliseconds kFailedRootInterval{800};
+constexpr milliseconds kFailedRootInterval{600};
 constexpr milliseconds kFailedDescendantInterval{3000};
 
 // Minimum time between the starts of direct watches. Targets renew their
@@ -47,7 +48,7 @@
 constexpr milliseconds kMaxParentBackoff{16'000};
 constexpr int kMaxBackoffDoublings = 3;
 
-// Number of parents tried for one call. One that does not respond takes 0.7 s
+// Number of parents tried for one call. One that does not respond takes 0.55 s
 // of the bound on changes of the configuration.
 constexpr int kMaxParentsPerCall = 2;
 
--- a/src/peers/tests/watch_sharing_test.cc
+++ b/src/peers/tests/watch_sharing_test.cc
@@ -181,7 +181,7 @@
 TEST_CASE("a parent that does not respond is replaced by the store in time") {
   fixture f;
   f.Watch();
-  f.scheduler.Advance(milliseconds(699));
+  f.scheduler.Advance(milliseconds(549));
   CHECK(f.direct.calls == 0);
   f.scheduler.Advance(milliseconds(2));
   CHECK(f.direct.calls == 1);
