Keep requests away from targets behind a cut border and from targets that ended unseen

Change: after a connect that failed in another domain the request prefers its own domain; after two such targets within a second all requests of the instance do. A target that can't be reached is reported to the peers like one that breaks its runs. Failed connects, which cost some milliseconds and no run, no longer use up the four attempts of a request: up to twelve within half of its objective. Tests: selection and exchange, each for the load that it answers.

--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -34,6 +34,13 @@
 // that they did not run it.
 constexpr int kMaxDispatches = 4;
 
+// Maximum number of targets that a request fails to connect to. A refused
+// connection costs some milliseconds and no run, and many targets may have
+// ended without notice; beyond kMaxDispatches it is tried only while there is
+// time.
+constexpr int kMaxConnectFailures = 12;
+constexpr int kConnectTimeDivisor = 2;
+
 // An idempotent request without a response after this multiple of its latency
 // objective is retried on another target.
 constexpr int kSlowAttemptObjectives = 2;
@@ -83,6 +90,7 @@
   selection_request request;
   request.service = routed_.service;
   request.excluded = excluded_targets_;
+  request.avoids_other_domains = failed_abroad_;
   request.size = ExpectedGenerationSize(request_);
   if (request_.generation)
     request.session = request_.generation->session;
@@ -237,6 +245,10 @@
 void exchange::OnCallEnd(call_outcome outcome) {
   const bool connected = outcome.end != call_end::connect_failed;
   if (!connected || !outcome.may_have_been_sent) {
+    // If the border of the domain is cut, the targets behind it appear idle,
+    // and further attempts there would fail as well.
+    failed_abroad_ =
+        failed_abroad_ || attempt_->target.domain != services_.settings.domain;
     EndAttempt(run_end::unreachable);
     if (stream_started_)
       return AbortStream("target_ended_stream");
@@ -275,13 +287,24 @@
   const timestamp now = services_.scheduler.Now();
   if (may_have_run_ && Route().kind != call_kind::idempotent)
     return Refuse(error_code::target_failed, run_verdict::may_have_run);
-  if (dispatch_count_ >= kMaxDispatches ||
+  if (!reached_target)
+    ++connect_failure_count_;
+  if (!MayDispatchAgain(now) ||
       (reached_target && !services_.RetryBudgetOf(routed_.service)
                               .TryConsumeRetry(services_.instance_count, now)))
     return RefuseOverloaded(milliseconds(0));
   Dispatch();
 }
 
+bool exchange::MayDispatchAgain(timestamp now) const {
+  if (dispatch_count_ < kMaxDispatches)
+    return true;
+  return dispatch_count_ - connect_failure_count_ < kMaxDispatches &&
+         connect_failure_count_ < kMaxConnectFailures &&
+         now <
+             received_at_ + Route().first_byte_objective / kConnectTimeDivisor;
+}
+
 // The target may have run the request, but its response can't be used.
 void exchange::OnFailure(run_end end) {
   // The end of a target that announced its shutdown is not a crash.
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -68,6 +68,7 @@
   void RecordEventTimes();
   void OnCallEnd(call_outcome outcome);
   void OnResponseComplete();
+  bool MayDispatchAgain(timestamp now) const;
   void OnRejected(bool reached_target);
   void OnFailure(run_end end);
   void AbortStream(const std::string& reason);
@@ -103,7 +104,10 @@
   std::optional<target_attempt> attempt_;
   std::set<target_id> excluded_targets_;
   int dispatch_count_ = 0;
+  int connect_failure_count_ = 0;
   int run_count_ = 0;  // Failed attempts that may have run.
+  // A target in another failure domain could not be reached.
+  bool failed_abroad_ = false;
   bool may_have_run_ = false;
   bool stream_started_ = false;  // The stream's head was sent.
   bool finished_ = false;
--- a/src/gateway/tests/exchange_test.cc
+++ b/src/gateway/tests/exchange_test.cc
@@ -335,3 +335,55 @@
   CHECK(retry_after_ms >= 100);
   CHECK(retry_after_ms <= 150);
 }
+
+TEST_CASE("a connect that fails across the border is followed by one inside") {
+  exchange_fixture f;
+  for (const char* name : {"e1", "e2", "e3"}) {
+    selection_request busy;
+    busy.service = service_id("engines");
+    busy.size = generation_size{6000, 0};
+    f.selector.BeginRun(target_id(name), busy, f.scheduler.Now());
+  }
+  for (const char* name : {"x1", "x2", "x3", "x4"})
+    f.AddTarget(name, "engines", "elsewhere");
+  f.SendStreamRequest();
+  REQUIRE(f.TargetName(0).starts_with("x"));
+  f.target_channel().End(channel_end::connect_failed);
+  REQUIRE(f.connector.addresses.size() == 2);
+  CHECK(f.TargetName(1).starts_with("e"));
+}
+
+TEST_CASE("targets that ended without notice do not use up the attempts") {
+  exchange_fixture f;
+  for (int i = 0; i < 6; ++i)
+    f.AddTarget("dead" + std::to_string(i), "engines");
+  for (const char* name : {"e1", "e2", "e3"}) {
+    selection_request busy;
+    busy.service = service_id("engines");
+    busy.size = generation_size{6000, 0};
+    f.selector.BeginRun(target_id(name), busy, f.scheduler.Now());
+  }
+  f.SendStreamRequest();
+  int failures = 0;
+  while (f.connector.addresses.back().host.starts_with("dead")) {
+    REQUIRE(++failures <= 6);
+    f.target_channel().End(channel_end::connect_failed);
+  }
+  CHECK(failures == 6);
+  CHECK(f.connector.addresses.back().host.starts_with("e"));
+  CHECK(f.response().empty());
+}
+
+TEST_CASE("a request that cannot connect anywhere is refused within its time") {
+  exchange_fixture f;
+  for (int i = 0; i < 30; ++i)
+    f.AddTarget("dead" + std::to_string(i), "engines");
+  f.SendStreamRequest();
+  // Each attempt takes 60 ms; half of the objective is 200 ms.
+  for (int i = 0; i < 20 && f.response().empty(); ++i) {
+    f.scheduler.Advance(milliseconds(60));
+    f.target_channel().End(channel_end::connect_failed);
+  }
+  CHECK(f.ResponseContains("overloaded"));
+  CHECK(f.connector.addresses.size() == 4);
+}
--- a/src/gateway/tests/mocks/exchange_fixture.h
+++ b/src/gateway/tests/mocks/exchange_fixture.h
@@ -17,6 +17,7 @@
 // e2 and e3 are engines.
 struct exchange_fixture {
   exchange_fixture() {
+    settings.domain = domain_id("d");
     routing_configuration configuration;
     configuration.version = 4;
     configuration.routes = {Route("/once/", call_kind::non_idempotent, "desk"),
--- a/src/selection/internal/target_health.cc
+++ b/src/selection/internal/target_health.cc
@@ -53,8 +53,11 @@
       update_average(failure_rate_, 1, kFailureWeight);
       consecutive_failures_ =
           std::max(consecutive_failures_ + 1, kFailuresBeforeCooldown);
-      if (end == run_end::unreachable)
+      if (end == run_end::unreachable) {
         StartCooldown(now);
+        // A target that ended without notice appears idle to all instances.
+        failing_deadline_ = cooldown_deadline_;
+      }
       return;
     case run_end::cancelled:
       return;
--- a/src/selection/internal/target_selector.cc
+++ b/src/selection/internal/target_selector.cc
@@ -32,6 +32,16 @@
 // other down.
 constexpr double kFullBatchCost = 0.4;
 
+// Cost of a target in another failure domain while the border of the domain
+// seems to be cut. Higher than any other cost of an eligible target.
+constexpr double kSuspectBorderMemoryCost = 10;
+constexpr double kSuspectBorderLatencyMs = 10'000;
+
+// Targets that could not be reached in another domain before its border is
+// suspected, and for how long. One alone may have crashed.
+constexpr int kMinUnreachableAbroad = 2;
+constexpr milliseconds kBorderSuspicionTime{1000};
+
 // Number of peers that must report a target as failing before it is avoided.
 constexpr int kMinPeerReports = 2;
 
@@ -118,6 +128,15 @@
   return best;
 }
 
+bool target_selector::IsBorderSuspect(timestamp now) const {
+  const auto recent =
+      std::count_if(unreachable_abroad_.begin(), unreachable_abroad_.end(),
+                    [&](const auto& entry) {
+                      return now < entry.second + kBorderSuspicionTime;
+                    });
+  return recent >= kMinUnreachableAbroad;
+}
+
 // A single report may come from an instance that has lost its own connection to
 // the target; two instances are unlikely to lose theirs at the same time.
 bool target_selector::IsReportedFailing(const target_id& target) const {
@@ -150,13 +169,17 @@
   const double failure_rate = state ? state->health.failure_rate() : 0;
   const double jitter = std::uniform_real_distribution<double>(
       0, MaxCostJitter())(random_generator_);
+  const bool is_avoided =
+      target.entry.domain != settings_.own_domain && !request.continues_run &&
+      (request.avoids_other_domains || IsBorderSuspect(now));
   if (service.engine && request.size) {
     const auto cost = EngineCost(target, *service.engine, request);
     // A refused caller can retry before an attempt on an unreachable engine
     // would end.
     if (!cost || is_cooling_down)
       return std::nullopt;
-    return *cost + failure_rate * kFailureMemoryCost + jitter;
+    return *cost + failure_rate * kFailureMemoryCost + jitter +
+           (is_avoided ? kSuspectBorderMemoryCost : 0);
   }
   const target_load load = TotalLoad(target.entry.id);
   const double latency =
@@ -167,6 +190,7 @@
                                    : kOtherDomainLatencyFactor;
   return (load.runs + 1) * latency * domain_factor *
              (1 + failure_rate * kFailureLatencyFactor) * (1 + jitter) +
+         (is_avoided ? kSuspectBorderLatencyMs : 0) +
          (is_cooling_down ? kCooldownCost * kAssumedLatencyMs : 0);
 }
 
@@ -359,6 +383,12 @@
   state.own_load.runs -= 1;
   state.own_load.pending_prefill_tokens -= ended.pending_prefill_tokens;
   state.health.OnEnd(end, now - ended.started_at, now);
+  const known_target* target = directory_.Find(ended.target);
+  if (end == run_end::unreachable && target &&
+      target->entry.domain != settings_.own_domain)
+    unreachable_abroad_[ended.target] = now;
+  else if (end == run_end::completed)
+    unreachable_abroad_.erase(ended.target);
   if (end == run_end::broken && !ended.has_output)
     state.health.OnEarlyBreak(now);
 }
@@ -399,6 +429,9 @@
 }
 
 void target_selector::PruneRemovedTargets() {
+  std::erase_if(unreachable_abroad_, [&](const auto& entry) {
+    return !directory_.Find(entry.first);
+  });
   std::erase_if(states_, [&](const auto& entry) {
     return entry.second.own_load.runs == 0 &&
            entry.second.own_load.tokens == 0 && !directory_.Find(entry.first);
--- a/src/selection/selection_types.h
+++ b/src/selection/selection_types.h
@@ -35,6 +35,9 @@
   std::optional<milliseconds> first_output_objective;
   // Whether the run continues one that started on another engine.
   bool continues_run = false;
+  // Whether targets in other failure domains than this instance's are chosen
+  // only if there are no others: one of them could not be reached.
+  bool avoids_other_domains = false;
   // Failure domain to prefer at a small cost; this instance's if empty.
   domain_id preferred_domain;
 };
--- a/src/selection/target_health.h
+++ b/src/selection/target_health.h
@@ -25,8 +25,8 @@
   // that broke early.
   bool IsCoolingDown(timestamp now) const;
 
-  // Whether the target is cooling down because a run broke before its first
-  // output.
+  // Whether the target is cooling down because it could not be reached or a run
+  // broke before its first output.
   bool IsFailing(timestamp now) const;
 
  private:
--- a/src/selection/target_selector.h
+++ b/src/selection/target_selector.h
@@ -98,6 +98,9 @@
                                          timestamp now) const;
   bool IsEligible(const known_target& target,
                   const selection_request& request) const;
+  // Whether several targets in other failure domains could not be reached
+  // recently, as when the domain is cut off.
+  bool IsBorderSuspect(timestamp now) const;
   bool IsReportedFailing(const target_id& target) const;
   double MaxCostJitter() const;
   std::optional<double> Cost(const known_target& target,
@@ -124,6 +127,8 @@
   std::unordered_map<service_id, prefill_estimator> prefill_estimators_;
   run_number next_run_number_ = 1;
   std::size_t instance_count_ = 1;
+  // When targets in other failure domains could not be reached last.
+  std::unordered_map<target_id, timestamp> unreachable_abroad_;
   mutable std::minstd_rand random_generator_;
 };
 
--- a/src/selection/tests/target_selector_test.cc
+++ b/src/selection/tests/target_selector_test.cc
@@ -337,3 +337,70 @@
   f.selector.SetOthersLoad({target_id("a"), 0, 0, 0, 2});
   CHECK(f.Choose(f.Generation(1000), At(10)) == "a");
 }
+
+// Guards against refusals in a domain that is cut off. The targets behind the
+// cut appear idle, since the loads of their callers are no longer reported, and
+// each attempt to reach one fails. In a run on the large site (trouble-3), four
+// such attempts ended in a refusal although the own domain had room.
+TEST_CASE("a domain that seems to be cut off sends to its own targets") {
+  fixture f;
+  f.AddTarget("near");
+  for (const char* id : {"far1", "far2", "far3"})
+    f.AddTarget(id, "engines", "there");
+  f.selector.BeginRun(target_id("near"), f.Generation(6000), At(0));
+  CHECK(f.Choose(f.Generation(500), At(0)).starts_with("far"));
+  const auto fail = [&](const std::string& id, std::int64_t ms) {
+    const run_number run =
+        f.selector.BeginRun(target_id(id), f.Generation(500), At(ms));
+    f.selector.EndRun(run, run_end::unreachable, At(ms));
+  };
+  // One target may have crashed.
+  fail("far1", 10);
+  CHECK(f.Choose(f.Generation(500), At(20)).starts_with("far"));
+  fail("far2", 30);
+  CHECK(f.Choose(f.Generation(500), At(40)) == "near");
+  CHECK(f.Choose(f.Generation(500), At(1009)) == "near");
+  // The other side is tried again, and used where there is no room here.
+  CHECK(f.Choose(f.Generation(500), At(1040)) == "far3");
+  fail("far1", 2000);
+  fail("far2", 2000);
+  CHECK(f.Choose(f.Generation(4000), At(2010)) == "far3");
+}
+
+TEST_CASE("a request that failed across the border prefers its own domain") {
+  fixture f;
+  f.AddTarget("near");
+  f.AddTarget("far", "engines", "there");
+  f.AddTarget("near_desk", "desk");
+  f.AddTarget("far_desk", "desk", "there");
+  f.selector.BeginRun(target_id("near"), f.Generation(6000), At(0));
+  selection_request request = f.Generation(500);
+  CHECK(f.Choose(request) == "far");
+  request.avoids_other_domains = true;
+  CHECK(f.Choose(request) == "near");
+  selection_request call;
+  call.service = service_id("desk");
+  for (int i = 0; i < 5; ++i)
+    f.selector.BeginRun(target_id("near_desk"), call, At(0));
+  CHECK(f.Choose(call) == "far_desk");
+  call.avoids_other_domains = true;
+  CHECK(f.Choose(call) == "near_desk");
+}
+
+// Guards against refusals after several engines ended without notice. They
+// appear idle, so that each instance tries all of them before any other. In a
+// run on the large site (trouble-3), 51 requests of one domain failed to
+// connect to four such engines each.
+TEST_CASE("a target that cannot be reached is reported to the peers") {
+  fixture f;
+  f.AddTarget("a");
+  f.AddTarget("b");
+  const run_number run =
+      f.selector.BeginRun(target_id("a"), f.Generation(1000), At(0));
+  f.selector.EndRun(run, run_end::unreachable, At(1));
+  const auto loads = f.selector.OwnLoads(At(2));
+  REQUIRE(loads.size() == 1);
+  CHECK(loads[0].target == target_id("a"));
+  CHECK(loads[0].failing_instances == 1);
+  CHECK(f.selector.OwnLoads(At(5000)).empty());
+}
