--- a/src/peers/tests/load_exchange_test.cc
+++ b/src/peers/tests/load_exchange_test.cc
@@ -199,7 +199,8 @@
         {target_id("plain" + std::to_string(random() % 5)),
          static_cast<std::int32_t>(random() % 4), 0, 0});
     if (i % 30 == 0) {
-      fleet.nodes.at("i7")->SetOwn({target_id("new"), i, 4000, i * 3000});
+      fleet.nodes.at("i7")->SetOwn(
+          {target_id("new"), i, 4000, std::int64_t{i} * 3000});
       fleet.Advance(milliseconds(50));
       fleet.ForEach([&](auto& node) {
         if (node.self.name != "i7")
@@ -348,7 +349,7 @@
       fleet.nodes.at("i" + std::to_string(chosen))
           ->SetOwn({target_id("t" + std::to_string(random() % 40)),
                     static_cast<std::int32_t>(random() % 5), 3000, 0});
-      fleet.scheduler.Advance(microseconds(1'000'000 / 60));
+      fleet.scheduler.Advance(microseconds(16'667));
     }
     std::int64_t most_messages = 0;
     double bytes = 0;
@@ -357,7 +358,8 @@
       bytes += static_cast<double>(node.received_bytes);
     });
     // Two seconds; 8 children, 5 other roots and 40 messages a second to each.
-    CHECK(most_messages <= 2 * 13 * (40 + 8));
+    constexpr std::int64_t kMostMessages = std::int64_t{2} * 13 * (40 + 8);
+    CHECK(most_messages <= kMostMessages);
     bytes_per_instance[count] = bytes / count / 2;
     INFO(count << " instances, bytes/s received: "
                << bytes_per_instance[count]);
--- a/src/peers/tests/load_table_test.cc
+++ b/src/peers/tests/load_table_test.cc
@@ -11,7 +11,7 @@
 }
 
 target_load Load(std::int32_t runs) {
-  return {target_id("t"), runs, runs * 100, 0};
+  return {target_id("t"), runs, std::int64_t{runs} * 100, 0};
 }
 
 // A root with a child and the root of another domain.
