--- a/src/peers/internal/load_exchange.cc
+++ b/src/peers/internal/load_exchange.cc
@@ -67,6 +67,7 @@
   neighbors_.Check(now);
   table_.Expire(now);
   HandleDropped();
+  ForgetFormerNeighbors();
   SendReports(/*keepalives_due=*/true);
   check_timer_ =
       scheduler_.RunAt(now + settings_.check_interval, [this] { Check(); });
@@ -83,6 +84,17 @@
     ScheduleSend(table_.TakePrefillAdded());
 }
 
+// Removes the state of instances that were tried as neighbors and never
+// responded.
+void load_exchange::ForgetFormerNeighbors() {
+  std::set<std::string> current;
+  for (const tree_neighbor& neighbor : neighbors_.Current())
+    current.insert(neighbor.name);
+  std::erase_if(states_, [&](const auto& entry) {
+    return !current.contains(entry.first);
+  });
+}
+
 // Applies changed sums to this instance and marks them for all neighbors except
 // `source`, whose sums do not contain its own reports. Returns whether there is
 // anything to send.
--- a/src/peers/load_exchange.h
+++ b/src/peers/load_exchange.h
@@ -101,6 +101,7 @@
                   const std::vector<crash_notice>& crashes);
   void SendDetachment(const tree_neighbor& neighbor);
   void HandleDropped();
+  void ForgetFormerNeighbors();
   bool DistributeChanges(const std::string& source = "");
 
   const load_exchange_settings settings_;
