End streams and bodies without end from a target before they fill the memory

Tests fail before: 1,000 chunks of 64 KB were taken. Change: an incomplete event of over 1 MB ends the run as broken, which counts against the target; a collected body of over 16 MB gives the call up. On the way: a test found that cancelling a call from its own callback destroyed that callback while it ran.

--- a/src/framework/net/buffered_call.h
+++ b/src/framework/net/buffered_call.h
@@ -1,6 +1,7 @@
 #ifndef FRAMEWORK_NET_BUFFERED_CALL_H_
 #define FRAMEWORK_NET_BUFFERED_CALL_H_
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -22,12 +23,14 @@
   milliseconds response{1000};
   // Channels that have been idle for this long are not reused.
   milliseconds max_idle{1000};
+  // A call whose response body is larger is given up.
+  std::size_t max_body_bytes = 16'777'216;
 };
 
 // An HTTP call that collects the whole response and has a time limit.
 class buffered_call : public std::enable_shared_from_this<buffered_call> {
  public:
-  // Called with nullopt if no complete response arrived in time.
+  // Called with nullopt if no complete response within the limits arrived.
   using done_handler = std::function<void(std::optional<buffered_response>)>;
 
   // `request` is the encoded request. `on_done` does not run before this method
--- a/src/framework/net/internal/buffered_call.cc
+++ b/src/framework/net/internal/buffered_call.cc
@@ -22,8 +22,15 @@
   callbacks.on_head = [self](const http_response_head& head) {
     self->response_.status = head.status;
   };
-  callbacks.on_body = [self](std::string bytes) {
+  callbacks.on_body = [self,
+                       max_bytes = limits.max_body_bytes](std::string bytes) {
     self->response_.body += bytes;
+    if (self->response_.body.size() <= max_bytes)
+      return;
+    // Cancel destroys this callback.
+    const auto kept = self;
+    std::exchange(kept->call_, nullptr)->Cancel();
+    kept->Finish(std::nullopt);
   };
   callbacks.on_done = [self](call_outcome outcome) {
     self->call_.reset();
--- /dev/null
+++ b/src/framework/net/tests/buffered_call_test.cc
@@ -0,0 +1,35 @@
+#include <catch2/catch.hpp>
+
+#include "framework/net/buffered_call.h"
+#include "framework/net/http_codec.h"
+#include "framework/net/tests/mocks/scripted_connector.h"
+#include "framework/net/tests/mocks/virtual_scheduler.h"
+
+using namespace wist;
+
+// A server in trouble may send a body without end.
+TEST_CASE("a body without end is given up before it fills the memory") {
+  virtual_scheduler scheduler;
+  scripted_connector connector;
+  const auto caller = MakeHttpCaller(connector, scheduler);
+  int done = 0;
+  std::optional<buffered_response> response;
+  buffered_call::Start(*caller, scheduler, {"h", 80}, "GET / HTTP/1.1\r\n\r\n",
+                       {}, [&](std::optional<buffered_response> result) {
+                         ++done;
+                         response = std::move(result);
+                       });
+  scripted_channel& channel = *connector.channels.back();
+  channel.Receive("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  const std::string chunk = EncodeChunk(std::string(65'536, 'x'));
+  int count = 0;
+  while (done == 0 && count < 1000) {
+    channel.Receive(chunk);
+    ++count;
+  }
+  CHECK(done == 1);
+  CHECK_FALSE(response);
+  CHECK_FALSE(channel.open());
+  // 32 MB, far below the memory of an instance.
+  CHECK(count <= 512);
+}
--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -214,6 +214,10 @@
     return OnFailure(run_end::broken);
   }
   std::string events = splitter_.Feed(bytes);
+  if (splitter_.IsTooLong()) {
+    attempt_->call->Cancel();
+    return OnFailure(run_end::broken);
+  }
   if (events.empty())
     return;
   services_.selector.OnFirstOutput(attempt_->run, services_.scheduler.Now());
--- a/src/gateway/tests/exchange_test.cc
+++ b/src/gateway/tests/exchange_test.cc
@@ -387,3 +387,30 @@
   CHECK(f.ResponseContains("overloaded"));
   CHECK(f.connector.addresses.size() == 4);
 }
+
+// A target in trouble may send bytes that are no events, without end.
+TEST_CASE("a stream without events is ended before it fills the memory") {
+  for (const bool has_started : {false, true}) {
+    exchange_fixture f;
+    f.SendStreamRequest();
+    f.target_channel().Receive(f.StreamHead());
+    if (has_started)
+      f.target_channel().Receive(f.Event(1));
+    const std::string chunk = EncodeChunk(std::string(65'536, 'x'));
+    int count = 0;
+    while (f.target_channel().open() && count < 1000) {
+      f.target_channel().Receive(chunk);
+      ++count;
+    }
+    CHECK(count <= 32);
+    if (has_started) {
+      CHECK(f.caller_channel->aborted);
+      CHECK_FALSE(f.response().ends_with(LastChunk()));
+    } else {
+      CHECK(f.ResponseContains("Code: target_failed"));
+    }
+    // The target's failure is counted.
+    CHECK(f.selector.OwnLoads(f.scheduler.Now()).size() ==
+          (has_started ? 0U : 1U));
+  }
+}
--- a/src/streams/event_splitter.h
+++ b/src/streams/event_splitter.h
@@ -19,6 +19,10 @@
   void DropPartial() { partial_.clear(); }
   bool HasPartial() const { return !partial_.empty(); }
 
+  // Whether the incomplete event is larger than any event may be, so that the
+  // stream is to be given up.
+  bool IsTooLong() const;
+
   // The id of the last complete event that had one; nothing if there was none.
   const std::optional<std::string>& last_id() const { return last_id_; }
   std::int64_t event_count() const { return event_count_; }
--- a/src/streams/internal/event_splitter.cc
+++ b/src/streams/internal/event_splitter.cc
@@ -5,6 +5,9 @@
 
 constexpr std::string_view kIdField = "id:";
 
+// An event holds a few tokens; a stream without any end of an event holds none.
+constexpr std::size_t kMaxEventBytes = 1'048'576;
+
 // Returns the position after the empty line that ends the event at `from`; npos
 // if the event is incomplete.
 std::size_t FindEventEnd(std::string_view text, std::size_t from) {
@@ -21,6 +24,10 @@
 
 }  // namespace
 
+bool event_splitter::IsTooLong() const {
+  return partial_.size() > kMaxEventBytes;
+}
+
 std::string event_splitter::Feed(std::string_view bytes) {
   partial_.append(bytes);
   std::size_t begin = 0;
--- a/src/streams/tests/event_splitter_test.cc
+++ b/src/streams/tests/event_splitter_test.cc
@@ -28,3 +28,17 @@
   splitter.DropPartial();
   CHECK(splitter.Feed("id: 8\ndata: b\n\n") == "id: 8\ndata: b\n\n");
 }
+
+// A target in trouble may send bytes that are no events, without end.
+TEST_CASE("an event without end is noticed before it fills the memory") {
+  event_splitter splitter;
+  const std::string bytes(65'536, 'x');
+  int count = 0;
+  while (!splitter.IsTooLong() && count < 1000) {
+    CHECK(splitter.Feed(bytes).empty());
+    ++count;
+  }
+  CHECK(count <= 32);
+  splitter.DropPartial();
+  CHECK_FALSE(splitter.IsTooLong());
+}
