Bound the header of a chunk that never ends, from targets and from callers

Found while writing the missing test for a head without end: both readers kept the bytes of an incomplete chunk header (size, extension or trailer) without a bound. The tests fail before: 1,000 KB from a target and 10 KB against a limit of 1 KB from a caller were kept. Change: such bytes are bounded like a head.

--- a/src/framework/net/internal/http_codec.cc
+++ b/src/framework/net/internal/http_codec.cc
@@ -82,8 +82,12 @@
       if (parsed_size == 0)
         break;
     }
-    if (!parser_->is_done())
+    if (!parser_->is_done()) {
+      // What is left is the incomplete header of a chunk.
+      if (buffer_.size() > limits_.max_header_bytes)
+        read_error_ = http_read_error::header_too_large;
       return std::nullopt;
+    }
     http_request_message request = ExtractRequest();
     ResetParser();
     return request;
@@ -266,6 +270,8 @@
       return bytes.size() - left;
     }
     unparsed_bytes_ = std::string(rest.substr(total));
+    if (unparsed_bytes_.size() > max_header_bytes_)
+      state_ = response_state::malformed;
     return bytes.size();
   }
 
--- a/src/framework/net/tests/http_caller_test.cc
+++ b/src/framework/net/tests/http_caller_test.cc
@@ -49,6 +49,44 @@
 
 }  // namespace
 
+// A server in trouble may send a head without end.
+TEST_CASE("a head without end is given up before it fills the memory") {
+  fixture f;
+  f.Call();
+  f.channel(0).Receive("HTTP/1.1 200 OK\r\n");
+  const std::string line = "X: " + std::string(997, 'x') + "\r\n";
+  int count = 0;
+  while (!f.outcome && count < 1000) {
+    f.channel(0).Receive(line);
+    ++count;
+  }
+  REQUIRE(f.outcome);
+  CHECK(f.outcome->end == call_end::malformed);
+  CHECK(f.channel(0).aborted);
+  CHECK(count <= 100);
+
+  fixture no_line;
+  no_line.Call();
+  for (count = 0; !no_line.outcome && count < 1000; ++count)
+    no_line.channel(0).Receive(std::string(1000, 'x'));
+  CHECK(no_line.outcome);
+  CHECK(count <= 100);
+}
+
+TEST_CASE("a chunk header without end is given up as well") {
+  for (const std::string first : {"5;", "", "5\r\nhello\r\n0\r\nX: "}) {
+    fixture f;
+    f.Call();
+    f.channel(0).Receive(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + first);
+    int count = 0;
+    for (; !f.outcome && count < 1000; ++count)
+      f.channel(0).Receive(std::string(1000, '1'));
+    CHECK(f.outcome);
+    CHECK(count <= 100);
+  }
+}
+
 TEST_CASE("a channel is reused for the next call") {
   fixture f;
   f.Call();
--- a/src/framework/net/tests/http_codec_test.cc
+++ b/src/framework/net/tests/http_codec_test.cc
@@ -48,6 +48,22 @@
   CHECK_FALSE(reader->Next());
 }
 
+TEST_CASE("a chunk header without end is rejected") {
+  const std::string head =
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const std::string& first : {std::string("5;"), std::string()}) {
+    const auto reader = MakeHttpRequestReader({1024, 1024});
+    reader->Feed(head + first);
+    int count = 0;
+    for (; !reader->read_error() && count < 100; ++count) {
+      reader->Feed(std::string(100, '1'));
+      reader->Next();
+    }
+    CHECK(reader->read_error());
+    CHECK(count <= 20);
+  }
+}
+
 TEST_CASE("the chunks of a request body are joined") {
   const auto request = ReadRequest(
       "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
