--- a/src/framework/logging/i_logger.h
+++ b/src/framework/logging/i_logger.h
@@ -26,8 +26,7 @@
   // Writes as many of the buffered lines as possible without blocking.
   virtual void Flush() = 0;
 
-  // Number of lines discarded because the buffer was full: the process that
-  // reads the output was too slow.
+  // Number of lines that were discarded because the buffer was full.
   virtual std::uint64_t DroppedLineCount() const = 0;
 };
 
--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -11,7 +11,6 @@
 #include "gateway/internal/store_view.h"
 #include "peers/load_exchange.h"
 #include "peers/mirror_server.h"
-#include "peers/tree_neighbors.h"
 #include "peers/watch_tree_reader.h"
 
 namespace wist {
@@ -162,9 +161,8 @@
   // Returns from where to read the store's changes.
   mirror_source ChooseWatchParent(const std::set<std::string>& unusable,
                                   bool store_refuses) {
-    return ChooseMirror(store_view_.Self(), store_view_.OtherInstances(),
-                        load_exchange_.neighbors(), unusable, store_refuses,
-                        dependencies_.loop.Now());
+    return load_exchange_.neighbors().ChooseSource(unusable, store_refuses,
+                                                   dependencies_.loop.Now());
   }
 
   void OnStoreCall(const std::string& cause) {
--- a/src/gateway/internal/store_view.cc
+++ b/src/gateway/internal/store_view.cc
@@ -23,10 +23,6 @@
 // tree, which may have found another source by then.
 constexpr milliseconds kMaxRetryPause{300};
 
-// Time in which the parent in the watch tree is expected to respond after a
-// start. The store is read through it then.
-constexpr milliseconds kParentSearchTime{100};
-
 follower_settings FollowerSettings(const gateway_settings& settings) {
   follower_settings follower;
   follower.watch_wait = kWatchTimeout;
@@ -85,15 +81,12 @@
 
 void store_view::OnAnnouncedInstances(
     const std::vector<known_instance>& others) {
-  if (others.empty())
-    return follower_.Start();
   for (const known_instance& instance : others)
     instances_[instance.name] = instance;
+  // The store is read through one of them.
   if (instances_handler_)
     instances_handler_();
-  start_timer_ =
-      services_.scheduler.RunAt(services_.scheduler.Now() + kParentSearchTime,
-                                [this] { follower_.Start(); });
+  follower_.Start();
 }
 
 known_instance store_view::Self() const {
@@ -227,8 +220,8 @@
   const std::string name = change.key.substr(kInstancePrefix.size());
   instances_.erase(name);
   if (change.value) {
-    if (const auto instance = DecodeInstance(name, *change.value))
-      instances_[name] = *instance;
+    if (const auto entry = DecodeAnnouncement(name, *change.value))
+      instances_[name] = entry->instance;
     else
       services_.logger.Write(log_level::warning, "instance_entry_unreadable",
                              {{"key", change.key}});
--- a/src/gateway/internal/store_view.h
+++ b/src/gateway/internal/store_view.h
@@ -86,7 +86,6 @@
   std::map<std::string, known_instance> instances_;
   instance_announcer announcer_;
   prefix_follower follower_;
-  std::unique_ptr<i_timer> start_timer_;
 };
 
 }  // namespace wist
--- a/src/gateway/tests/store_view_test.cc
+++ b/src/gateway/tests/store_view_test.cc
@@ -220,12 +220,13 @@
   store.announced = {{"wist/instances/peer", "10.0.0.2:7200 d 10 7", 8}};
   store_view view{f.settings, f.dialect, store, store, f.services, 1};
   int notified = 0;
-  view.SubscribeToInstances([&] { ++notified; });
+  view.SubscribeToInstances([&] {
+    ++notified;
+    REQUIRE(view.OtherInstances().size() == 1);
+    CHECK_FALSE(store.range_done);
+  });
   view.Start();
   CHECK(notified == 1);
-  REQUIRE(view.OtherInstances().size() == 1);
-  CHECK_FALSE(store.range_done);
-  f.scheduler.Advance(milliseconds(100));
   CHECK(store.range_done);
 }
 
--- a/src/peers/internal/instance_announcer.cc
+++ b/src/peers/internal/instance_announcer.cc
@@ -50,13 +50,13 @@
   if (const auto* page = std::get_if<range_page>(&result)) {
     for (const store_change& item : page->items) {
       const std::string name = item.key.substr(kInstancePrefix.size());
-      const auto instance = DecodeInstance(name, item.value.value_or(""));
-      if (!instance)
+      const auto entry = DecodeAnnouncement(name, item.value.value_or(""));
+      if (!entry)
         continue;
       if (name != self_.name)
-        others.push_back(*instance);
-      else if (*instance == self_)
-        lease_ = DecodeLease(*item.value);
+        others.push_back(entry->instance);
+      else if (entry->instance == self_)
+        lease_ = entry->lease;
     }
   }
   if (!is_first_start_ && lease_)
@@ -81,7 +81,7 @@
 void instance_announcer::Write(store_lease lease) {
   on_store_call_("announce_entry");
   store_.PutUnderLease(std::string(kInstancePrefix) + self_.name,
-                       EncodeInstance(self_, lease), lease,
+                       EncodeAnnouncement(self_, lease), lease,
                        [this, lease](bool written) {
                          if (!written)
                            return OnFailure(&instance_announcer::Announce);
--- a/src/peers/internal/load_exchange.cc
+++ b/src/peers/internal/load_exchange.cc
@@ -40,11 +40,18 @@
 }
 
 void load_exchange::ScheduleReport() {
-  table_.SetOwn(collect_report_().loads);
-  DistributeChanges();
+  CollectOwn();
   ScheduleSend(table_.TakePrefillAdded());
 }
 
+// Returns this instance's crash notices.
+std::vector<crash_notice> load_exchange::CollectOwn() {
+  local_report own = collect_report_();
+  table_.SetOwn(own.loads);
+  DistributeChanges();
+  return std::move(own.crashes);
+}
+
 void load_exchange::ScheduleSend(bool is_urgent) {
   if (!port_)
     return;
@@ -116,11 +123,9 @@
   if (!port_)
     return;
   const timestamp now = scheduler_.Now();
-  const local_report own = collect_report_();
-  table_.SetOwn(own.loads);
-  DistributeChanges();
+  const std::vector<crash_notice> crashes = CollectOwn();
   table_.TakePrefillAdded();
-  const bool has_new_notices = RecordNotices(own.crashes);
+  const bool has_new_notices = RecordNotices(crashes);
   for (const tree_neighbor& neighbor : neighbors_.Current()) {
     neighbor_state& state = states_[neighbor.name];
     const std::vector<target_load> loads = TakeLoadsFor(neighbor, state);
@@ -129,7 +134,7 @@
         now >= state.last_sent_at + settings_.keepalive_interval;
     if (!loads.empty() || is_idle || has_new_notices ||
         state.next_sequence_number == 1)
-      SendReport(neighbor, state, loads, own.crashes);
+      SendReport(neighbor, state, loads, crashes);
   }
   last_sent_at_ = now;
 }
--- a/src/peers/internal/load_table.cc
+++ b/src/peers/internal/load_table.cc
@@ -32,14 +32,16 @@
       current[target] = {target};
   }
   for (const auto& [target, load] : current) {
-    row& held = rows_[target];
+    const auto entry = rows_.try_emplace(target).first;
+    row& held = entry->second;
     if (held.own == load)
       continue;
     prefill_added_ = prefill_added_ || load.pending_prefill_tokens >
                                            held.own.pending_prefill_tokens;
     held.own = load;
     changed_.insert(target);
-    EraseIfEmpty(target);
+    if (IsEmpty(held))
+      rows_.erase(entry);
   }
 }
 
@@ -48,57 +50,54 @@
                              const std::vector<target_load>& loads,
                              timestamp now) {
   for (const target_load& load : loads) {
-    row& held = rows_[load.target];
+    const auto entry = rows_.try_emplace(load.target).first;
+    row& held = entry->second;
     const auto found = held.reported.find(neighbor);
-    const bool same =
-        found == held.reported.end()
-            ? IsZero(load)
-            : found->second.load == load && found->second.role == role;
-    const std::int64_t earlier_prefill =
-        found == held.reported.end()
-            ? 0
-            : found->second.load.pending_prefill_tokens;
-    prefill_added_ =
-        prefill_added_ || load.pending_prefill_tokens > earlier_prefill;
+    const bool is_known = found != held.reported.end();
+    const target_load earlier =
+        is_known ? found->second.load : target_load{load.target};
+    prefill_added_ = prefill_added_ || load.pending_prefill_tokens >
+                                           earlier.pending_prefill_tokens;
+    if (load != earlier || (is_known && found->second.role != role))
+      changed_.insert(load.target);
     if (IsZero(load))
       held.reported.erase(neighbor);
     else
       held.reported[neighbor] = {role, load, now};
-    if (!same)
-      changed_.insert(load.target);
-    EraseIfEmpty(load.target);
+    if (IsEmpty(held))
+      rows_.erase(entry);
   }
 }
 
 void load_table::RemoveNeighbor(const std::string& neighbor) {
-  for (auto entry = rows_.begin(); entry != rows_.end();) {
-    const target_id target = (entry++)->first;
-    if (rows_[target].reported.erase(neighbor) == 0)
-      continue;
-    changed_.insert(target);
-    EraseIfEmpty(target);
-  }
+  EraseReported([&](const std::string& name, const reported_load&) {
+    return name == neighbor;
+  });
 }
 
 void load_table::Expire(timestamp now) {
+  EraseReported([&](const std::string&, const reported_load& reported) {
+    return now >= reported.received_at + kReportedLoadValidity;
+  });
+}
+
+void load_table::EraseReported(const reported_predicate& is_erased) {
   for (auto entry = rows_.begin(); entry != rows_.end();) {
-    const target_id target = (entry++)->first;
-    const auto removed =
-        std::erase_if(rows_[target].reported, [&](const auto& reported) {
-          return now >= reported.second.received_at + kReportedLoadValidity;
+    const auto current = entry++;
+    const auto erased =
+        std::erase_if(current->second.reported, [&](const auto& reported) {
+          return is_erased(reported.first, reported.second);
         });
-    if (removed == 0)
+    if (erased == 0)
       continue;
-    changed_.insert(target);
-    EraseIfEmpty(target);
+    changed_.insert(current->first);
+    if (IsEmpty(current->second))
+      rows_.erase(current);
   }
 }
 
-void load_table::EraseIfEmpty(const target_id& target) {
-  const auto found = rows_.find(target);
-  if (found != rows_.end() && found->second.reported.empty() &&
-      IsZero(found->second.own))
-    rows_.erase(found);
+bool load_table::IsEmpty(const row& held) {
+  return held.reported.empty() && IsZero(held.own);
 }
 
 target_load load_table::OthersLoad(const target_id& target) const {
--- a/src/peers/internal/tree_neighbors.cc
+++ b/src/peers/internal/tree_neighbors.cc
@@ -6,11 +6,6 @@
 namespace wist {
 namespace {
 
-// Time for which an instance that did not respond is not chosen again. It
-// doubles with each failure.
-constexpr milliseconds kInitialBackoff{2000};
-constexpr int kMaxBackoffDoublings = 3;
-
 // Time in which the parent of an instance is found by its reports. It is short,
 // since the configuration has to be confirmed soon after a start.
 constexpr milliseconds kParentSearchTime{300};
@@ -35,9 +30,6 @@
   }
   for (auto& [domain, members] : ordered_)
     std::sort(members.begin(), members.end(), PrecedesInTree);
-  std::erase_if(backoffs_, [this](const auto& entry) {
-    return !FindInstance(entry.first);
-  });
   Check(now);
 }
 
@@ -47,34 +39,22 @@
   return found == others_.end() ? nullptr : &found->second;
 }
 
-std::set<std::string> tree_neighbors::Unreachable(timestamp now) const {
-  std::set<std::string> names;
-  for (const auto& [name, entry] : backoffs_) {
-    if (now < entry.deadline)
-      names.insert(name);
-  }
-  return names;
-}
-
-bool tree_neighbors::IsUsable(const known_instance& instance,
-                              timestamp now) const {
-  const auto found = backoffs_.find(instance.name);
-  return found == backoffs_.end() || now >= found->second.deadline;
-}
-
-std::optional<known_instance> tree_neighbors::PlannedParent(
+std::optional<tree_neighbors::ranked_instance> tree_neighbors::PlannedParent(
+    const std::set<std::string>& unusable,
     timestamp now) const {
   const auto found = ordered_.find(self_.domain);
   if (found == ordered_.end())
     return std::nullopt;
   std::vector<const known_instance*> usable;
   for (const known_instance& instance : found->second) {
-    if (IsUsable(instance, now))
+    if (!unusable.contains(instance.name) &&
+        backoff_.IsUsable(instance.name, now))
       usable.push_back(&instance);
   }
   if (usable.empty())
     return std::nullopt;
-  return *usable[ParentRank(usable.size())];
+  const std::size_t rank = ParentRank(usable.size());
+  return ranked_instance{usable[rank], rank};
 }
 
 std::optional<known_instance> tree_neighbors::PlannedRoot(
@@ -84,7 +64,7 @@
   if (found == ordered_.end())
     return std::nullopt;
   for (const known_instance& instance : found->second) {
-    if (IsUsable(instance, now))
+    if (backoff_.IsUsable(instance.name, now))
       return instance;
   }
   return std::nullopt;
@@ -153,7 +133,7 @@
   ClearCurrent(place, role);
   place.current = instance;
   place.heard_at = now;
-  backoffs_.erase(instance.name);
+  backoff_.OnSuccess(instance.name);
 }
 
 void tree_neighbors::ClearCurrent(link& place, neighbor_role role) {
@@ -163,21 +143,13 @@
   place.current.reset();
 }
 
-void tree_neighbors::BackOff(const std::string& name, timestamp now) {
-  backoff& entry = backoffs_[name];
-  entry.deadline =
-      now +
-      kInitialBackoff * (1 << std::min(entry.failures, kMaxBackoffDoublings));
-  ++entry.failures;
-}
-
 bool tree_neighbors::UpdateLink(link& place,
                                 const std::optional<known_instance>& planned,
                                 neighbor_role role,
                                 timestamp now) {
   if (place.current && now >= place.heard_at + kNeighborReplaceAfter &&
       planned && planned->name == place.current->name) {
-    BackOff(place.current->name, now);
+    backoff_.OnFailure(place.current->name, now);
     return true;
   }
   if (place.current && now >= place.heard_at + kNeighborSilenceLimit)
@@ -198,14 +170,16 @@
   }
   if (now < place.candidate_since + kNeighborReplaceAfter)
     return false;
-  BackOff(place.candidate->name, now);
+  backoff_.OnFailure(place.candidate->name, now);
   place.candidate.reset();
   return true;
 }
 
 void tree_neighbors::CheckParent(timestamp now) {
   for (int i = 0; i < kMaxReplacementsPerCheck; ++i) {
-    const auto planned = PlannedParent(now);
+    const auto ranked = PlannedParent({}, now);
+    const std::optional<known_instance> planned =
+        ranked ? std::optional(*ranked->instance) : std::nullopt;
     const bool replan =
         UpdateLink(parent_, planned, neighbor_role::parent, now);
     // A root that tries an instance again that precedes it stays the root until
@@ -296,30 +270,39 @@
   return roots;
 }
 
-mirror_source ChooseMirror(const known_instance& self,
-                           const std::vector<known_instance>& others,
-                           const tree_neighbors& neighbors,
-                           const std::set<std::string>& unusable,
-                           bool store_refuses_self,
-                           timestamp now) {
-  const std::set<std::string> unreachable = neighbors.Unreachable(now);
-  std::vector<known_instance> live = neighbors.OtherRoots();
-  std::erase_if(live, [&](const known_instance& root) {
-    return unusable.contains(root.name);
-  });
-  for (const known_instance& instance : others) {
-    if (instance.domain == self.domain && !unusable.contains(instance.name) &&
-        !unreachable.contains(instance.name))
-      live.push_back(instance);
+std::optional<known_instance> tree_neighbors::FirstOtherRoot(
+    const std::set<std::string>& unusable) const {
+  std::optional<known_instance> first;
+  for (const auto& [domain, place] : roots_) {
+    if (place.current && !unusable.contains(place.current->name) &&
+        (!first || PrecedesInTree(*place.current, *first)))
+      first = place.current;
+  }
+  return first;
+}
+
+mirror_source tree_neighbors::ChooseSource(
+    const std::set<std::string>& unusable,
+    bool store_refuses,
+    timestamp now) const {
+  if (const auto parent = PlannedParent(unusable, now)) {
+    // A parent that was not heard recently may not have started yet.
+    if (!parent_.current)
+      return {std::nullopt, kParentSearchTime};
+    return {*parent->instance, SourcePatience(parent->rank == 0 ? 1 : 2)};
+  }
+  const auto root = FirstOtherRoot(unusable);
+  if (root && (store_refuses || PrecedesInTree(*root, self_)))
+    return {root};
+  if (!store_refuses)
+    return {};
+  // Without another root a child may reach the store.
+  for (const auto& [name, entry] : children_) {
+    const known_instance* instance = FindInstance(name);
+    if (instance && !unusable.contains(name))
+      return {*instance};
   }
-  const auto parent = FindDomainParent(self, live);
-  if (!parent)
-    return {FindWatchParent(self, live, store_refuses_self), milliseconds(0)};
-  // A parent that was not heard recently may not have started yet.
-  if (!neighbors.Parent())
-    return {std::nullopt, kParentSearchTime};
-  const std::size_t depth = FindDomainParent(*parent, live) ? 2 : 1;
-  return {parent, SourcePatience(depth)};
+  return {};
 }
 
 }  // namespace wist
--- a/src/peers/internal/watch_tree_reader.cc
+++ b/src/peers/internal/watch_tree_reader.cc
@@ -3,6 +3,8 @@
 #include <Poco/URI.h>
 
 #include <algorithm>
+#include <utility>
+#include <vector>
 
 #include "framework/net/buffered_call.h"
 #include "peers/internal/page_codec.h"
@@ -42,12 +44,6 @@
 // leaving by up to as much.
 constexpr milliseconds kMinDirectWatchInterval{120};
 
-// Time for which a parent that failed is not used. It doubles with each
-// failure.
-constexpr milliseconds kInitialParentBackoff{2000};
-constexpr milliseconds kMaxParentBackoff{16'000};
-constexpr int kMaxBackoffDoublings = 3;
-
 // Number of parents tried for one call. One that does not respond takes 0.55 s
 // of the bound on changes of the configuration.
 constexpr int kMaxParentsPerCall = 2;
@@ -59,12 +55,18 @@
 // Time for which calls go to other instances after the store rejected this one.
 constexpr milliseconds kStoreRefusalPeriod{3000};
 
-std::string EncodeGetRequest(const http_address& address,
-                             const Poco::URI& uri) {
+using query_parameters = std::vector<std::pair<std::string, std::string>>;
+
+std::string EncodeMirrorRequest(const http_address& mirror,
+                                const std::string& path,
+                                const query_parameters& parameters) {
+  Poco::URI uri(path);
+  for (const auto& [name, value] : parameters)
+    uri.addQueryParameter(name, value);
   http_request_message request;
   request.method = "GET";
   request.target = uri.getPathEtc();
-  request.headers = {{"Host", address.host}};
+  request.headers = {{"Host", mirror.host}};
   return EncodeHttpRequest(request);
 }
 
@@ -99,78 +101,98 @@
   const bool store_refuses = now < store_refusal_deadline_;
   if (now < direct_read_deadline_ && !store_refuses)
     return {};
-  std::set<std::string> unusable;
-  for (const auto& [name, backoff] : parent_backoffs_) {
-    if (now < backoff.deadline)
-      unusable.insert(name);
-  }
-  return find_source_(unusable, store_refuses);
+  return find_source_(parent_backoff_.Unusable(now), store_refuses);
 }
 
-bool watch_tree_reader::IsPatienceOver(milliseconds patience) {
+bool watch_tree_reader::AwaitsSource(milliseconds patience) {
   const timestamp now = scheduler_.Now();
   if (!without_source_since_)
     without_source_since_ = now;
-  return now >= *without_source_since_ + patience &&
-         now >= next_direct_watch_at_;
+  return now < *without_source_since_ + patience || now < next_direct_watch_at_;
 }
 
-void watch_tree_reader::OnParentFailure(const std::string& parent) {
-  parent_backoff& backoff = parent_backoffs_[parent];
-  const int doublings = std::min(backoff.failures, kMaxBackoffDoublings);
-  ++backoff.failures;
-  backoff.deadline =
-      scheduler_.Now() +
-      std::min(kInitialParentBackoff * (1 << doublings), kMaxParentBackoff);
+void watch_tree_reader::OnParentSuccess(const std::string& parent) {
+  parent_backoff_.OnSuccess(parent);
+  without_source_since_.reset();
 }
 
-void watch_tree_reader::OnStoreResponse(bool refused) {
-  store_refusal_deadline_ =
-      refused ? scheduler_.Now() + kStoreRefusalPeriod : timestamp{};
-  if (!refused)
+void watch_tree_reader::OnStoreResponse(bool refused, milliseconds patience) {
+  const timestamp now = scheduler_.Now();
+  if (!refused) {
+    store_refusal_deadline_ = {};
     without_source_since_.reset();
+    return;
+  }
+  store_refusal_deadline_ = now + kStoreRefusalPeriod;
+  next_direct_watch_at_ =
+      now + (patience > milliseconds(0) ? kFailedDescendantInterval
+                                        : kFailedRootInterval);
+}
+
+void watch_tree_reader::RetryAt(timestamp time, std::function<void()> step) {
+  retry_timer_ = scheduler_.RunAt(time, std::move(step));
 }
 
 void watch_tree_reader::ReadRange(const std::string& prefix,
                                   const std::string& after_key,
                                   std::function<void(range_result)> done) {
-  const auto read_from_store = [this, prefix, after_key, done] {
-    on_store_call_(after_key.empty() ? "range" : "range_next_page");
-    store_.ReadRange(prefix, after_key, [this, done](range_result result) {
-      const bool refused = std::holds_alternative<store_error>(result);
-      OnStoreResponse(refused);
-      // The range is as new as a watch would be.
-      next_direct_watch_at_ =
-          scheduler_.Now() +
-          (refused ? kFailedRootInterval : kMinDirectWatchInterval);
-      done(std::move(result));
-    });
-  };
-  const mirror_source source =
-      after_key.empty() ? FindSource() : mirror_source{};
-  if (!source.instance)
-    return read_from_store();
-  Poco::URI uri("/range");
-  uri.addQueryParameter("prefix", prefix);
-  uri.addQueryParameter("wait_ms", std::to_string(kMaxFirstCopyWait.count()));
+  // A mirror sends all entries in one page.
+  if (after_key.empty())
+    return ReadFirstPage(prefix, std::move(done));
+  ReadRangeDirectly(prefix, after_key, std::move(done));
+}
+
+void watch_tree_reader::ReadFirstPage(const std::string& prefix,
+                                      std::function<void(range_result)> done) {
+  const mirror_source source = FindSource();
+  if (source.instance)
+    return ReadFirstPageViaParent(source, prefix, std::move(done));
+  if (source.patience > milliseconds(0) && AwaitsSource(source.patience))
+    return RetryAt(scheduler_.Now() + kSourceSearchInterval,
+                   [this, prefix, done] { ReadFirstPage(prefix, done); });
+  ReadRangeDirectly(prefix, "", std::move(done));
+}
+
+void watch_tree_reader::ReadFirstPageViaParent(
+    const mirror_source& source,
+    const std::string& prefix,
+    std::function<void(range_result)> done) {
+  const known_instance& parent = *source.instance;
   buffered_call::Start(
-      caller_, scheduler_, source.instance->address,
-      EncodeGetRequest(source.instance->address, uri),
+      caller_, scheduler_, parent.address,
+      EncodeMirrorRequest(
+          parent.address, "/range",
+          {{"prefix", prefix},
+           {"wait_ms", std::to_string(kMaxFirstCopyWait.count())}}),
       {kConnectTimeout, kMaxFirstCopyWait + kResponseTimeout, kMaxChannelIdle},
-      [this, name = source.instance->name, patience = source.patience, done,
-       read_from_store](std::optional<buffered_response> response) {
+      [this, name = parent.name, patience = source.patience, prefix,
+       done = std::move(done)](std::optional<buffered_response> response) {
         range_result result = response ? DecodeRangePage(response->body)
                                        : range_result(store_error::unavailable);
         const auto* page = std::get_if<range_page>(&result);
         if (page && page->age <= kMaxMirrorAge) {
-          parent_backoffs_.erase(name);
-          without_source_since_.reset();
+          OnParentSuccess(name);
           return done(std::move(result));
         }
-        if (IsLossNotice(response) && !IsPatienceOver(patience))
+        if (IsLossNotice(response) && AwaitsSource(patience))
           return done(store_error::unavailable);
-        OnParentFailure(name);
-        read_from_store();
+        parent_backoff_.OnFailure(name, scheduler_.Now());
+        ReadRangeDirectly(prefix, "", done);
+      });
+}
+
+void watch_tree_reader::ReadRangeDirectly(
+    const std::string& prefix,
+    const std::string& after_key,
+    std::function<void(range_result)> done) {
+  on_store_call_(after_key.empty() ? "range" : "range_next_page");
+  // The range is as new as a watch would be.
+  next_direct_watch_at_ = scheduler_.Now() + kMinDirectWatchInterval;
+  store_.ReadRange(
+      prefix, after_key, [this, done = std::move(done)](range_result result) {
+        OnStoreResponse(std::holds_alternative<store_error>(result),
+                        /*patience=*/milliseconds(0));
+        done(std::move(result));
       });
 }
 
@@ -185,50 +207,45 @@
 void watch_tree_reader::Watch(watch_call call) {
   const mirror_source source = FindSource();
   if (source.instance && call.parents_tried < kMaxParentsPerCall)
-    return WatchViaParent(*source.instance, source.patience, std::move(call));
+    return WatchViaParent(source, std::move(call));
   if (!source.instance && source.patience > milliseconds(0) &&
-      !IsPatienceOver(source.patience))
-    return WatchAt(scheduler_.Now() + kSourceSearchInterval, std::move(call));
+      AwaitsSource(source.patience))
+    return RetryAt(scheduler_.Now() + kSourceSearchInterval,
+                   [this, call = std::move(call)] { Watch(call); });
   if (call.parents_tried > 0)
     direct_read_deadline_ = scheduler_.Now() + kDirectReadPeriod;
   WatchDirectly(source.patience, std::move(call));
 }
 
-void watch_tree_reader::WatchAt(timestamp time, watch_call call) {
-  watch_timer_ = scheduler_.RunAt(
-      time,
-      [this, call = std::move(call)]() mutable { Watch(std::move(call)); });
-}
-
-void watch_tree_reader::WatchViaParent(const known_instance& parent,
-                                       milliseconds patience,
+void watch_tree_reader::WatchViaParent(const mirror_source& source,
                                        watch_call call) {
+  const known_instance& parent = *source.instance;
   const milliseconds parent_wait = std::min(call.wait, kMaxParentWait);
-  Poco::URI uri("/watch");
-  uri.addQueryParameter("prefix", call.prefix);
-  uri.addQueryParameter("since", std::to_string(call.since_revision));
-  uri.addQueryParameter("wait_ms", std::to_string(parent_wait.count()));
+  const std::string request =
+      EncodeMirrorRequest(parent.address, "/watch",
+                          {{"prefix", call.prefix},
+                           {"since", std::to_string(call.since_revision)},
+                           {"wait_ms", std::to_string(parent_wait.count())}});
   buffered_call::Start(
-      caller_, scheduler_, parent.address,
-      EncodeGetRequest(parent.address, uri),
+      caller_, scheduler_, parent.address, request,
       {kConnectTimeout, parent_wait + kResponseTimeout, kMaxChannelIdle},
-      [this, name = parent.name, patience, call = std::move(call)](
-          std::optional<buffered_response> response) mutable {
+      [this, name = parent.name, patience = source.patience,
+       call =
+           std::move(call)](std::optional<buffered_response> response) mutable {
         watch_result result = response ? DecodeWatchPage(response->body)
                                        : watch_result(store_error::unavailable);
         if (IsUsableResponse(result)) {
-          parent_backoffs_.erase(name);
-          without_source_since_.reset();
+          OnParentSuccess(name);
           return call.done(std::move(result));
         }
         if (patience > milliseconds(0) && IsLossNotice(response)) {
           // The parent looks for a source itself. It is asked again, unless it
           // had its time.
-          if (!IsPatienceOver(patience))
+          if (AwaitsSource(patience))
             return call.done(store_error::unavailable);
           return WatchDirectly(patience, std::move(call));
         }
-        OnParentFailure(name);
+        parent_backoff_.OnFailure(name, scheduler_.Now());
         ++call.parents_tried;
         Watch(std::move(call));
       });
@@ -238,7 +255,8 @@
   // By the time of a delayed watch there may be a parent that can be read
   // instead.
   if (scheduler_.Now() < next_direct_watch_at_)
-    return WatchAt(next_direct_watch_at_, std::move(call));
+    return RetryAt(next_direct_watch_at_,
+                   [this, call = std::move(call)] { Watch(call); });
   next_direct_watch_at_ = scheduler_.Now() + kMinDirectWatchInterval;
   on_store_call_(scheduler_.Now() < direct_read_deadline_
                      ? "watch_parents_failed"
@@ -246,15 +264,8 @@
   store_.Watch(call.prefix, call.since_revision, call.wait,
                [this, patience, done = call.done](watch_result result) {
                  const auto* error = std::get_if<store_error>(&result);
-                 const bool refused =
-                     error && *error == store_error::unavailable;
-                 OnStoreResponse(refused);
-                 if (refused) {
-                   next_direct_watch_at_ =
-                       scheduler_.Now() + (patience > milliseconds(0)
-                                               ? kFailedDescendantInterval
-                                               : kFailedRootInterval);
-                 }
+                 OnStoreResponse(error && *error == store_error::unavailable,
+                                 patience);
                  done(std::move(result));
                });
 }
--- a/src/peers/load_exchange.h
+++ b/src/peers/load_exchange.h
@@ -91,6 +91,7 @@
 
   void Check();
   void ScheduleSend(bool is_urgent);
+  std::vector<crash_notice> CollectOwn();
   bool RecordNotices(const std::vector<crash_notice>& notices);
   void SendReports(bool keepalives_due);
   std::vector<target_load> TakeLoadsFor(const tree_neighbor& neighbor,
--- a/src/peers/load_table.h
+++ b/src/peers/load_table.h
@@ -1,6 +1,7 @@
 #ifndef PEERS_LOAD_TABLE_H_
 #define PEERS_LOAD_TABLE_H_
 
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -62,7 +63,11 @@
     std::map<std::string, reported_load> reported;
   };
 
-  void EraseIfEmpty(const target_id& target);
+  using reported_predicate =
+      std::function<bool(const std::string& neighbor, const reported_load&)>;
+
+  void EraseReported(const reported_predicate& is_erased);
+  static bool IsEmpty(const row& held);
 
   std::map<target_id, row> rows_;
   std::set<target_id> changed_;
--- a/src/peers/tests/instance_announcer_test.cc
+++ b/src/peers/tests/instance_announcer_test.cc
@@ -69,7 +69,7 @@
 
 store_change Entry(const known_instance& instance, store_lease lease) {
   return {std::string(kInstancePrefix) + instance.name,
-          EncodeInstance(instance, lease), 3};
+          EncodeAnnouncement(instance, lease), 3};
 }
 
 }  // namespace
--- a/src/peers/tests/mocks/simulated_fleet.h
+++ b/src/peers/tests/mocks/simulated_fleet.h
@@ -23,7 +23,6 @@
          const known_instance& instance,
          std::int64_t started_at)
         : self(instance),
-          fleet_(fleet),
           exchange(
               {},
               instance,
@@ -38,7 +37,8 @@
               [this](const target_load& load) { others[load.target] = load; },
               [this](const crash_notice& notice) {
                 received_crashes.push_back(notice);
-              }) {}
+              }),
+          fleet_(fleet) {}
 
     void Send(const http_address& to, const std::string& bytes) override {
       ++sent_messages;
@@ -66,12 +66,10 @@
     std::size_t sent_bytes = 0;
     std::int64_t received_messages = 0;
     std::size_t received_bytes = 0;
+    load_exchange exchange;
 
    private:
     simulated_fleet& fleet_;
-
-   public:
-    load_exchange exchange;
   };
 
   using path_filter =
--- a/src/peers/tests/tree_neighbors_test.cc
+++ b/src/peers/tests/tree_neighbors_test.cc
@@ -19,6 +19,13 @@
   return {name, domain_id(domain), {"host-" + name, 7200}, link_mbps};
 }
 
+// Returns the instance from which the store is read, or nothing for the store.
+std::string SourceName(const tree_neighbors& neighbors,
+                       const std::set<std::string>& unusable = {}) {
+  const auto source = neighbors.ChooseSource(unusable, false, At(0)).instance;
+  return source ? source->name : "";
+}
+
 std::vector<std::string> Names(const tree_neighbors& neighbors) {
   std::vector<std::string> names;
   for (const tree_neighbor& neighbor : neighbors.Current())
@@ -42,8 +49,9 @@
   neighbors.Check(At(606));
   CHECK(neighbors.IsRoot());
   CHECK_FALSE(neighbors.Parent());
-  CHECK(neighbors.Unreachable(At(606)).contains("p"));
-  CHECK_FALSE(neighbors.Unreachable(At(2700)).contains("p"));
+  CHECK(Names(neighbors).empty());
+  neighbors.Check(At(2700));
+  CHECK(Names(neighbors) == std::vector<std::string>{"p"});
 }
 
 TEST_CASE("a silent parent is kept until the next one responds") {
@@ -115,37 +123,25 @@
 }
 
 TEST_CASE("a mirror is read from the parent once it was heard") {
-  const known_instance self = Instance("self", 10);
-  const std::vector<known_instance> others = {Instance("p", 200),
-                                              Instance("q", 100)};
-  tree_neighbors neighbors(self);
-  neighbors.SetInstances(others, At(0));
-  CHECK_FALSE(ChooseMirror(self, others, neighbors, {}, false, At(0)).instance);
-  neighbors.OnReport("p", {}, neighbor_role::child, At(1));
-  CHECK(
-      ChooseMirror(self, others, neighbors, {}, false, At(1)).instance->name ==
-      "p");
-  CHECK(ChooseMirror(self, others, neighbors, {"p"}, false, At(1))
-            .instance->name == "q");
+  tree_neighbors neighbors(Instance("self", 10));
+  neighbors.SetInstances({Instance("p", 200), Instance("q", 100)}, At(0));
+  CHECK(SourceName(neighbors).empty());
+  neighbors.OnReport("p", {}, neighbor_role::child, At(0));
+  CHECK(SourceName(neighbors) == "p");
+  CHECK(SourceName(neighbors, {"p"}) == "q");
 }
 
 TEST_CASE("the first of the roots that were heard reads from the store") {
-  const known_instance self = Instance("self", 150);
-  const std::vector<known_instance> others = {
-      Instance("r", 200, "e"), Instance("s", 300, "f"), Instance("c", 10)};
-  tree_neighbors neighbors(self);
-  neighbors.SetInstances(others, At(0));
-  CHECK_FALSE(ChooseMirror(self, others, neighbors, {}, false, At(0)).instance);
-  neighbors.OnReport("r", {}, neighbor_role::root, At(1));
-  CHECK(
-      ChooseMirror(self, others, neighbors, {}, false, At(1)).instance->name ==
-      "r");
-  neighbors.OnReport("s", {}, neighbor_role::root, At(2));
-  CHECK(
-      ChooseMirror(self, others, neighbors, {}, false, At(2)).instance->name ==
-      "s");
-  CHECK(ChooseMirror(self, others, neighbors, {"s"}, false, At(2))
-            .instance->name == "r");
+  tree_neighbors neighbors(Instance("self", 150));
+  neighbors.SetInstances(
+      {Instance("r", 200, "e"), Instance("s", 300, "f"), Instance("c", 10)},
+      At(0));
+  CHECK(SourceName(neighbors).empty());
+  neighbors.OnReport("r", {}, neighbor_role::root, At(0));
+  CHECK(SourceName(neighbors) == "r");
+  neighbors.OnReport("s", {}, neighbor_role::root, At(0));
+  CHECK(SourceName(neighbors) == "s");
+  CHECK(SourceName(neighbors, {"s"}) == "r");
 }
 
 // While the store is unavailable to all, only a few instances try it.
@@ -161,6 +157,5 @@
   tree_neighbors leaf(Instance("leaf", 10));
   leaf.SetInstances(others, At(0));
   leaf.OnReport(leaf.Current().at(0).name, {}, neighbor_role::child, At(0));
-  CHECK(ChooseMirror(Instance("leaf", 10), others, leaf, {}, false, At(0))
-            .patience == SourcePatience(2));
+  CHECK(leaf.ChooseSource({}, false, At(0)).patience == SourcePatience(2));
 }
--- a/src/peers/tests/watch_sharing_test.cc
+++ b/src/peers/tests/watch_sharing_test.cc
@@ -7,6 +7,7 @@
 #include "framework/net/tests/mocks/virtual_scheduler.h"
 #include "peers/internal/page_codec.h"
 #include "peers/mirror_server.h"
+#include "peers/tree_neighbors.h"
 #include "peers/watch_tree_reader.h"
 
 // Tests that many instances can follow the store with few calls to it, because
@@ -29,6 +30,58 @@
   return all;
 }
 
+constexpr timestamp kStart{};
+
+// Returns from where `self` reads if all instances in `all` respond; nothing if
+// it reads the store itself.
+std::optional<known_instance> FindSource(const known_instance& self,
+                                         const std::vector<known_instance>& all,
+                                         bool store_refuses = false) {
+  std::vector<known_instance> others;
+  for (const known_instance& instance : all) {
+    if (instance.name != self.name)
+      others.push_back(instance);
+  }
+  tree_neighbors neighbors(self);
+  neighbors.SetInstances(others, kStart);
+  for (const tree_neighbor& neighbor : neighbors.Current()) {
+    neighbors.OnReport(neighbor.name, neighbor.address,
+                       neighbor.role == neighbor_role::parent
+                           ? neighbor_role::child
+                           : neighbor_role::root,
+                       kStart);
+  }
+  for (const known_instance& other : others) {
+    if (store_refuses && FindSource(other, all) == self)
+      neighbors.OnReport(other.name, other.address, neighbor_role::parent,
+                         kStart);
+  }
+  return neighbors.ChooseSource({}, store_refuses, kStart).instance;
+}
+
+// An instance's mirror and one reader of it.
+struct mirror_fixture {
+  // Returns the page that the reader has received, and forgets it.
+  std::string TakeResponse() { return std::exchange(channel->written, {}); }
+
+  void Get(const std::string& target) {
+    channel->Receive("GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n");
+  }
+
+  void SetContent(const std::map<std::string, store_change>& items = {}) {
+    mirror.SetAll(items);
+    mirror.Confirm(5, scheduler.Now());
+  }
+
+  mirror_fixture() { server.Accept(channel); }
+
+  virtual_scheduler scheduler;
+  store_mirror mirror;
+  mirror_server server{mirror, scheduler};
+  std::shared_ptr<scripted_channel> channel =
+      std::make_shared<scripted_channel>();
+};
+
 class counting_store final : public i_store_reader {
  public:
   void ReadRange(const std::string&,
@@ -99,11 +152,11 @@
     std::map<std::string, std::size_t> children;
     for (const known_instance& self : all) {
       int depth = 0;
-      auto parent = FindWatchParent(self, all);
+      auto parent = FindSource(self, all);
       roots += parent ? 0 : 1;
       if (parent)
         ++children[parent->name];
-      for (; parent; parent = FindWatchParent(*parent, all))
+      for (; parent; parent = FindSource(*parent, all))
         ++depth;
       CHECK(depth <= 3);
     }
@@ -121,7 +174,7 @@
   int roots = 0;
   int cross_domain_reads = 0;
   for (const known_instance& self : all) {
-    const auto parent = FindWatchParent(self, all);
+    const auto parent = FindSource(self, all);
     roots += parent ? 0 : 1;
     cross_domain_reads += parent && parent->domain != self.domain ? 1 : 0;
   }
@@ -133,11 +186,11 @@
   auto all = Instances(9);
   const auto root = std::find_if(
       all.begin(), all.end(),
-      [&](const known_instance& self) { return !FindWatchParent(self, all); });
+      [&](const known_instance& self) { return !FindSource(self, all); });
   all.erase(root);
   int roots = 0;
   for (const known_instance& self : all)
-    roots += FindWatchParent(self, all) ? 0 : 1;
+    roots += FindSource(self, all) ? 0 : 1;
   CHECK(roots == 1);
 }
 
@@ -146,25 +199,29 @@
   for (int i : {3, 17})
     all[i].link_mbps = 200;
   for (const known_instance& self : all) {
-    const auto parent = FindWatchParent(self, all);
+    const auto parent = FindSource(self, all);
     if (self.link_mbps == 0) {
       REQUIRE(parent);
-      CHECK((parent->link_mbps == 200 || FindWatchParent(*parent, all)));
+      CHECK((parent->link_mbps == 200 || FindSource(*parent, all)));
     }
   }
   const auto root = std::find_if(
       all.begin(), all.end(),
-      [&](const known_instance& self) { return !FindWatchParent(self, all); });
+      [&](const known_instance& self) { return !FindSource(self, all); });
   CHECK(root->link_mbps == 200);
 }
 
 TEST_CASE("an announcement is unchanged by encoding and decoding") {
   known_instance fast = Instance(3);
   fast.link_mbps = 200;
-  CHECK(DecodeInstance("i3", EncodeInstance(fast)) == fast);
-  CHECK(DecodeInstance("i3", EncodeInstance(Instance(3))) == Instance(3));
-  CHECK_FALSE(DecodeInstance("i3", ""));
-  CHECK_FALSE(DecodeInstance("i3", "nonsense d"));
+  CHECK(DecodeAnnouncement("i3", EncodeAnnouncement(fast, 7)) ==
+        announcement{fast, 7});
+  CHECK(DecodeAnnouncement("i3", "10.0.0.3:7200 d") ==
+        announcement{Instance(3), std::nullopt});
+  CHECK(DecodeAnnouncement("i3", "10.0.0.3:7200 d 200") ==
+        announcement{fast, std::nullopt});
+  CHECK_FALSE(DecodeAnnouncement("i3", ""));
+  CHECK_FALSE(DecodeAnnouncement("i3", "nonsense d"));
 }
 
 TEST_CASE("a watch through a parent makes no call to the store") {
@@ -294,10 +351,10 @@
 TEST_CASE("a root that the store rejects has a substitute parent") {
   const auto all = Instances(9);
   for (const known_instance& self : all) {
-    if (!FindWatchParent(self, all))
-      CHECK(FindWatchParent(self, all, true));
+    if (!FindSource(self, all))
+      CHECK(FindSource(self, all, true));
   }
-  CHECK_FALSE(FindWatchParent(all[0], {}, true));
+  CHECK_FALSE(FindSource(all[0], {all[0]}, true));
 }
 
 TEST_CASE("a malformed page counts as a failure of the parent") {
@@ -318,68 +375,45 @@
 }
 
 TEST_CASE("the next change of the mirror completes pending watches") {
-  virtual_scheduler scheduler;
-  store_mirror mirror;
-  mirror_server server(mirror, scheduler);
-  mirror.SetAll({});
-  mirror.Confirm(5, scheduler.Now());
-  const auto channel = std::make_shared<scripted_channel>();
-  server.Accept(channel);
-  channel->Receive(
-      "GET /watch?prefix=&since=5&wait_ms=400 HTTP/1.1\r\nHost: h\r\n\r\n");
-  CHECK(channel->written.empty());
-  mirror.Apply({"k", "v", 6});
-  mirror.Confirm(6, scheduler.Now());
-  CHECK(channel->written.starts_with("HTTP/1.1 200"));
-  channel->written.clear();
-  channel->Receive(
-      "GET /watch?prefix=&since=6&wait_ms=400 HTTP/1.1\r\nHost: h\r\n\r\n");
-  scheduler.Advance(milliseconds(399));
-  CHECK(channel->written.empty());
-  scheduler.Advance(milliseconds(2));
-  CHECK(channel->written.starts_with("HTTP/1.1 200"));
+  mirror_fixture f;
+  f.SetContent();
+  f.Get("/watch?prefix=&since=5&wait_ms=400");
+  CHECK(f.TakeResponse().empty());
+  f.mirror.Apply({"k", "v", 6});
+  f.mirror.Confirm(6, f.scheduler.Now());
+  CHECK(f.TakeResponse().starts_with("HTTP/1.1 200"));
+  f.Get("/watch?prefix=&since=6&wait_ms=400");
+  f.scheduler.Advance(milliseconds(399));
+  CHECK(f.TakeResponse().empty());
+  f.scheduler.Advance(milliseconds(2));
+  CHECK(f.TakeResponse().starts_with("HTTP/1.1 200"));
 }
 
 TEST_CASE("pending watches fail at once when the mirror loses its source") {
-  virtual_scheduler scheduler;
-  store_mirror mirror;
-  mirror_server server(mirror, scheduler);
-  mirror.SetAll({});
-  mirror.Confirm(5, scheduler.Now());
-  const auto channel = std::make_shared<scripted_channel>();
-  server.Accept(channel);
-  channel->Receive(
-      "GET /watch?prefix=&since=5&wait_ms=400 HTTP/1.1\r\nHost: h\r\n\r\n");
-  server.OnSourceLost();
-  CHECK(channel->written.starts_with("HTTP/1.1 200"));
-  scheduler.Advance(milliseconds(500));
-  CHECK(channel->written.find("HTTP/1.1") ==
-        channel->written.rfind("HTTP/1.1"));
+  mirror_fixture f;
+  f.SetContent();
+  f.Get("/watch?prefix=&since=5&wait_ms=400");
+  f.server.OnSourceLost();
+  CHECK(f.TakeResponse().starts_with("HTTP/1.1 200"));
+  f.scheduler.Advance(milliseconds(500));
+  CHECK(f.TakeResponse().empty());
 }
 
 TEST_CASE(
     "a mirror without its source is unavailable until it is confirmed again") {
-  virtual_scheduler scheduler;
-  store_mirror mirror;
-  mirror_server server(mirror, scheduler);
-  mirror.SetAll({});
-  mirror.Confirm(5, scheduler.Now());
-  server.OnSourceLost();
-  const auto channel = std::make_shared<scripted_channel>();
-  server.Accept(channel);
-  const std::string unavailable_response = UnavailableResponse();
+  mirror_fixture f;
+  f.SetContent();
+  f.server.OnSourceLost();
   for (const char* target :
        {"/watch?prefix=&since=5&wait_ms=300", "/range?prefix="}) {
-    channel->written.clear();
-    channel->Receive(std::string("GET ") + target +
-                     " HTTP/1.1\r\nHost: h\r\n\r\n");
-    CHECK(channel->written == unavailable_response);
+    f.Get(target);
+    CHECK(f.TakeResponse() == UnavailableResponse());
   }
-  mirror.Confirm(6, scheduler.Now());
-  channel->written.clear();
-  channel->Receive("GET /range?prefix= HTTP/1.1\r\nHost: h\r\n\r\n");
-  CHECK(channel->written.starts_with("HTTP/1.1 200"));
-  CHECK(channel->written != unavailable_response);
+  f.mirror.Confirm(6, f.scheduler.Now());
+  f.Get("/range?prefix=");
+  const std::string response = f.TakeResponse();
+  CHECK(response.starts_with("HTTP/1.1 200"));
+  CHECK(response != UnavailableResponse());
 }
 
 TEST_CASE("a malformed request closes only its own channel") {
@@ -456,43 +490,51 @@
 }
 
 TEST_CASE("a range read waits for a parent that has just started") {
-  virtual_scheduler scheduler;
-  store_mirror mirror;
-  mirror_server server(mirror, scheduler);
-  const auto channel = std::make_shared<scripted_channel>();
-  server.Accept(channel);
-  channel->Receive(
-      "GET /range?prefix=&wait_ms=600 HTTP/1.1\r\nHost: h\r\n\r\n");
-  CHECK(channel->written.empty());
-  mirror.SetAll({{"k", {"k", "v", 4}}});
-  mirror.Confirm(5, scheduler.Now());
+  mirror_fixture f;
+  f.Get("/range?prefix=&wait_ms=600");
+  CHECK(f.TakeResponse().empty());
+  f.SetContent({{"k", {"k", "v", 4}}});
   const range_page page{{{"k", "v", 4}}, false, 5};
-  CHECK(channel->written == OkResponse(EncodePage(range_result(page))));
+  CHECK(f.TakeResponse() == OkResponse(EncodePage(range_result(page))));
 
-  const auto other = std::make_shared<scripted_channel>();
-  store_mirror empty;
-  mirror_server starting(empty, scheduler);
-  starting.Accept(other);
-  other->Receive("GET /range?prefix=&wait_ms=600 HTTP/1.1\r\nHost: h\r\n\r\n");
-  scheduler.Advance(milliseconds(601));
-  CHECK(other->written == UnavailableResponse());
+  mirror_fixture starting;
+  starting.Get("/range?prefix=&wait_ms=600");
+  starting.scheduler.Advance(milliseconds(601));
+  CHECK(starting.TakeResponse() == UnavailableResponse());
+}
+
+TEST_CASE(
+    "a range read waits a short time for a parent that is not known yet") {
+  fixture f;
+  f.parents.clear();
+  f.patience = milliseconds(300);
+  int done = 0;
+  f.store.ReadRange("", "", [&](range_result) { ++done; });
+  f.scheduler.Advance(milliseconds(299));
+  CHECK(f.direct.calls == 0);
+  f.scheduler.Advance(milliseconds(2));
+  CHECK(f.direct.calls == 1);
+  CHECK(done == 1);
+
+  fixture found;
+  found.parents.clear();
+  found.patience = milliseconds(300);
+  found.store.ReadRange("", "", [](range_result) {});
+  found.parents = {Instance(1)};
+  found.scheduler.Advance(milliseconds(60));
+  CHECK(found.connector.addresses.size() == 1);
+  CHECK(found.direct.calls == 0);
 }
 
 // The age of a confirmation grows with each level of the tree. The time for
 // which a mirror held a call does not count.
 TEST_CASE("a page states how long its call was held") {
-  virtual_scheduler scheduler;
-  store_mirror mirror;
-  mirror_server server(mirror, scheduler);
-  mirror.SetAll({});
-  mirror.Confirm(5, scheduler.Now());
-  const auto channel = std::make_shared<scripted_channel>();
-  server.Accept(channel);
-  channel->Receive(
-      "GET /watch?prefix=&since=5&wait_ms=300 HTTP/1.1\r\nHost: h\r\n\r\n");
-  scheduler.Advance(milliseconds(250));
-  mirror.Confirm(6, scheduler.Now());
-  scheduler.Advance(milliseconds(60));
+  mirror_fixture f;
+  f.SetContent();
+  f.Get("/watch?prefix=&since=5&wait_ms=300");
+  f.scheduler.Advance(milliseconds(250));
+  f.mirror.Confirm(6, f.scheduler.Now());
+  f.scheduler.Advance(milliseconds(60));
   const watch_page page{{}, 6, milliseconds(50), milliseconds(300)};
-  CHECK(channel->written == OkResponse(EncodePage(watch_result(page))));
+  CHECK(f.TakeResponse() == OkResponse(EncodePage(watch_result(page))));
 }
--- a/src/peers/tree_neighbors.h
+++ b/src/peers/tree_neighbors.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "framework/base/time_types.h"
+#include "peers/instance_backoff.h"
 #include "peers/peer_report.h"
 #include "peers/watch_plan.h"
 
@@ -74,8 +75,14 @@
   // this instance is a root.
   std::vector<known_instance> OtherRoots() const;
 
-  // Returns the instances that did not respond recently.
-  std::set<std::string> Unreachable(timestamp now) const;
+  // Returns from where this instance reads the store: from its parent; a root
+  // from the first of all roots that were heard, which itself reads the store.
+  // `unusable` are instances whose mirrors failed recently. With
+  // `store_refuses`, names an instance even if this one would normally read the
+  // store.
+  mirror_source ChooseSource(const std::set<std::string>& unusable,
+                             bool store_refuses,
+                             timestamp now) const;
 
  private:
   // A place in the tree that one instance fills at a time.
@@ -92,13 +99,19 @@
     timestamp heard_at;
   };
 
-  struct backoff {
-    timestamp deadline;
-    int failures = 0;
+  // An instance that precedes this one in its domain, and its rank there.
+  struct ranked_instance {
+    const known_instance* instance = nullptr;
+    std::size_t rank = 0;
   };
 
-  bool IsUsable(const known_instance& instance, timestamp now) const;
-  std::optional<known_instance> PlannedParent(timestamp now) const;
+  // Returns the parent of this instance in the tree without the instances in
+  // `unusable` and those that did not respond recently; nothing for a root.
+  std::optional<ranked_instance> PlannedParent(
+      const std::set<std::string>& unusable,
+      timestamp now) const;
+  std::optional<known_instance> FirstOtherRoot(
+      const std::set<std::string>& unusable) const;
   std::optional<known_instance> PlannedRoot(const domain_id& domain,
                                             timestamp now) const;
   void CheckParent(timestamp now);
@@ -110,7 +123,6 @@
                   const std::optional<known_instance>& planned,
                   neighbor_role role,
                   timestamp now);
-  void BackOff(const std::string& name, timestamp now);
   void SetCurrent(link& place,
                   const known_instance& instance,
                   neighbor_role role,
@@ -127,20 +139,10 @@
   link parent_;
   std::map<domain_id, link> roots_;
   std::map<std::string, child> children_;
-  std::map<std::string, backoff> backoffs_;
+  instance_backoff backoff_;
   std::vector<tree_neighbor> dropped_;
 };
 
-// Returns from where `self` reads the store. `unusable` are instances whose
-// mirrors failed recently. With `store_refuses_self`, names an instance even if
-// `self` would normally read from the store.
-mirror_source ChooseMirror(const known_instance& self,
-                           const std::vector<known_instance>& others,
-                           const tree_neighbors& neighbors,
-                           const std::set<std::string>& unusable,
-                           bool store_refuses_self,
-                           timestamp now);
-
 }  // namespace wist
 
 #endif  // PEERS_TREE_NEIGHBORS_H_
--- a/src/peers/watch_plan.h
+++ b/src/peers/watch_plan.h
@@ -23,16 +23,22 @@
   auto operator<=>(const known_instance&) const = default;
 };
 
-// Encodes an announcement that is written under the lease `lease`.
-std::string EncodeInstance(const known_instance& instance,
-                           std::int64_t lease = 0);
+// An instance's entry in the store.
+struct announcement {
+  known_instance instance;
+  // The lease under which the entry was written, if it names one.
+  std::optional<std::int64_t> lease;
 
-// Returns nothing if the text cannot be decoded.
-std::optional<known_instance> DecodeInstance(const std::string& name,
-                                             const std::string& text);
+  auto operator<=>(const announcement&) const = default;
+};
 
-// Returns the lease under which an announcement was written, if it names one.
-std::optional<std::int64_t> DecodeLease(const std::string& text);
+// Encodes the entry of an instance that is written under `lease`.
+std::string EncodeAnnouncement(const known_instance& instance,
+                               std::int64_t lease);
+
+// Returns nothing if the text cannot be decoded.
+std::optional<announcement> DecodeAnnouncement(const std::string& name,
+                                               const std::string& text);
 
 // Maximum number of children of a node in the tree of a failure domain.
 inline constexpr std::size_t kWatchFanOut = 8;
@@ -46,26 +52,6 @@
   return (rank - 1) / kWatchFanOut;
 }
 
-// Returns the parent of `self` in the tree of its failure domain, which
-// consists of `self` and the instances of the domain in `live`. The parent
-// precedes `self`. Returns nothing for the root.
-std::optional<known_instance> FindDomainParent(
-    const known_instance& self,
-    const std::vector<known_instance>& live);
-
-// Returns the instance from which `self` reads the changes of the store: its
-// parent in the watch tree. The live instances of each failure domain form a
-// tree. The roots of the domains read from one of these roots, which reads from
-// the store; for that root the result is empty. All instances that know the
-// same live instances compute the same tree.
-//
-// `store_refuses_self` also returns an instance for the one that should read
-// from the store, because the store rejects its calls.
-std::optional<known_instance> FindWatchParent(
-    const known_instance& self,
-    const std::vector<known_instance>& live,
-    bool store_refuses_self = false);
-
 // From where an instance reads the changes of the store.
 struct mirror_source {
   // Nothing to read from the store itself.
--- a/src/peers/watch_tree_reader.h
+++ b/src/peers/watch_tree_reader.h
@@ -2,7 +2,6 @@
 #define PEERS_WATCH_TREE_READER_H_
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -11,6 +10,7 @@
 #include "follower/i_async_store.h"
 #include "framework/net/i_http_caller.h"
 #include "framework/net/i_scheduler.h"
+#include "peers/instance_backoff.h"
 #include "peers/watch_plan.h"
 
 namespace wist {
@@ -61,30 +61,32 @@
     int parents_tried = 0;
   };
 
-  // A parent that failed is not used until the deadline.
-  struct parent_backoff {
-    timestamp deadline;
-    int failures = 0;
-  };
-
   mirror_source FindSource() const;
+  void ReadFirstPage(const std::string& prefix,
+                     std::function<void(range_result)> done);
+  void ReadFirstPageViaParent(const mirror_source& source,
+                              const std::string& prefix,
+                              std::function<void(range_result)> done);
+  void ReadRangeDirectly(const std::string& prefix,
+                         const std::string& after_key,
+                         std::function<void(range_result)> done);
   void Watch(watch_call call);
-  void WatchViaParent(const known_instance& parent,
-                      milliseconds patience,
-                      watch_call call);
+  void WatchViaParent(const mirror_source& source, watch_call call);
   void WatchDirectly(milliseconds patience, watch_call call);
-  void WatchAt(timestamp time, watch_call call);
-  // Whether the instances above this one had their time to find a source.
-  bool IsPatienceOver(milliseconds patience);
-  void OnParentFailure(const std::string& parent);
-  void OnStoreResponse(bool refused);
+  void RetryAt(timestamp time, std::function<void()> step);
+
+  // Returns whether the instances above this one are still given time to find a
+  // source; counts the time from the first call without one.
+  bool AwaitsSource(milliseconds patience);
+  void OnParentSuccess(const std::string& parent);
+  void OnStoreResponse(bool refused, milliseconds patience);
 
   i_store_reader& store_;
   i_http_caller& caller_;
   i_scheduler& scheduler_;
   const source_finder find_source_;
   const call_observer on_store_call_;
-  std::map<std::string, parent_backoff> parent_backoffs_;
+  instance_backoff parent_backoff_;
   // Calls go directly to the store until this time, because the parents tried
   // for a call failed.
   timestamp direct_read_deadline_{};
@@ -95,7 +97,7 @@
   std::optional<timestamp> without_source_since_;
   // Earliest start of the next direct watch of the store.
   timestamp next_direct_watch_at_{};
-  std::unique_ptr<i_timer> watch_timer_;
+  std::unique_ptr<i_timer> retry_timer_;
 };
 
 }  // namespace wist
--- a/src/selection/internal/target_selector.cc
+++ b/src/selection/internal/target_selector.cc
@@ -32,10 +32,10 @@
 // other down.
 constexpr double kFullBatchCost = 0.4;
 
-// Cost of a target in another failure domain while the border of the domain
-// seems to be cut. Higher than any other cost of an eligible target.
-constexpr double kSuspectBorderMemoryCost = 10;
-constexpr double kSuspectBorderLatencyMs = 10'000;
+// Added cost of a target in another failure domain while the border of the
+// domain seems to be cut. Higher than any cost of a target that is not in a
+// cooldown.
+constexpr double kSuspectBorderCost = 10'000;
 
 // Targets that could not be reached in another domain before its border is
 // suspected, and for how long. One alone may have crashed.
@@ -115,11 +115,17 @@
     timestamp now) const {
   const known_target* best = nullptr;
   double best_cost = 0;
+  const bool avoids_other_domains =
+      !request.continues_run &&
+      (request.avoids_other_domains || IsBorderSuspect(now));
   for (const auto& [id, target] : directory_.targets()) {
     if (!IsEligible(target, request) ||
         (use_peer_reports && IsReportedFailing(id)))
       continue;
-    const auto cost = Cost(target, service, request, now);
+    auto cost = Cost(target, service, request, now);
+    if (cost && avoids_other_domains &&
+        target.entry.domain != settings_.own_domain)
+      *cost += kSuspectBorderCost;
     if (!cost || (best && *cost >= best_cost))
       continue;
     best = &target;
@@ -169,17 +175,13 @@
   const double failure_rate = state ? state->health.failure_rate() : 0;
   const double jitter = std::uniform_real_distribution<double>(
       0, MaxCostJitter())(random_generator_);
-  const bool is_avoided =
-      target.entry.domain != settings_.own_domain && !request.continues_run &&
-      (request.avoids_other_domains || IsBorderSuspect(now));
   if (service.engine && request.size) {
     const auto cost = EngineCost(target, *service.engine, request);
     // A refused caller can retry before an attempt on an unreachable engine
     // would end.
     if (!cost || is_cooling_down)
       return std::nullopt;
-    return *cost + failure_rate * kFailureMemoryCost + jitter +
-           (is_avoided ? kSuspectBorderMemoryCost : 0);
+    return *cost + failure_rate * kFailureMemoryCost + jitter;
   }
   const target_load load = TotalLoad(target.entry.id);
   const double latency =
@@ -190,7 +192,6 @@
                                    : kOtherDomainLatencyFactor;
   return (load.runs + 1) * latency * domain_factor *
              (1 + failure_rate * kFailureLatencyFactor) * (1 + jitter) +
-         (is_avoided ? kSuspectBorderLatencyMs : 0) +
          (is_cooling_down ? kCooldownCost * kAssumedLatencyMs : 0);
 }
 
