--- a/review/build.sh
+++ b/review/build.sh
@@ -4,8 +4,8 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for source in review/stand_ins/*.cc; do
-  name=$(basename "$source" .cc)
+for source in review/stand_ins/*.cpp; do
+  name=$(basename "$source" .cpp)
   g++ -std=c++20 -O2 -Wall -Wextra -pthread -Ireview/stand_ins "$source" \
     -o "target/review/$name"
 done
--- a/review/stand_ins/endless_move.cc
+++ b/review/stand_ins/endless_move.cpp
@@ -1,7 +1,7 @@
 // A model worker that is emptied answers the calls of /kv-move with bytes
 // without end. The gateway's memory is watched as the platform does.
 
-#include "engines.h"
+#include "engines.hpp"
 
 namespace {
 
@@ -25,16 +25,18 @@
   log.Line("trouble: %s", setting.trouble ? "yes" : "no");
   kit::store platform;
   kit::fleet fleet(platform, log, "motif-llm");
-  platform.Put("op/config",
-               kit::Configuration(
-                   1,
-                   kit::json::array({kit::Route("draft", "streaming", "motif-llm", 39000, 1800, 1),
-                    kit::Route("check", "idempotent", "agenda-app", 600, 100, 2)}),
-                   kit::json::array({kit::Engines("motif-llm"), kit::PlainService("agenda-app")})));
+  platform.Put(
+      "op/config",
+      kit::Configuration(
+          1,
+          kit::json::array(
+              {kit::Route("draft", "streaming", "motif-llm", 39000, 1800, 1),
+               kit::Route("check", "idempotent", "agenda-app", 600, 100, 2)}),
+          kit::json::array(
+              {kit::Engines("motif-llm"), kit::PlainService("agenda-app")})));
   kit::plain_worker agenda(platform, log, "i-agenda", "breizh-rennes",
                            "agenda-app", 800, 5);
-  kit::engine leaving(fleet,
-                      {"i-a", "breizh-rennes", true, setting.trouble});
+  kit::engine leaving(fleet, {"i-a", "breizh-rennes", true, setting.trouble});
   kit::engine sound_b(fleet, {"i-b", "breizh-brest"});
   kit::engine sound_c(fleet, {"i-c", "breizh-vannes"});
   kit::engine sound_d(fleet, {"i-d", "breizh-vannes"});
@@ -54,8 +56,8 @@
       const std::string id = "stream-" + std::to_string(number);
       kit::message first;
       // The channel is a kept one: an earlier request was answered on it.
-      if (!opened || !opened->Write(kit::Request("GET", "/check/x",
-                                                 "first-" + id, 600)) ||
+      if (!opened ||
+          !opened->Write(kit::Request("GET", "/check/x", "first-" + id, 600)) ||
           !opened->Read(first)) {
         log.Line("requester: no answer to first-%s", id.c_str());
         return;
@@ -86,9 +88,10 @@
     const double memory = OwnMemoryMb(gateway.process());
     peak = std::max(peak, memory);
     if (!killed && memory > kMemoryLimitMb) {
-      log.Line("the gateway's memory is %.0f MB, over the limit of %.0f MB: "
-               "the platform kills it",
-               memory, kMemoryLimitMb);
+      log.Line(
+          "the gateway's memory is %.0f MB, over the limit of %.0f MB: "
+          "the platform kills it",
+          memory, kMemoryLimitMb);
       gateway.Signal(SIGKILL);
       killed = true;
     }
@@ -117,9 +120,10 @@
       log.Line("LOST: %s was passed on to a sound worker", result.id.c_str());
     }
   }
-  log.Line("%zu streams, %d broken off, %d of these at sound workers "
-           "(the rule allows 3)",
-           results.size(), broken, lost);
+  log.Line(
+      "%zu streams, %d broken off, %d of these at sound workers "
+      "(the rule allows 3)",
+      results.size(), broken, lost);
   if (results.size() != 15)
     kit::GiveUp(log, "not all streams began", {&gateway});
   kit::Conclude(log, lost > 3, {&gateway});
--- a/review/stand_ins/engines.h
+++ b/review/stand_ins/engines.hpp
@@ -1,10 +1,10 @@
-#ifndef REVIEW_STAND_INS_ENGINES_H_
-#define REVIEW_STAND_INS_ENGINES_H_
+#ifndef REVIEW_STAND_INS_ENGINES_HPP_
+#define REVIEW_STAND_INS_ENGINES_HPP_
 
 // Model workers and plain workers, as PROTOCOL.md describes them, with the
 // figures of the sheet of Korrigan Henna Bookings.
 
-#include "kit.h"
+#include "kit.hpp"
 
 namespace kit {
 
@@ -36,7 +36,7 @@
   std::string service;
   std::mutex mutex;
   std::map<std::string, engine*> by_address;
-  std::map<std::string, run_copy> copies;  // By handle.
+  std::map<std::string, run_copy> copies;   // By handle.
   std::map<std::string, run_copy> backups;  // By the id of the request.
   long next_handle = 0;
 };
@@ -83,10 +83,10 @@
 
   // Writes the entry; returns the time of the store's acknowledgement.
   double Register(const std::string& state) {
-    const double at = fleet_.platform.Put(
-        "servers/" + options_.id,
-        WorkerEntry(fleet_.service, listener_.port(), options_.zone, state,
-                    ++sequence_));
+    const double at =
+        fleet_.platform.Put("servers/" + options_.id,
+                            WorkerEntry(fleet_.service, listener_.port(),
+                                        options_.zone, state, ++sequence_));
     fleet_.log.Line("worker %s in %s is %s: acknowledged by the store",
                     options_.id.c_str(), options_.zone.c_str(), state.c_str());
     return at;
@@ -183,9 +183,11 @@
       prefill_until_ = begin + prefill_ms;
       prefill_ms = prefill_until_ - NowMs();
     }
-    fleet_.log.Line("worker %s gets %s%s", options_.id.c_str(), id.c_str(),
-                    from.empty() ? "" : (", Kv-From " + from + ", Last-Event-Id " +
-                                         last).c_str());
+    fleet_.log.Line(
+        "worker %s gets %s%s", options_.id.c_str(), id.c_str(),
+        from.empty()
+            ? ""
+            : (", Kv-From " + from + ", Last-Event-Id " + last).c_str());
     SleepMs(prefill_ms);
     bool open = opened->Write(
         "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
@@ -207,8 +209,9 @@
         break;
       if (!open)
         continue;
-      const std::string event = "id: " + std::to_string(next) + "\ndata: " +
-                                id + " " + std::string(200, 'x') + "\n\n";
+      const std::string event = "id: " + std::to_string(next) +
+                                "\ndata: " + id + " " + std::string(200, 'x') +
+                                "\n\n";
       char size[20];
       snprintf(size, sizeof size, "%zx\r\n", event.size());
       open = opened->Write(size + event + "\r\n");
@@ -257,11 +260,11 @@
       until = std::max({NowMs(), link_until_, receiver->link_until_}) + took;
       link_until_ = receiver->link_until_ = until;
     }
-    fleet_.log.Line("worker %s copies %s to %s (last: %s), %.0f ms with what "
-                    "is queued before it",
-                    options_.id.c_str(), id.c_str(),
-                    receiver->options_.id.c_str(), last ? "true" : "false",
-                    until - NowMs());
+    fleet_.log.Line(
+        "worker %s copies %s to %s (last: %s), %.0f ms with what "
+        "is queued before it",
+        options_.id.c_str(), id.c_str(), receiver->options_.id.c_str(),
+        last ? "true" : "false", until - NowMs());
     SleepMs(until - NowMs());
     json answer;
     {
@@ -334,8 +337,8 @@
     while (opened->Read(request)) {
       const std::string id = request.Header("X-Wisteriatally-Request-Id");
       if (request.Header("X-Wisteriatally-Expect-Instance") != id_) {
-        if (!opened->Write(Answer(421, "X-Wisteriatally-Not-Executed: 1\r\n",
-                                  "")))
+        if (!opened->Write(
+                Answer(421, "X-Wisteriatally-Not-Executed: 1\r\n", "")))
           return;
         continue;
       }
@@ -412,11 +415,10 @@
   }
   result.ended = NowMs();
   log.Line("requester: %s ends: status %d, %d events, %s", id.c_str(),
-           result.status, result.events,
-           result.whole ? "whole" : "broken off");
+           result.status, result.events, result.whole ? "whole" : "broken off");
   return result;
 }
 
 }  // namespace kit
 
-#endif  // REVIEW_STAND_INS_ENGINES_H_
+#endif  // REVIEW_STAND_INS_ENGINES_HPP_
--- a/review/stand_ins/kit.h
+++ b/review/stand_ins/kit.hpp
@@ -1,5 +1,5 @@
-#ifndef REVIEW_STAND_INS_KIT_H_
-#define REVIEW_STAND_INS_KIT_H_
+#ifndef REVIEW_STAND_INS_KIT_HPP_
+#define REVIEW_STAND_INS_KIT_HPP_
 
 // Parts of the review's scripts: HTTP over blocking sockets, the platform's
 // store, and gateways as processes. One thread serves one channel. Nothing here
@@ -429,8 +429,8 @@
     std::string decoded;
     for (std::size_t i = 0; i < text.size(); ++i) {
       if (text[i] == '%' && i + 2 < text.size()) {
-        decoded += static_cast<char>(std::stoi(text.substr(i + 1, 2), nullptr,
-                                               16));
+        decoded +=
+            static_cast<char>(std::stoi(text.substr(i + 1, 2), nullptr, 16));
         i += 2;
       } else {
         decoded += text[i] == '+' ? ' ' : text[i];
@@ -782,7 +782,9 @@
 
 // Ends the script with its result. Threads that still serve a channel end with
 // the process; the gateways are ended first.
-inline void Conclude(record& log, bool is_broken, std::vector<gateway*> started) {
+inline void Conclude(record& log,
+                     bool is_broken,
+                     std::vector<gateway*> started) {
   log.Line("%s", is_broken ? "rule broken" : "rule held");
   for (gateway* held : started)
     held->End();
@@ -800,4 +802,4 @@
 
 }  // namespace kit
 
-#endif  // REVIEW_STAND_INS_KIT_H_
+#endif  // REVIEW_STAND_INS_KIT_HPP_
--- a/review/stand_ins/move_runs_twice.cc
+++ b/review/stand_ins/move_runs_twice.cpp
@@ -1,7 +1,7 @@
 // A model worker that does not drop a request when its channel closes is
 // emptied. Its runs go on at another worker while it still works on them.
 
-#include "engines.h"
+#include "engines.hpp"
 
 int main(int argc, char** argv) {
   const kit::setting setting = kit::ReadSetting(argc, argv);
@@ -12,13 +12,15 @@
   platform.Put("op/config",
                kit::Configuration(
                    1,
-                   kit::json::array({kit::Route("draft", "streaming", "motif-llm", 39000, 1800, 1)}),
+                   kit::json::array({kit::Route("draft", "streaming",
+                                                "motif-llm", 39000, 1800, 1)}),
                    kit::json::array({kit::Engines("motif-llm")})));
   kit::engine leaving(fleet, {"i-a", "breizh-rennes", false});
   kit::engine staying_b(fleet, {"i-b", "breizh-rennes"});
   kit::engine staying_c(fleet, {"i-c", "breizh-brest"});
   kit::engine staying_d(fleet, {"i-d", "breizh-vannes"});
-  const std::vector<kit::engine*> staying = {&staying_b, &staying_c, &staying_d};
+  const std::vector<kit::engine*> staying = {&staying_b, &staying_c,
+                                             &staying_d};
   leaving.Register("ready");
   kit::gateway gateway(setting.directory, "front-breizh-rennes-1",
                        "breizh-rennes", platform.port());
@@ -66,9 +68,10 @@
       if (overlap <= 400)
         continue;
       ++twice;
-      log.Line("TWICE: %s went on at %s while i-a worked on it for another "
-               "%.0f ms (bound 400 ms)",
-               arrival.request.c_str(), worker->options().id.c_str(), overlap);
+      log.Line(
+          "TWICE: %s went on at %s while i-a worked on it for another "
+          "%.0f ms (bound 400 ms)",
+          arrival.request.c_str(), worker->options().id.c_str(), overlap);
     }
   }
   log.Line("%zu streams, %d ran at two workers at once", results.size(), twice);
--- a/review/stand_ins/move_to_leaving.cc
+++ b/review/stand_ins/move_to_leaving.cpp
@@ -2,7 +2,7 @@
 // others are crowded. Runs of the first one are sent to the second after it has
 // reported that it leaves.
 
-#include "engines.h"
+#include "engines.hpp"
 
 int main(int argc, char** argv) {
   const kit::setting setting = kit::ReadSetting(argc, argv);
@@ -13,7 +13,8 @@
   platform.Put("op/config",
                kit::Configuration(
                    1,
-                   kit::json::array({kit::Route("draft", "streaming", "motif-llm", 39000, 1800, 1)}),
+                   kit::json::array({kit::Route("draft", "streaming",
+                                                "motif-llm", 39000, 1800, 1)}),
                    kit::json::array({kit::Engines("motif-llm")})));
   kit::engine first(fleet, {"i-a", "breizh-rennes"});
   kit::engine second(fleet, {"i-b", "breizh-brest"});
@@ -22,8 +23,9 @@
                                           "breizh-vannes"};
   for (int i = 0; i < 6; ++i) {
     staying.push_back(std::make_unique<kit::engine>(
-        fleet, kit::engine_options{"i-" + std::string(1, static_cast<char>('c' + i)),
-                                   zones[i % 3]}));
+        fleet,
+        kit::engine_options{"i-" + std::string(1, static_cast<char>('c' + i)),
+                            zones[i % 3]}));
     staying.back()->Register("ready");
   }
   first.Register("ready");
@@ -77,15 +79,17 @@
     if (second_left == 0 || arrival.at <= second_left + kit::kDrainMs)
       continue;
     ++late;
-    log.Line("DRAIN: %s reaches i-b %.0f ms after the store acknowledged that "
-             "it leaves (bound %.0f ms)",
-             arrival.request.c_str(), arrival.at - second_left, kit::kDrainMs);
+    log.Line(
+        "DRAIN: %s reaches i-b %.0f ms after the store acknowledged that "
+        "it leaves (bound %.0f ms)",
+        arrival.request.c_str(), arrival.at - second_left, kit::kDrainMs);
   }
   int broken = 0;
   for (const kit::stream_result& result : results)
     broken += result.whole ? 0 : 1;
-  log.Line("%zu streams, %d broken off; %d requests too late at a leaving worker",
-           results.size(), broken, late);
+  log.Line(
+      "%zu streams, %d broken off; %d requests too late at a leaving worker",
+      results.size(), broken, late);
   for (const kit::stream_result& result : results)
     broken_before += result.status == 200 ? 0 : 1;
   if (results.size() != kStreams || broken_before > 0)
--- a/review/stand_ins/stop_cuts_answer.cc
+++ b/review/stand_ins/stop_cuts_answer.cpp
@@ -1,7 +1,7 @@
 // A gateway is stopped while requesters still read long answers, which their
 // worker has handed over whole.
 
-#include "engines.h"
+#include "engines.hpp"
 
 namespace {
 
@@ -18,13 +18,12 @@
   kit::record log(argv[1]);
   log.Line("trouble: %s", setting.trouble ? "yes" : "no");
   kit::store platform;
-  platform.Put(
-      "op/config",
-      kit::Configuration(
-          1,
-          kit::json::array(
-              {kit::Route("check", "idempotent", "agenda-app", 39000, 1800, 2)}),
-          kit::json::array({kit::PlainService("agenda-app")})));
+  platform.Put("op/config",
+               kit::Configuration(
+                   1,
+                   kit::json::array({kit::Route("check", "idempotent",
+                                                "agenda-app", 39000, 1800, 2)}),
+                   kit::json::array({kit::PlainService("agenda-app")})));
   kit::plain_worker worker(platform, log, "i-agenda", "breizh-rennes",
                            "agenda-app", kAnswerBytes, 50);
   kit::gateway gateway(setting.directory, "front-breizh-rennes-1",
@@ -74,7 +73,6 @@
   if (stopped > 0)
     log.Line("%.1f s after the SIGTERM; the rule covers the time until %.1f s",
              (ended - stopped) / 1000, (kGraceMs + 1000) / 1000);
-  kit::Conclude(log,
-                !whole && stopped > 0 && ended < stopped + kGraceMs + 1000,
+  kit::Conclude(log, !whole && stopped > 0 && ended < stopped + kGraceMs + 1000,
                 {&gateway});
 }
