Stop a run at its source before it continues on another target

Cause: the gateway took the close of a run's channel for the end of the run, after a move and after a malformed response that is continued from a backup. The engine's log shows the close and then 'all events made'.

A copy that the stop makes is freed. The pause of the stream is one round trip with engines that drop closed runs. Ruled out: stopping with the first copy, which makes streams wait behind other copies (docs/design/10).

Cases of run_move and run_backup now confirm the stop between the two channels; their checks are the same. The limit of resumes counts requests for the run, since the list of channels holds the stops as well.

--- a/src/framework/net/buffered_call.h
+++ b/src/framework/net/buffered_call.h
@@ -47,6 +47,9 @@
   // Cancels the call without calling `on_done`.
   void Cancel();
 
+  // Whether the call ended since no connection was opened.
+  bool HasFailedToConnect() const { return has_failed_to_connect_; }
+
  private:
   void Finish(std::optional<buffered_response> response);
 
@@ -54,6 +57,7 @@
   std::shared_ptr<i_http_call> call_;
   std::unique_ptr<i_timer> timer_;
   buffered_response response_;
+  bool has_failed_to_connect_ = false;
 };
 
 }  // namespace wist
--- a/src/framework/net/internal/buffered_call.cc
+++ b/src/framework/net/internal/buffered_call.cc
@@ -34,6 +34,7 @@
   };
   callbacks.on_done = [self](call_outcome outcome) {
     self->call_.reset();
+    self->has_failed_to_connect_ = outcome.end == call_end::connect_failed;
     if (outcome.end != call_end::complete)
       return self->Finish(std::nullopt);
     self->Finish(std::move(self->response_));
--- a/src/gateway/gateway_types.h
+++ b/src/gateway/gateway_types.h
@@ -89,6 +89,10 @@
 struct move_request {
   std::string request_id;
   http_address receiver;
+  // The source stops the run before it copies what the receiver lacks.
+  bool stops_run = false;
+
+  auto operator<=>(const move_request&) const = default;
 };
 
 struct move_response {
--- a/src/gateway/i_dialect.h
+++ b/src/gateway/i_dialect.h
@@ -44,6 +44,9 @@
       const http_response_head& head) const = 0;
   virtual std::string EncodeMoveRequest(const target_entry& source,
                                         const move_request& move) const = 0;
+  // Frees the copy that a move request has made.
+  virtual std::string EncodeReleaseRequest(const target_entry& source,
+                                           const std::string& handle) const = 0;
   virtual move_response DecodeMoveResponse(int status,
                                            const std::string& body) const = 0;
 
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -10,6 +10,7 @@
 #include "gateway/internal/i_response_writer.h"
 #include "gateway/internal/request_routing.h"
 #include "gateway/internal/run_mover.h"
+#include "gateway/internal/run_stopper.h"
 #include "streams/event_splitter.h"
 
 namespace wist {
@@ -88,6 +89,7 @@
 
   void StartMove();
   void OnMoveEnd(std::optional<moved_run> moved);
+  void ResumeAfterStop(run_end end, const moved_run& moved);
   void Resume(const moved_run& moved);
   void AssignBackup(target_dispatch& dispatch);
   bool ResumeFromBackup();
--- a/src/gateway/internal/exchange_continuation.cc
+++ b/src/gateway/internal/exchange_continuation.cc
@@ -55,16 +55,29 @@
   mover_.reset();
   if (finished_ || !moved)
     return;
-  // The source drops the run when its connection closes, so that no two targets
-  // work on it. The receiver recomputes what was generated after the copy.
+  // The receiver recomputes what was generated after the copy.
   attempt_->call->Cancel();
+  ResumeAfterStop(run_end::cancelled, *moved);
+}
+
+// Not every target drops a run when its connection closes.
+void exchange::ResumeAfterStop(run_end end, const moved_run& moved) {
+  may_have_run_ = true;
   splitter_.DropPartial();
-  EndAttempt(run_end::cancelled);
-  Resume(*moved);
+  const target_entry source = attempt_->target;
+  EndAttempt(end);
+  const auto stopper = std::make_shared<run_stopper>(
+      services_, request_.id, source, moved.receiver.address,
+      moved.kv_cache.handle, [weak = weak_from_this(), moved] {
+        if (const auto self = weak.lock())
+          self->Resume(moved);
+      });
+  stopper->Start();
 }
 
 void exchange::Resume(const moved_run& moved) {
-  may_have_run_ = true;
+  if (finished_)
+    return;
   if (++resume_count_ > kMaxResumes)
     return AbortStream("target_ended_stream");
   Send(moved.receiver, moved.kv_cache);
@@ -113,11 +126,9 @@
                           {"receiver", holder->entry.id.text()},
                           {"events", splitter_.event_count()}});
   ++backup_resume_count_;
-  splitter_.DropPartial();
   if (mover_)
     std::exchange(mover_, nullptr)->Cancel();
-  EndAttempt(run_end::broken);
-  Resume(copy);
+  ResumeAfterStop(run_end::broken, copy);
   return true;
 }
 
--- a/src/gateway/tests/mocks/exchange_fixture.h
+++ b/src/gateway/tests/mocks/exchange_fixture.h
@@ -1,6 +1,8 @@
 #ifndef GATEWAY_TESTS_MOCKS_EXCHANGE_FIXTURE_H_
 #define GATEWAY_TESTS_MOCKS_EXCHANGE_FIXTURE_H_
 
+#include <catch2/catch.hpp>
+
 #include <memory>
 #include <string>
 
@@ -113,6 +115,12 @@
     return EncodeChunk("id: " + std::to_string(id) + "\ndata: x\n\n");
   }
 
+  // The latest call asks a target to stop a run that it has dropped.
+  void ConfirmStop() {
+    REQUIRE(target_channel().written.starts_with("POST /stop/"));
+    target_channel().Receive(Response("404 Not Found", ""));
+  }
+
   const std::string& response() const { return caller_channel->written; }
   bool ResponseContains(const std::string& part) const {
     return response().find(part) != std::string::npos;
--- a/src/gateway/tests/mocks/plain_dialect.h
+++ b/src/gateway/tests/mocks/plain_dialect.h
@@ -99,7 +99,16 @@
                                 const move_request& move) const override {
     http_request_message call;
     call.method = "POST";
-    call.target = "/move/" + move.request_id + "/" + move.receiver.host;
+    call.target = (move.stops_run ? "/stop/" : "/move/") + move.request_id +
+                  "/" + move.receiver.host;
+    return EncodeHttpRequest(call);
+  }
+
+  std::string EncodeReleaseRequest(const target_entry&,
+                                   const std::string& handle) const override {
+    http_request_message call;
+    call.method = "DELETE";
+    call.target = "/copy/" + handle;
     return EncodeHttpRequest(call);
   }
 
--- a/src/gateway/tests/run_backup_test.cc
+++ b/src/gateway/tests/run_backup_test.cc
@@ -36,11 +36,12 @@
   backed_up_stream f;
   f.target_channel(0).Receive(EncodeChunk("id: 3\nda"));
   f.target_channel(0).End(channel_end::reset);
-  REQUIRE(f.connector.channels.size() == 2);
-  CHECK(f.TargetName(1) == "far");
-  CHECK(f.target_channel(1).written.find("Memory: r\r\nAfter: 2\r\n") !=
+  f.ConfirmStop();
+  REQUIRE(f.connector.channels.size() == 3);
+  CHECK(f.TargetName(2) == "far");
+  CHECK(f.target_channel(2).written.find("Memory: r\r\nAfter: 2\r\n") !=
         std::string::npos);
-  f.target_channel(1).Receive(f.StreamHead() + f.Event(3) +
+  f.target_channel(2).Receive(f.StreamHead() + f.Event(3) +
                               std::string(LastChunk()));
   CHECK(f.response().ends_with("0\r\n\r\n"));
   CHECK(f.response().find("id: 3") == f.response().rfind("id: 3"));
@@ -58,7 +59,8 @@
 TEST_CASE("a stream is aborted if the backup is gone") {
   backed_up_stream f;
   f.target_channel(0).End(channel_end::reset);
-  f.target_channel(1).Receive(f.Response("503 Gone", "", "Not-Run: 1\r\n"));
+  f.ConfirmStop();
+  f.target_channel(2).Receive(f.Response("503 Gone", "", "Not-Run: 1\r\n"));
   CHECK(f.caller_channel->aborted);
 }
 
@@ -92,8 +94,12 @@
     f.target_channel().End(channel_end::reset);
     if (!f.caller_channel->open())
       break;
+    f.ConfirmStop();
     f.target_channel().Receive(f.StreamHead() + f.Event(3 + i));
   }
   CHECK_FALSE(f.caller_channel->open());
-  CHECK(f.connector.channels.size() <= 3);
+  std::size_t runs = 0;
+  for (const auto& channel : f.connector.channels)
+    runs += channel->written.starts_with("POST /stream/") ? 1 : 0;
+  CHECK(runs <= 3);
 }
--- a/src/gateway/tests/run_move_test.cc
+++ b/src/gateway/tests/run_move_test.cc
@@ -42,11 +42,13 @@
   f.target_channel(0).Receive(f.Event(3));
   f.target_channel(1).Receive(f.Response("200 OK", "handle9"));
   CHECK(f.target_channel(0).aborted);
-  REQUIRE(f.connector.channels.size() == 3);
-  CHECK(f.TargetName(2) == receiver);
-  CHECK(f.target_channel(2).written.find("Memory: handle9\r\nAfter: 3\r\n") !=
+  CHECK(f.TargetName(2) == f.source);
+  f.ConfirmStop();
+  REQUIRE(f.connector.channels.size() == 4);
+  CHECK(f.TargetName(3) == receiver);
+  CHECK(f.target_channel(3).written.find("Memory: handle9\r\nAfter: 3\r\n") !=
         std::string::npos);
-  f.target_channel(2).Receive(f.StreamHead() + f.Event(4) +
+  f.target_channel(3).Receive(f.StreamHead() + f.Event(4) +
                               std::string(LastChunk()));
   CHECK(f.response().ends_with("0\r\n\r\n"));
   for (int id = 1; id <= 4; ++id) {
@@ -62,8 +64,9 @@
   f.RemoveSource();
   f.target_channel(0).Receive(EncodeChunk("id: 3\nda"));
   f.target_channel(1).Receive(f.Response("200 OK", "h"));
-  CHECK(f.target_channel(2).written.find("After: 2\r\n") != std::string::npos);
-  f.target_channel(2).Receive(f.StreamHead() + f.Event(3));
+  f.ConfirmStop();
+  CHECK(f.target_channel(3).written.find("After: 2\r\n") != std::string::npos);
+  f.target_channel(3).Receive(f.StreamHead() + f.Event(3));
   CHECK(f.response().find("id: 3") == f.response().rfind("id: 3"));
 }
 
@@ -115,7 +118,8 @@
   running_stream f;
   f.RemoveSource();
   f.target_channel(1).Receive(f.Response("200 OK", "h"));
-  f.target_channel(2).Receive(f.Response("503 Gone", "", "Not-Run: 1\r\n"));
+  f.ConfirmStop();
+  f.target_channel(3).Receive(f.Response("503 Gone", "", "Not-Run: 1\r\n"));
   CHECK(f.caller_channel->aborted);
 }
 
@@ -123,9 +127,11 @@
   running_stream f;
   f.RemoveSource();
   f.target_channel(1).Receive(f.Response("200 OK", "h1"));
-  f.target_channel(2).Receive(f.StreamHead() + f.Event(3));
-  f.directory.Remove(target_id(f.TargetName(2)), false, f.scheduler.Now());
+  f.ConfirmStop();
+  f.target_channel(3).Receive(f.StreamHead() + f.Event(3));
+  f.directory.Remove(target_id(f.TargetName(3)), false, f.scheduler.Now());
   f.target_channel().Receive(f.Response("200 OK", "h2"));
+  f.ConfirmStop();
   CHECK(f.target_channel().written.find("Memory: h2\r\nAfter: 3\r\n") !=
         std::string::npos);
 }
