--- a/src/gateway/internal/run_mover.cc
+++ b/src/gateway/internal/run_mover.cc
@@ -101,7 +101,7 @@
 
 void run_mover::OnMoveResponse(const move_response& response) {
   Log(std::to_string(response.status));
-  if (response.status == kOk)
+  if (response.status == kOk && !response.handle.empty())
     return Finish(moved_run{*receiver_, {source_.address, response.handle}});
   services_.selector.EndRun(*std::exchange(reservation_, std::nullopt),
                             run_end::cancelled, services_.scheduler.Now());
