Do not reserve the length that a message states

Change: both readers parse into a body that grows with the bytes that arrive, and the user of the response reader states a limit for the body, which is checked with the head if that states a length. http_call passes on the limit of its call options; so far all uses leave it unlimited.

--- a/src/framework/net/http_codec.h
+++ b/src/framework/net/http_codec.h
@@ -2,6 +2,7 @@
 #define FRAMEWORK_NET_HTTP_CODEC_H_
 
 #include <cstddef>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -40,7 +41,13 @@
 };
 
 struct http_reader_limits {
+  // For bodies whose user bounds what it keeps.
+  static constexpr std::size_t kUnlimitedBody =
+      std::numeric_limits<std::size_t>::max();
+
   std::size_t max_header_bytes = 16'384;
+  // A message with a longer body is rejected, with its head if that states the
+  // length.
   std::size_t max_body_bytes = 1'048'576;
 };
 
@@ -105,7 +112,7 @@
 };
 
 std::unique_ptr<i_http_response_reader> MakeHttpResponseReader(
-    std::size_t max_header_bytes);
+    const http_reader_limits& limits);
 
 // Encode a message in HTTP/1.1 format. Requests and responses get the
 // Content-Length or Transfer-Encoding header that they need, but no Connection
--- a/src/framework/net/i_http_caller.h
+++ b/src/framework/net/i_http_caller.h
@@ -41,6 +41,8 @@
   timestamp connect_deadline;
   // Channels that have been idle for this long are not reused.
   milliseconds max_idle{1000};
+  // A response with a longer body is malformed.
+  std::size_t max_body_bytes = http_reader_limits::kUnlimitedBody;
 };
 
 // A call in progress.
--- a/src/framework/net/internal/http_caller.cc
+++ b/src/framework/net/internal/http_caller.cc
@@ -135,11 +135,13 @@
  public:
   http_call(http_address address,
             std::shared_ptr<idle_channel_pool> pool,
-            call_callbacks callbacks)
+            call_callbacks callbacks,
+            std::size_t max_body_bytes)
       : address_(std::move(address)),
         pool_(std::move(pool)),
         callbacks_(std::move(callbacks)),
-        reader_(MakeHttpResponseReader(kMaxResponseHeadBytes)) {}
+        reader_limits_{kMaxResponseHeadBytes, max_body_bytes},
+        reader_(MakeHttpResponseReader(reader_limits_)) {}
 
   void StartOnIdleChannel(std::shared_ptr<i_channel> channel,
                           std::string request) {
@@ -196,7 +198,7 @@
         return;
       if (!is_skipping_response_)
         return Complete(!bytes.empty());
-      reader_ = MakeHttpResponseReader(kMaxResponseHeadBytes);
+      reader_ = MakeHttpResponseReader(reader_limits_);
       has_seen_head_ = false;
       is_skipping_response_ = false;
       if (bytes.empty())
@@ -258,6 +260,7 @@
   const http_address address_;
   const std::shared_ptr<idle_channel_pool> pool_;
   call_callbacks callbacks_;
+  const http_reader_limits reader_limits_;
   std::unique_ptr<i_http_response_reader> reader_;
   std::shared_ptr<i_channel> channel_;
   bool has_seen_head_ = false;
@@ -276,8 +279,8 @@
                                     std::string request,
                                     const call_options& options,
                                     call_callbacks callbacks) override {
-    auto call =
-        std::make_shared<http_call>(address, pool_, std::move(callbacks));
+    auto call = std::make_shared<http_call>(
+        address, pool_, std::move(callbacks), options.max_body_bytes);
     if (auto pooled = pool_->Acquire(address, options.max_idle)) {
       call->StartOnIdleChannel(std::move(pooled), std::move(request));
       return call;
--- a/src/framework/net/internal/http_codec.cc
+++ b/src/framework/net/internal/http_codec.cc
@@ -11,13 +11,41 @@
 namespace http = boost::beast::http;
 namespace asio = boost::asio;
 
-// Body bytes of a response are taken out of the parser as they arrive, so the
-// parser needs no limit. The user of the reader bounds what it stores.
-constexpr std::uint64_t kNoBodyLimit =
-    std::numeric_limits<std::uint64_t>::max();
-
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
 
+// A body that grows with the bytes that arrive. The string body of Beast
+// reserves the length that the sender states.
+struct growing_body {
+  using value_type = std::string;
+
+  class reader {
+   public:
+    template <bool is_request, typename Fields>
+    reader(http::header<is_request, Fields>&, value_type& body) : body_(body) {}
+
+    void init(const boost::optional<std::uint64_t>&,
+              boost::system::error_code& error) {
+      error = {};
+    }
+
+    template <typename ConstBufferSequence>
+    std::size_t put(const ConstBufferSequence& buffers,
+                    boost::system::error_code& error) {
+      error = {};
+      const std::size_t size = asio::buffer_size(buffers);
+      const std::size_t old_size = body_.size();
+      body_.resize(old_size + size);
+      asio::buffer_copy(asio::buffer(&body_[old_size], size), buffers);
+      return size;
+    }
+
+    void finish(boost::system::error_code& error) { error = {}; }
+
+   private:
+    value_type& body_;
+  };
+};
+
 // Beast joins folded header lines. They are rejected here because other HTTP
 // implementations may parse the second line as a separate header.
 bool HasFoldedLine(std::string_view head) {
@@ -159,17 +187,17 @@
 
   const http_reader_limits limits_;
   std::string buffer_;
-  std::optional<http::request_parser<http::string_body>> parser_;
+  std::optional<http::request_parser<growing_body>> parser_;
   std::optional<http_read_error> read_error_;
   bool is_head_complete_ = false;
 };
 
 class response_reader final : public i_http_response_reader {
  public:
-  explicit response_reader(std::size_t max_header_bytes)
-      : max_header_bytes_(max_header_bytes) {
-    parser_.header_limit(static_cast<std::uint32_t>(max_header_bytes));
-    parser_.body_limit(kNoBodyLimit);
+  explicit response_reader(const http_reader_limits& limits)
+      : max_header_bytes_(limits.max_header_bytes) {
+    parser_.header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
+    parser_.body_limit(limits.max_body_bytes);
     parser_.eager(true);
   }
 
@@ -276,7 +304,7 @@
   }
 
   const std::size_t max_header_bytes_;
-  http::response_parser<http::string_body> parser_;
+  http::response_parser<growing_body> parser_;
   response_state state_ = response_state::head_missing;
   http_response_head head_;
   std::string head_bytes_;
@@ -325,8 +353,8 @@
 }
 
 std::unique_ptr<i_http_response_reader> MakeHttpResponseReader(
-    std::size_t max_header_bytes) {
-  return std::make_unique<response_reader>(max_header_bytes);
+    const http_reader_limits& limits) {
+  return std::make_unique<response_reader>(limits);
 }
 
 std::string EncodeHttpRequest(const http_request_message& request) {
--- a/src/framework/net/tests/http_codec_fuzz_test.cc
+++ b/src/framework/net/tests/http_codec_fuzz_test.cc
@@ -86,10 +86,10 @@
   for (int round = 0; round < kRounds; ++round) {
     const std::string bytes =
         Mutate(kResponseSeeds[random() % kResponseSeeds.size()], random);
-    const auto whole = MakeHttpResponseReader(512);
+    const auto whole = MakeHttpResponseReader({512});
     whole->Feed(bytes);
     const std::string whole_body = whole->TakeBody();
-    const auto chunked = MakeHttpResponseReader(512);
+    const auto chunked = MakeHttpResponseReader({512});
     const std::size_t step = 1 + random() % 5;
     std::string chunked_body;
     for (std::size_t at = 0; at < bytes.size(); at += step) {
--- a/src/framework/net/tests/http_codec_test.cc
+++ b/src/framework/net/tests/http_codec_test.cc
@@ -99,7 +99,7 @@
 
 TEST_CASE(
     "a response ends at its length and does not consume the following bytes") {
-  const auto reader = MakeHttpResponseReader(4096);
+  const auto reader = MakeHttpResponseReader({4096});
   const std::string bytes =
       "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabcHTTP/1.1 500";
   const std::size_t consumed = reader->Feed(bytes);
@@ -113,7 +113,7 @@
       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
       "5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n";
   for (std::size_t cut = 1; cut < bytes.size(); ++cut) {
-    const auto reader = MakeHttpResponseReader(4096);
+    const auto reader = MakeHttpResponseReader({4096});
     std::string body;
     reader->Feed(bytes.substr(0, cut));
     body += reader->TakeBody();
@@ -127,7 +127,7 @@
 
 TEST_CASE(
     "a response without a length is complete only when the channel is closed") {
-  const auto reader = MakeHttpResponseReader(4096);
+  const auto reader = MakeHttpResponseReader({4096});
   reader->Feed("HTTP/1.1 200 OK\r\n\r\nabc");
   CHECK(reader->state() == response_state::body_missing);
   reader->FeedEnd();
@@ -136,14 +136,85 @@
 }
 
 TEST_CASE("a response that ends before its length is malformed") {
-  const auto reader = MakeHttpResponseReader(4096);
+  const auto reader = MakeHttpResponseReader({4096});
   reader->Feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc");
   reader->FeedEnd();
   CHECK(reader->state() == response_state::malformed);
 }
 
 TEST_CASE("bytes that are not a response are malformed") {
-  const auto reader = MakeHttpResponseReader(4096);
+  const auto reader = MakeHttpResponseReader({4096});
   reader->Feed("garbage\r\n\r\n");
   CHECK(reader->state() == response_state::malformed);
 }
+
+namespace {
+
+// The state after a response head with these headers and no body.
+response_state StateAfterHead(const std::string& headers,
+                              std::size_t max_body_bytes) {
+  const auto reader = MakeHttpResponseReader({4096, max_body_bytes});
+  reader->Feed("HTTP/1.1 200 OK\r\n" + headers + "\r\n");
+  return reader->state();
+}
+
+response_state StateAfterLength(const std::string& length,
+                                std::size_t max_body_bytes) {
+  return StateAfterHead("Content-Length: " + length + "\r\n", max_body_bytes);
+}
+
+}  // namespace
+
+// Guards against a process that ends since a server states a length for which
+// there is no memory.
+TEST_CASE("a stated length takes no memory before the bytes arrive") {
+  constexpr std::size_t kNoLimit = http_reader_limits::kUnlimitedBody;
+  for (const char* length :
+       {"99999999999", "2147483648", "4294967296", "9223372036854775807",
+        "9223372036854775808", "18446744073709551615"}) {
+    INFO(length);
+    const auto reader = MakeHttpResponseReader({4096, kNoLimit});
+    reader->Feed(std::string("HTTP/1.1 200 OK\r\nContent-Length: ") + length +
+                 "\r\n\r\n");
+    reader->Feed("x");
+    CHECK(reader->state() == response_state::body_missing);
+    CHECK(reader->TakeBody() == "x");
+  }
+}
+
+TEST_CASE("a length above the limit is rejected with the head") {
+  CHECK(StateAfterLength("0", 100) == response_state::complete);
+  CHECK(StateAfterLength("100", 100) == response_state::body_missing);
+  for (const char* length :
+       {"101", "2147483648", "4294967296", "9223372036854775808",
+        "18446744073709551615", "18446744073709551616",
+        "99999999999999999999999999"}) {
+    INFO(length);
+    CHECK(StateAfterLength(length, 100) == response_state::malformed);
+  }
+}
+
+TEST_CASE("a length that is no number or stated twice is malformed") {
+  for (const char* length : {"-1", "+5", "5,6", "0x5", "5 5", "", "1e3"}) {
+    INFO(length);
+    CHECK(StateAfterLength(length, 100) == response_state::malformed);
+  }
+  CHECK(StateAfterHead("Content-Length: 5\r\nContent-Length: 6\r\n", 100) ==
+        response_state::malformed);
+  CHECK(StateAfterHead("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+                       100) == response_state::malformed);
+}
+
+TEST_CASE("a body above the limit is rejected however it is framed") {
+  for (const std::string& headers :
+       {std::string(), std::string("Transfer-Encoding: chunked\r\n")}) {
+    const auto reader = MakeHttpResponseReader({4096, 100});
+    reader->Feed("HTTP/1.1 200 OK\r\n" + headers + "\r\n");
+    const std::string bytes(60, 'x');
+    reader->Feed(headers.empty() ? bytes : EncodeChunk(bytes));
+    CHECK(reader->state() == response_state::body_missing);
+    reader->TakeBody();
+    reader->Feed(headers.empty() ? bytes : EncodeChunk(bytes));
+    CHECK(reader->state() == response_state::malformed);
+  }
+}
