Bound each response by what its use needs

Cause: all calls shared one limit of 16 MiB a body, although the answer to a copy request is a handle and a number, and one call is made for each run on the leaving target.

Change: the limit has no default any more. The head of a response is bounded by 16 KB in place of 64 KB, since each call in progress may hold one.

--- a/src/framework/net/buffered_call.h
+++ b/src/framework/net/buffered_call.h
@@ -24,8 +24,9 @@
   milliseconds response{1000};
   // Channels that have been idle for this long are not reused.
   milliseconds max_idle{1000};
-  // A call whose response body is larger is given up.
-  std::size_t max_body_bytes = 16'777'216;
+  // A call whose response body is larger is given up. Each use states its own
+  // limit.
+  std::size_t max_body_bytes = 0;
 };
 
 // An HTTP call that collects the whole response and has a time limit.
--- a/src/framework/net/internal/buffered_call.cc
+++ b/src/framework/net/internal/buffered_call.cc
@@ -22,15 +22,8 @@
   callbacks.on_head = [self](const http_response_head& head) {
     self->response_.head = head;
   };
-  callbacks.on_body = [self,
-                       max_bytes = limits.max_body_bytes](std::string bytes) {
+  callbacks.on_body = [self](std::string bytes) {
     self->response_.body += bytes;
-    if (self->response_.body.size() <= max_bytes)
-      return;
-    // Cancel destroys this callback.
-    const auto kept = self;
-    std::exchange(kept->call_, nullptr)->Cancel();
-    kept->Finish(std::nullopt);
   };
   callbacks.on_done = [self](call_outcome outcome) {
     self->call_.reset();
@@ -39,9 +32,10 @@
       return self->Finish(std::nullopt);
     self->Finish(std::move(self->response_));
   };
-  self->call_ = caller.Call(address, std::move(request),
-                            {now + limits.connect, limits.max_idle},
-                            std::move(callbacks));
+  self->call_ = caller.Call(
+      address, std::move(request),
+      {now + limits.connect, limits.max_idle, limits.max_body_bytes},
+      std::move(callbacks));
   return self;
 }
 
--- a/src/framework/net/internal/http_caller.cc
+++ b/src/framework/net/internal/http_caller.cc
@@ -9,7 +9,8 @@
 namespace wist {
 namespace {
 
-constexpr std::size_t kMaxResponseHeadBytes = 65'536;
+// Kept for each call in progress until the head is complete.
+constexpr std::size_t kMaxResponseHeadBytes = 16'384;
 
 // An idle channel is no longer reused this long before the server's keep-alive
 // timeout, so that no request is sent on a channel that the server is closing.
--- a/src/framework/net/tests/buffered_call_test.cc
+++ b/src/framework/net/tests/buffered_call_test.cc
@@ -14,8 +14,10 @@
   const auto caller = MakeHttpCaller(connector, scheduler);
   int done = 0;
   std::optional<buffered_response> response;
+  buffered_call_limits limits;
+  limits.max_body_bytes = 16'777'216;
   buffered_call::Start(*caller, scheduler, {"h", 80}, "GET / HTTP/1.1\r\n\r\n",
-                       {}, [&](std::optional<buffered_response> result) {
+                       limits, [&](std::optional<buffered_response> result) {
                          ++done;
                          response = std::move(result);
                        });
--- a/src/gateway/gateway_types.h
+++ b/src/gateway/gateway_types.h
@@ -95,6 +95,10 @@
   auto operator<=>(const move_request&) const = default;
 };
 
+// Maximum size of a response to a move request, which holds a handle and a
+// number.
+inline constexpr std::size_t kMaxMoveResponseBytes = 4096;
+
 struct move_response {
   int status = 0;
   std::string handle;
--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -54,6 +54,13 @@
 // forwarded; larger ones are aborted.
 constexpr std::size_t kMaxBufferedResponseBytes = 8'388'608;
 
+// The events of a stream are passed on as they arrive. A response on a
+// streaming route that is no stream is bounded in OnBody.
+std::size_t MaxBodyBytes(call_kind kind) {
+  return kind == call_kind::streaming ? http_reader_limits::kUnlimitedBody
+                                      : kMaxBufferedResponseBytes;
+}
+
 }  // namespace
 
 exchange::exchange(gateway_services& services,
@@ -184,8 +191,8 @@
   const bool is_idempotent = Route().kind == call_kind::idempotent;
   attempt_->call = services_.caller.Call(
       target.address, services_.dialect.EncodeDispatch(request_, dispatch),
-      {std::min(routed_.deadline, now + kConnectTimeout),
-       MaxIdle(Route().kind)},
+      {std::min(routed_.deadline, now + kConnectTimeout), MaxIdle(Route().kind),
+       MaxBodyBytes(Route().kind)},
       std::move(callbacks));
   if (!is_idempotent)
     return;
--- a/src/gateway/internal/run_mover.cc
+++ b/src/gateway/internal/run_mover.cc
@@ -82,7 +82,8 @@
       services_.dialect.EncodeMoveRequest(source_,
                                           {request_id_, receiver_->address}),
       {kConnectTimeout,
-       std::chrono::duration_cast<milliseconds>(deadline_ - now), kMaxIdle},
+       std::chrono::duration_cast<milliseconds>(deadline_ - now), kMaxIdle,
+       kMaxMoveResponseBytes},
       [self = shared_from_this()](std::optional<buffered_response> response) {
         self->call_.reset();
         if (response) {
--- a/src/gateway/internal/run_stopper.cc
+++ b/src/gateway/internal/run_stopper.cc
@@ -55,7 +55,7 @@
       services_.caller, services_.scheduler, source_.address,
       services_.dialect.EncodeMoveRequest(
           source_, {request_id_, receiver_, /*stops_run=*/true}),
-      {kConnectTimeout, kMaxResponseTime, kMaxIdle},
+      {kConnectTimeout, kMaxResponseTime, kMaxIdle, kMaxMoveResponseBytes},
       [self = shared_from_this()](std::optional<buffered_response> response) {
         const auto call = std::exchange(self->call_, nullptr);
         if (!response)
@@ -99,13 +99,14 @@
 }
 
 void run_stopper::ReleaseCopy(const std::string& handle) {
-  buffered_call::Start(services_.caller, services_.scheduler, source_.address,
-                       services_.dialect.EncodeReleaseRequest(source_, handle),
-                       {kConnectTimeout, kMaxResponseTime, kMaxIdle},
-                       [](const std::optional<buffered_response>&) {
-                         // Targets free unused copies themselves after some
-                         // time.
-                       });
+  buffered_call::Start(
+      services_.caller, services_.scheduler, source_.address,
+      services_.dialect.EncodeReleaseRequest(source_, handle),
+      {kConnectTimeout, kMaxResponseTime, kMaxIdle, kMaxMoveResponseBytes},
+      [](const std::optional<buffered_response>&) {
+        // Targets free unused copies themselves after some
+        // time.
+      });
 }
 
 void run_stopper::Continue() {
--- a/src/gateway/tests/exchange_test.cc
+++ b/src/gateway/tests/exchange_test.cc
@@ -462,3 +462,18 @@
           (has_started ? 0U : 1U));
   }
 }
+
+// Guards against instances that end since a target states a length for which
+// there is no memory.
+TEST_CASE(
+    "a response whose length exceeds the buffer is given up at its head") {
+  for (const char* length : {"8388609", "9999999999999999", "99999999999"}) {
+    exchange_fixture f;
+    f.SendRequest("/once/x");
+    f.target_channel().Receive(
+        "HTTP/1.1 200 OK\r\nId: r\r\nSigned: 1\r\nContent-Length: " +
+        std::string(length) + "\r\n\r\nx");
+    CHECK(f.response().starts_with("HTTP/1.1 502"));
+    CHECK(f.target_channel().aborted);
+  }
+}
--- a/src/gateway/tests/run_move_test.cc
+++ b/src/gateway/tests/run_move_test.cc
@@ -189,3 +189,27 @@
   REQUIRE(f.connector.channels.size() == channels + 1);
   CHECK(f.target_channel().written.starts_with("POST /move/"));
 }
+
+// Guards against instances that run out of memory since an engine in trouble
+// answers the requests that move its runs with bytes without end.
+TEST_CASE("a response without end to a copy request is given up early") {
+  for (const std::string& framing :
+       {std::string(), std::string("Transfer-Encoding: chunked\r\n"),
+        std::string("Content-Length: 99999999999\r\n")}) {
+    running_stream f;
+    f.RemoveSource();
+    INFO(framing);
+    f.target_channel(1).Receive("HTTP/1.1 200 OK\r\n" + framing + "\r\n");
+    const std::string bytes(4096, '?');
+    std::size_t received = 0;
+    while (f.target_channel(1).open() && received < 1'000'000) {
+      f.target_channel(1).Receive(
+          framing.starts_with("Transfer") ? EncodeChunk(bytes) : bytes);
+      received += bytes.size();
+    }
+    CHECK(received <= 16'384);
+    // The run goes on where it is.
+    f.target_channel(0).Receive(f.Event(3) + std::string(LastChunk()));
+    CHECK(f.response().ends_with("0\r\n\r\n"));
+  }
+}
--- a/src/peers/internal/watch_tree_reader.cc
+++ b/src/peers/internal/watch_tree_reader.cc
@@ -20,6 +20,10 @@
 constexpr milliseconds kResponseTimeout{400};
 constexpr milliseconds kMaxChannelIdle{10'000};
 
+// A page of a mirror holds all keys below a prefix: one value of up to 1 MiB,
+// as base64, and some thousand entries of a few hundred bytes.
+constexpr std::size_t kMaxMirrorPageBytes = 8'388'608;
+
 // Longest wait for a parent that has just started and has no content itself.
 // Instances that start at the same time pass the content on in the tree, so
 // that they do not all read it from the store.
@@ -164,7 +168,8 @@
           parent.address, "/range",
           {{"prefix", prefix},
            {"wait_ms", std::to_string(kMaxFirstCopyWait.count())}}),
-      {kConnectTimeout, kMaxFirstCopyWait + kResponseTimeout, kMaxChannelIdle},
+      {kConnectTimeout, kMaxFirstCopyWait + kResponseTimeout, kMaxChannelIdle,
+       kMaxMirrorPageBytes},
       [this, name = parent.name, patience = source.patience, prefix,
        done = std::move(done)](std::optional<buffered_response> response) {
         range_result result = response ? DecodeRangePage(response->body)
@@ -228,7 +233,8 @@
                            {"wait_ms", std::to_string(parent_wait.count())}});
   buffered_call::Start(
       caller_, scheduler_, parent.address, request,
-      {kConnectTimeout, parent_wait + kResponseTimeout, kMaxChannelIdle},
+      {kConnectTimeout, parent_wait + kResponseTimeout, kMaxChannelIdle,
+       kMaxMirrorPageBytes},
       [this, name = parent.name, patience = source.patience,
        call =
            std::move(call)](std::optional<buffered_response> response) mutable {
