Give up responses when all of them exceed a share of the memory limit

A given-up response ends like a broken one: an idempotent request is tried elsewhere, the target's health hears of it. A collected body reserves no more than its stated length or twice what has arrived.

Log event response_given_up, metric wist_gateway_responses_given_up_total.

--- a/src/gateway/gateway_types.h
+++ b/src/gateway/gateway_types.h
@@ -129,6 +129,8 @@
   double retry_slack = 0;
   milliseconds retry_window{10'000};
   std::size_t max_connections = 3000;
+  // Memory beyond which the platform ends this process.
+  std::size_t memory_limit_bytes = 64'000'000;
   // Bandwidth of this instance's network link, in Mbit/s.
   std::int64_t link_mbps = 0;
   // Whether no instance of the system has run before.
--- a/src/gateway/internal/caller_connection.cc
+++ b/src/gateway/internal/caller_connection.cc
@@ -116,13 +116,8 @@
   exchange_.reset();
   if (!channel_)
     return;
-  if (aborted_) {
-    std::exchange(channel_, nullptr)->Abort();
-    timer_.reset();
-    if (on_end_)
-      std::exchange(on_end_, nullptr)(this);
-    return;
-  }
+  if (aborted_)
+    return AbortChannel();
   if (!KeepsConnection())
     return CloseChannel();
   // The next request starts from the event loop: a direct call would recurse
@@ -171,6 +166,13 @@
   CloseChannel();
 }
 
+void caller_connection::AbortChannel() {
+  timer_.reset();
+  std::exchange(channel_, nullptr)->Abort();
+  if (on_end_)
+    std::exchange(on_end_, nullptr)(this);
+}
+
 void caller_connection::CloseChannel() {
   timer_.reset();
   std::exchange(channel_, nullptr)->Close();
@@ -183,8 +185,15 @@
 }
 
 void caller_connection::Send(std::string bytes) {
-  if (channel_)
-    channel_->Write(std::move(bytes));
+  if (!channel_)
+    return;
+  channel_->Write(std::move(bytes));
+  if (channel_->UnsentBytes() == 0)
+    return;
+  services_.buffers.AddUnsent(channel_, [weak = weak_from_this()] {
+    if (const auto self = weak.lock())
+      self->DisconnectSlowCaller();
+  });
 }
 
 void caller_connection::StartStream(std::string head) {
@@ -195,12 +204,20 @@
   Send(std::move(bytes));
   if (!channel_ || channel_->UnsentBytes() <= kMaxUnsentBytes)
     return;
+  DisconnectSlowCaller();
+}
+
+void caller_connection::DisconnectSlowCaller() {
+  if (!channel_)
+    return;
+  const auto self = shared_from_this();
   services_.logger.Write(
       log_level::warning, "slow_caller",
       {{"unsent_bytes", static_cast<std::int64_t>(channel_->UnsentBytes())}});
   aborted_ = true;
   if (const auto current = exchange_)
-    current->OnCallerGone();
+    return current->OnCallerGone();
+  AbortChannel();
 }
 
 void caller_connection::FinishStream(std::string bytes) {
--- a/src/gateway/internal/caller_connection.h
+++ b/src/gateway/internal/caller_connection.h
@@ -55,6 +55,8 @@
   void ArmTimer();
   void OnTimer();
   void CloseChannel();
+  void AbortChannel();
+  void DisconnectSlowCaller();
   caller_limits Limits() const;
 
   gateway_services& services_;
--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -1,6 +1,7 @@
 #include "gateway/internal/exchange.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace wist {
 namespace {
@@ -61,6 +62,24 @@
                                       : kMaxBufferedResponseBytes;
 }
 
+// Appends `bytes` to `body` without reserving more than the stated length, or
+// twice what has arrived.
+void AppendToBody(std::string_view bytes,
+                  const http_response_head& head,
+                  std::string& body) {
+  const std::size_t size = body.size() + bytes.size();
+  if (size > body.capacity()) {
+    std::size_t capacity = std::max(size, 2 * body.capacity());
+    const std::string_view length = head.Header("Content-Length");
+    std::size_t stated = 0;
+    std::from_chars(length.data(), length.data() + length.size(), stated);
+    if (stated >= size)
+      capacity = std::min(capacity, stated);
+    body.reserve(capacity);
+  }
+  body += bytes;
+}
+
 }  // namespace
 
 exchange::exchange(gateway_services& services,
@@ -219,8 +238,9 @@
       attempt_->classification.kind == response_kind::success &&
       attempt_->classification.is_event_stream;
   if (!is_stream) {
-    attempt_->body += bytes;
-    if (attempt_->body.size() <= kMaxBufferedResponseBytes)
+    AppendToBody(bytes, attempt_->head, attempt_->body);
+    if (!HoldBytes(attempt_->body.capacity()) ||
+        attempt_->body.size() <= kMaxBufferedResponseBytes)
       return;
     attempt_->call->Cancel();
     return OnFailure(run_end::broken);
@@ -230,6 +250,8 @@
     attempt_->call->Cancel();
     return OnFailure(run_end::broken);
   }
+  if (!HoldBytes(splitter_.partial_bytes()))
+    return;
   if (events.empty())
     return;
   services_.selector.OnFirstOutput(attempt_->run, services_.scheduler.Now());
@@ -250,6 +272,28 @@
     response_writer_->AppendToStream(EncodeChunk(events));
 }
 
+// Returns false if the response was given up, which has ended the attempt.
+bool exchange::HoldBytes(std::size_t bytes) {
+  if (!attempt_->buffer) {
+    if (bytes == 0)
+      return true;
+    attempt_->buffer = services_.buffers.AddGrowing(
+        attempt_->target.id.text(),
+        [weak = weak_from_this(), run = attempt_->run] {
+          const auto self = weak.lock();
+          if (self && self->attempt_ && self->attempt_->run == run)
+            self->OnResponseGivenUp();
+        });
+  }
+  return attempt_->buffer->SetBytes(bytes);
+}
+
+// The instance holds more than it has memory for.
+void exchange::OnResponseGivenUp() {
+  attempt_->call->Cancel();
+  OnFailure(run_end::broken);
+}
+
 void exchange::RecordEventTimes() {
   const timestamp now = services_.scheduler.Now();
   if (!first_event_at_)
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -23,6 +23,8 @@
   response_classification classification;
   http_response_head head;
   std::string body;
+  // Memory of `body` or of an incomplete event. Null until there is any.
+  std::unique_ptr<response_buffer> buffer;
   // Target that holds a backup copy of the run's KV cache.
   std::optional<target_entry> backup_target;
   run_number backup_run = 0;
@@ -74,6 +76,8 @@
 
   void OnHead(const http_response_head& head);
   void OnBody(std::string bytes);
+  bool HoldBytes(std::size_t bytes);
+  void OnResponseGivenUp();
   void RecordEventTimes();
   void RecordOutput();
   void OnCallEnd(call_outcome outcome);
--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -101,6 +101,16 @@
                      dependencies.loop,
                      dependencies.logger,
                      [this] { return load_exchange_.neighbors().IsRoot(); }) {
+    services_.buffers.SetObserver([this](const std::string& source,
+                                         std::size_t bytes,
+                                         std::size_t total_bytes) {
+      metrics_.OnResponseGivenUp();
+      dependencies_.logger.Write(
+          log_level::warning, "response_given_up",
+          {{"source", source},
+           {"bytes", static_cast<std::int64_t>(bytes)},
+           {"total_bytes", static_cast<std::int64_t>(total_bytes)}});
+    });
     services_.on_load_change = [this] { load_exchange_.ScheduleReport(); };
     services_.on_run_broken = [this](const run_fingerprint& run,
                                      std::int64_t event_count,
@@ -215,6 +225,9 @@
       return;
     settings_.key_validity = changed->key_validity;
     settings_.stop_limit = changed->stop_limit;
+    settings_.memory_limit_bytes = changed->memory_limit_bytes;
+    services_.buffers.SetLimit(settings_.memory_limit_bytes /
+                               kResponseMemoryDivisor);
     settings_.retry_ratio = changed->retry_ratio;
     settings_.retry_slack = changed->retry_slack;
     settings_.retry_window = changed->retry_window;
@@ -309,6 +322,7 @@
     selector_.PruneRemovedTargets();
     services_.crashes.Expire(now);
     quarantines_.Check();
+    services_.buffers.RemoveSentChannels();
     if (now >= reload_due_) {
       reload_due_ = now + kReloadInterval;
       Reload();
--- a/src/gateway/internal/gateway_metrics.cc
+++ b/src/gateway/internal/gateway_metrics.cc
@@ -28,6 +28,12 @@
                  .Name("wist_gateway_moves_total")
                  .Help("Runs moved to another target, by outcome")
                  .Register(*registry_)),
+      given_up_responses_(
+          prometheus::BuildCounter()
+              .Name("wist_gateway_responses_given_up_total")
+              .Help(
+                  "Responses given up since this instance held too many bytes")
+              .Register(*registry_)),
       store_calls_(prometheus::BuildCounter()
                        .Name("wist_gateway_store_calls_total")
                        .Help("Calls to the platform's store, by cause; losses "
@@ -65,6 +71,10 @@
   moves_.Add({{"outcome", outcome}}).Increment();
 }
 
+void gateway_metrics::OnResponseGivenUp() {
+  given_up_responses_.Add({}).Increment();
+}
+
 void gateway_metrics::OnStoreCall(const std::string& cause) {
   store_calls_.Add({{"cause", cause}}).Increment();
 }
--- a/src/gateway/internal/gateway_metrics.h
+++ b/src/gateway/internal/gateway_metrics.h
@@ -24,6 +24,7 @@
                     microseconds duration);
   void OnFirstByte(const std::string& kind, microseconds duration);
   void OnMove(const std::string& outcome);
+  void OnResponseGivenUp();
   void OnStoreCall(const std::string& cause);
   void OnStoreLost();
   void SetConfigurationAge(double seconds);
@@ -36,6 +37,7 @@
   const std::shared_ptr<prometheus::Registry> registry_;
   prometheus::Family<prometheus::Counter>& requests_;
   prometheus::Family<prometheus::Counter>& moves_;
+  prometheus::Family<prometheus::Counter>& given_up_responses_;
   prometheus::Family<prometheus::Counter>& store_calls_;
   prometheus::Family<prometheus::Histogram>& first_byte_time_;
   prometheus::Family<prometheus::Histogram>& response_time_;
--- a/src/gateway/internal/gateway_services.h
+++ b/src/gateway/internal/gateway_services.h
@@ -12,6 +12,7 @@
 #include "framework/net/i_scheduler.h"
 #include "gateway/i_dialect.h"
 #include "gateway/internal/gateway_metrics.h"
+#include "gateway/internal/response_buffers.h"
 #include "limits/crash_ledger.h"
 #include "limits/window_retry_budget.h"
 #include "routing/configuration_tracker.h"
@@ -23,6 +24,11 @@
 // instance's share of a shared budget small.
 inline constexpr std::size_t kAssumedInstanceCount = 16;
 
+// The responses that an instance holds may take its memory limit divided by
+// this number. The rest is left for its other state and for copies of responses
+// while they are encoded.
+inline constexpr std::size_t kResponseMemoryDivisor = 4;
+
 // State and dependencies shared by all exchanges of one gateway.
 struct gateway_services {
   const gateway_settings& settings;
@@ -54,6 +60,8 @@
           [](const quarantine&, const std::function<void(bool)>&) {
             return false;
           };
+  response_buffers buffers{settings.memory_limit_bytes /
+                           kResponseMemoryDivisor};
   // Set by a graceful stop: new requests are refused after `accept_deadline`,
   // and requests in progress are aborted at `stop_deadline`.
   std::optional<timestamp> accept_deadline;
--- a/src/streams/event_splitter.h
+++ b/src/streams/event_splitter.h
@@ -1,6 +1,7 @@
 #ifndef STREAMS_EVENT_SPLITTER_H_
 #define STREAMS_EVENT_SPLITTER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -19,6 +20,8 @@
   void DropPartial() { partial_.clear(); }
   bool HasPartial() const { return !partial_.empty(); }
 
+  std::size_t partial_bytes() const { return partial_.size(); }
+
   // Whether the incomplete event is larger than any event may be, so that the
   // stream is to be given up.
   bool IsTooLong() const;
