End one connection, not the process, when a handler throws

Change: the event loop runs each handler (bytes and ends of channels, accepts, datagrams, timers, signals) under a guard. An exception is reported (log event handler_failed with the peer's address, metric wist_gateway_handler_failures_total) and resets the channel that it belongs to, so that the call or request on it ends as broken and the target's health hears of it. A buffered call whose handler throws on a response is told that there is none, so that readers of the store go on; an exchange whose response cannot be processed is answered 502. Periodic tasks are scheduled before they run. Without a reporter (tests, stand-ins) exceptions leave Run as before.

Tests: net tcp_channel, 'an exception ends the channel whose bytes caused it and no other', and two more; net buffered_call, 'a handler that fails on a response is told that there is none'; gateway exchange, 'a response that cannot be processed ends its request only'.

--- a/src/framework/net/buffered_call.h
+++ b/src/framework/net/buffered_call.h
@@ -32,7 +32,8 @@
 // An HTTP call that collects the whole response and has a time limit.
 class buffered_call : public std::enable_shared_from_this<buffered_call> {
  public:
-  // Called with nullopt if no complete response within the limits arrived.
+  // Called with nullopt if no complete response within the limits arrived, and
+  // again with nullopt if it has thrown std::exception on a response.
   using done_handler = std::function<void(std::optional<buffered_response>)>;
 
   // `request` is the encoded request. `on_done` does not run before this method
--- a/src/framework/net/i_event_loop.h
+++ b/src/framework/net/i_event_loop.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 #include <string_view>
 
 #include "framework/base/i_clock.h"
@@ -15,6 +16,11 @@
 using datagram_handler =
     std::function<void(std::string_view bytes, const http_address& from)>;
 
+// Receives what the event belonged to (the address of a peer, or its kind) and
+// the cause, when an exception has left the handler of an event.
+using handler_error_reporter =
+    std::function<void(const std::string& subject, const std::string& cause)>;
+
 // Single-threaded event loop for sockets, signals and timers.
 class i_event_loop : public i_scheduler, public i_connector {
  public:
@@ -30,6 +36,10 @@
   // was blocked is handled as well.
   virtual void AddSignalHandler(int signal, std::function<void()> handler) = 0;
 
+  // From now on, an exception that leaves a handler is reported and ends only
+  // the channel that the event belongs to. Without a reporter, Run throws it.
+  virtual void SetErrorReporter(handler_error_reporter reporter) = 0;
+
   // Runs until Stop is called.
   virtual void Run() = 0;
   virtual void Stop() = 0;
--- a/src/framework/net/internal/asio_event_loop.cc
+++ b/src/framework/net/internal/asio_event_loop.cc
@@ -8,6 +8,7 @@
 #include <optional>
 
 #include "framework/net/i_event_loop.h"
+#include "framework/net/internal/handler_guard.h"
 #include "framework/net/internal/tcp_channel.h"
 
 namespace wist {
@@ -29,10 +30,12 @@
   asio_timer(asio::io_context& context,
              std::shared_ptr<const i_clock> clock,
              timestamp deadline,
+             std::shared_ptr<const handler_guard> guard,
              std::function<void()> task)
       : state_(std::make_shared<shared_state>(context,
                                               std::move(clock),
                                               deadline,
+                                              std::move(guard),
                                               std::move(task))) {
     Arm(state_);
   }
@@ -47,15 +50,18 @@
     shared_state(asio::io_context& context,
                  std::shared_ptr<const i_clock> clock_source,
                  timestamp fire_deadline,
+                 std::shared_ptr<const handler_guard> handlers,
                  std::function<void()> scheduled_task)
         : timer(context),
           clock(std::move(clock_source)),
           deadline(fire_deadline),
+          guard(std::move(handlers)),
           task(std::move(scheduled_task)) {}
 
     asio::steady_timer timer;
     std::shared_ptr<const i_clock> clock;
     timestamp deadline;
+    std::shared_ptr<const handler_guard> guard;
     std::function<void()> task;
   };
 
@@ -68,7 +74,7 @@
         return Arm(state);
       const auto task = std::move(state->task);
       state->task = nullptr;
-      task();
+      state->guard->Run([] { return "timer"; }, task);
     });
   }
 
@@ -96,8 +102,10 @@
  public:
   asio_datagram_port(asio::io_context& context,
                      const http_address& address,
+                     std::shared_ptr<const handler_guard> guard,
                      datagram_handler handler)
       : socket_(context, ToEndpoint<udp::endpoint>(address)),
+        guard_(std::move(guard)),
         handler_(std::move(handler)) {
     socket_.non_blocking(true);
     buffer_.resize(kMaxDatagramBytes);
@@ -121,14 +129,18 @@
           if (error == asio::error::operation_aborted)
             return;
           if (!error) {
-            handler_({buffer_.data(), size},
-                     {from_.address().to_string(), from_.port()});
+            const http_address from{from_.address().to_string(), from_.port()};
+            guard_->Run([&] { return "datagram of " + from.host; },
+                        [&] {
+                          handler_({buffer_.data(), size}, from);
+                        });
           }
           Receive();
         });
   }
 
   udp::socket socket_;
+  const std::shared_ptr<const handler_guard> guard_;
   datagram_handler handler_;
   std::string buffer_;
   udp::endpoint from_;
@@ -143,14 +155,14 @@
 
   std::unique_ptr<i_timer> RunAt(timestamp deadline,
                                  std::function<void()> task) override {
-    return std::make_unique<asio_timer>(context_, clock_, deadline,
+    return std::make_unique<asio_timer>(context_, clock_, deadline, guard_,
                                         std::move(task));
   }
 
   std::shared_ptr<i_channel> Connect(const http_address& address,
                                      timestamp deadline,
                                      channel_callbacks callbacks) override {
-    auto channel = std::make_shared<tcp_channel>(tcp::socket(context_));
+    auto channel = std::make_shared<tcp_channel>(tcp::socket(context_), guard_);
     channel->Connect(TryToEndpoint<tcp::endpoint>(address), deadline - Now(),
                      std::move(callbacks));
     return channel;
@@ -165,7 +177,7 @@
   std::unique_ptr<i_datagram_port> OpenDatagramPort(
       const http_address& address,
       datagram_handler handler) override {
-    return std::make_unique<asio_datagram_port>(context_, address,
+    return std::make_unique<asio_datagram_port>(context_, address, guard_,
                                                 std::move(handler));
   }
 
@@ -178,6 +190,10 @@
     pthread_sigmask(SIG_UNBLOCK, &held_back, nullptr);
   }
 
+  void SetErrorReporter(handler_error_reporter reporter) override {
+    guard_->SetReporter(std::move(reporter));
+  }
+
   void Run() override { context_.run(); }
   void Stop() override { context_.stop(); }
 
@@ -205,9 +221,11 @@
                       [this, &tcp_listener] { Accept(tcp_listener); });
             return;
           }
-          auto channel = std::make_shared<tcp_channel>(std::move(socket));
+          auto channel =
+              std::make_shared<tcp_channel>(std::move(socket), guard_);
           channel->OpenAccepted();
-          tcp_listener.handler(std::move(channel));
+          guard_->Run([&] { return channel->PeerName(); },
+                      [&] { tcp_listener.handler(channel); });
           Accept(tcp_listener);
         });
   }
@@ -217,12 +235,14 @@
                        const boost::system::error_code& error, int) {
       if (error)
         return;
-      handler();
+      guard_->Run([] { return "signal"; }, handler);
       WaitForSignal(set, handler);
     });
   }
 
   const std::shared_ptr<const i_clock> clock_;
+  const std::shared_ptr<handler_guard> guard_ =
+      std::make_shared<handler_guard>();
   asio::io_context context_;
   std::list<listener> listeners_;
   std::list<asio::signal_set> signals_;
--- a/src/framework/net/internal/buffered_call.cc
+++ b/src/framework/net/internal/buffered_call.cc
@@ -1,5 +1,6 @@
 #include "framework/net/buffered_call.h"
 
+#include <exception>
 #include <utility>
 
 namespace wist {
@@ -49,8 +50,18 @@
 void buffered_call::Finish(std::optional<buffered_response> response) {
   timer_.reset();
   const auto on_done = std::exchange(on_done_, nullptr);
-  if (on_done)
+  if (!on_done)
+    return;
+  if (!response)
+    return on_done(std::nullopt);
+  // Without an outcome, the handler would wait for ever and no longer follow
+  // what it reads.
+  try {
     on_done(std::move(response));
+  } catch (const std::exception&) {
+    on_done(std::nullopt);
+    throw;
+  }
 }
 
 }  // namespace wist
--- a/src/framework/net/internal/tcp_channel.cc
+++ b/src/framework/net/internal/tcp_channel.cc
@@ -39,8 +39,19 @@
 
 }  // namespace
 
-tcp_channel::tcp_channel(tcp::socket socket)
-    : socket_(std::move(socket)), timer_(socket_.get_executor()) {}
+tcp_channel::tcp_channel(tcp::socket socket,
+                         std::shared_ptr<const handler_guard> guard)
+    : socket_(std::move(socket)),
+      timer_(socket_.get_executor()),
+      guard_(std::move(guard)) {}
+
+std::string tcp_channel::PeerName() const {
+  boost::system::error_code error;
+  const auto endpoint = socket_.remote_endpoint(error);
+  if (error)
+    return "closed channel";
+  return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
 
 void tcp_channel::SetOptions() {
   const int handle = socket_.native_handle();
@@ -130,7 +141,11 @@
   if (state_ == state::open && callbacks_.on_data) {
     // Called through a copy, since the callback may replace the callbacks.
     const auto on_data = callbacks_.on_data;
-    on_data({read_buffer.data(), size});
+    if (!guard_->Run([this] { return PeerName(); },
+                     [&] {
+                       on_data({read_buffer.data(), size});
+                     }))
+      return End(channel_end::reset);
   }
   if (state_ != state::ended)
     Read();
@@ -240,7 +255,7 @@
   callbacks_ = {};
   CloseSocket();
   if (on_end)
-    on_end(end);
+    guard_->Run([this] { return PeerName(); }, [&] { on_end(end); });
 }
 
 void tcp_channel::CloseSocket() {
--- a/src/framework/net/internal/tcp_channel.h
+++ b/src/framework/net/internal/tcp_channel.h
@@ -8,6 +8,7 @@
 #include <optional>
 
 #include "framework/net/i_channel.h"
+#include "framework/net/internal/handler_guard.h"
 
 namespace wist {
 
@@ -15,7 +16,8 @@
 class tcp_channel final : public i_channel,
                           public std::enable_shared_from_this<tcp_channel> {
  public:
-  explicit tcp_channel(boost::asio::ip::tcp::socket socket);
+  tcp_channel(boost::asio::ip::tcp::socket socket,
+              std::shared_ptr<const handler_guard> guard);
 
   // Starts connecting. Without an endpoint, the channel ends with
   // `connect_failed`.
@@ -26,6 +28,9 @@
   // Marks the channel of an accepted socket as open.
   void OpenAccepted();
 
+  // Address of the remote end, for error reports.
+  std::string PeerName() const;
+
   // i_channel:
   void SetCallbacks(channel_callbacks callbacks) override;
   void Write(std::string bytes) override;
@@ -49,6 +54,7 @@
 
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer timer_;
+  const std::shared_ptr<const handler_guard> guard_;
   channel_callbacks callbacks_;
   state state_ = state::connecting;
   bool reading_ = false;
--- a/src/framework/net/tests/tcp_channel_test.cc
+++ b/src/framework/net/tests/tcp_channel_test.cc
@@ -3,7 +3,10 @@
 #include <signal.h>
 #include <unistd.h>
 
+#include <new>
 #include <optional>
+#include <stdexcept>
+#include <vector>
 
 #include "framework/base/system_clock.h"
 #include "framework/net/i_event_loop.h"
@@ -132,3 +135,67 @@
   loop->Run();
   CHECK(handled == 1);
 }
+
+// Guards against a process that ends, with the requests of all its callers,
+// since the bytes of one peer cannot be processed.
+TEST_CASE("an exception ends the channel whose bytes caused it and no other") {
+  const auto loop = MakeEventLoop(MakeSystemClock());
+  std::vector<std::string> causes;
+  loop->SetErrorReporter(
+      [&](const std::string& subject, const std::string& cause) {
+        CHECK(subject.starts_with("127.0.0.1:"));
+        causes.push_back(cause);
+      });
+  const auto hang_timer =
+      loop->RunAt(loop->Now() + kHangLimit, [&] { loop->Stop(); });
+  std::vector<std::shared_ptr<i_channel>> accepted;
+  std::vector<channel_end> ends;
+  loop->Listen({"127.0.0.1", kPort}, [&](std::shared_ptr<i_channel> channel) {
+    accepted.push_back(channel);
+    channel->SetCallbacks({[channel](std::string_view bytes) {
+                             if (bytes == "bad")
+                               throw std::bad_alloc();
+                             channel->Write("good");
+                           },
+                           [&](channel_end end) { ends.push_back(end); }});
+  });
+  std::string response;
+  std::shared_ptr<i_channel> sound;
+  const auto faulty = loop->Connect(
+      {"127.0.0.1", kPort}, loop->Now() + kHangLimit,
+      {[](std::string_view) {},
+       [&](channel_end) {
+         sound = loop->Connect({"127.0.0.1", kPort}, loop->Now() + kHangLimit,
+                               {[&](std::string_view bytes) {
+                                  response += bytes;
+                                  loop->Stop();
+                                },
+                                nullptr});
+         sound->Write("fine");
+       }});
+  faulty->Write("bad");
+  loop->Run();
+  CHECK(response == "good");
+  CHECK(ends == std::vector{channel_end::reset});
+  CHECK(causes == std::vector<std::string>{std::bad_alloc().what()});
+}
+
+TEST_CASE("an exception in a timer's task does not end the loop") {
+  const auto loop = MakeEventLoop(MakeSystemClock());
+  int reports = 0;
+  loop->SetErrorReporter(
+      [&](const std::string&, const std::string&) { ++reports; });
+  const auto failing =
+      loop->RunAt(loop->Now(), [] { throw std::length_error("too long"); });
+  const auto last =
+      loop->RunAt(loop->Now() + milliseconds(20), [&] { loop->Stop(); });
+  loop->Run();
+  CHECK(reports == 1);
+}
+
+TEST_CASE("without a reporter an exception leaves the loop") {
+  const auto loop = MakeEventLoop(MakeSystemClock());
+  const auto failing =
+      loop->RunAt(loop->Now(), [] { throw std::length_error("too long"); });
+  CHECK_THROWS_AS(loop->Run(), std::length_error);
+}
--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <exception>
 
 namespace wist {
 namespace {
@@ -204,8 +205,14 @@
       self->OnBody(std::move(bytes));
   };
   callbacks.on_done = [self, is_current](call_outcome outcome) {
-    if (is_current())
+    if (!is_current())
+      return;
+    try {
       self->OnCallEnd(outcome);
+    } catch (const std::exception&) {
+      self->OnInternalError();
+      throw;
+    }
   };
   const bool is_idempotent = Route().kind == call_kind::idempotent;
   attempt_->call = services_.caller.Call(
@@ -220,6 +227,17 @@
       [self = shared_from_this()] { self->OnSlowAttempt(); });
 }
 
+// A response could not be processed. Only this request ends.
+void exchange::OnInternalError() {
+  if (finished_)
+    return;
+  if (attempt_ && attempt_->call)
+    attempt_->call->Cancel();
+  EndAttempt(run_end::broken);
+  may_have_run_ = true;
+  Refuse(error_code::internal, run_verdict::may_have_run);
+}
+
 bool exchange::MayRetry() const {
   return Route().kind == call_kind::idempotent &&
          run_count_ + 1 < Route().max_attempts &&
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -87,6 +87,7 @@
   void OnRejected(bool reached_target);
   void OnFailure(run_end end);
   void AbortStream(const std::string& reason);
+  void OnInternalError();
   void OnSlowAttempt();
   void OnDeadline();
   void EndAttempt(run_end end);
--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -111,6 +111,12 @@
            {"bytes", static_cast<std::int64_t>(bytes)},
            {"total_bytes", static_cast<std::int64_t>(total_bytes)}});
     });
+    dependencies.loop.SetErrorReporter(
+        [this](const std::string& subject, const std::string& cause) {
+          metrics_.OnHandlerFailure();
+          dependencies_.logger.Write(log_level::error, "handler_failed",
+                                     {{"peer", subject}, {"cause", cause}});
+        });
     services_.on_load_change = [this] { load_exchange_.ScheduleReport(); };
     services_.on_run_broken = [this](const run_fingerprint& run,
                                      std::int64_t event_count,
@@ -310,14 +316,18 @@
         });
   }
 
+  // Periodic tasks are scheduled before they run, so that an exception does not
+  // end them.
   void FlushLog() {
-    dependencies_.logger.Flush();
     flush_timer_ = dependencies_.loop.RunAt(
         dependencies_.loop.Now() + kLogFlushInterval, [this] { FlushLog(); });
+    dependencies_.logger.Flush();
   }
 
   void RunPeriodicChecks() {
     const timestamp now = dependencies_.loop.Now();
+    check_timer_ = dependencies_.loop.RunAt(now + kCheckInterval,
+                                            [this] { RunPeriodicChecks(); });
     directory_.Expire(now);
     selector_.PruneRemovedTargets();
     services_.crashes.Expire(now);
@@ -343,8 +353,6 @@
            {"configuration", latest_configuration_.version()},
            {"configuration_age_ms", age ? ToMilliseconds(*age) : -1.0}});
     }
-    check_timer_ = dependencies_.loop.RunAt(now + kCheckInterval,
-                                            [this] { RunPeriodicChecks(); });
   }
 
   // Requests on existing connections would be refused here. Callers that have
--- a/src/gateway/internal/gateway_metrics.cc
+++ b/src/gateway/internal/gateway_metrics.cc
@@ -34,6 +34,11 @@
               .Help(
                   "Responses given up since this instance held too many bytes")
               .Register(*registry_)),
+      handler_failures_(
+          prometheus::BuildCounter()
+              .Name("wist_gateway_handler_failures_total")
+              .Help("Connections, calls or timers that an exception has ended")
+              .Register(*registry_)),
       store_calls_(prometheus::BuildCounter()
                        .Name("wist_gateway_store_calls_total")
                        .Help("Calls to the platform's store, by cause; losses "
@@ -75,6 +80,10 @@
   given_up_responses_.Add({}).Increment();
 }
 
+void gateway_metrics::OnHandlerFailure() {
+  handler_failures_.Add({}).Increment();
+}
+
 void gateway_metrics::OnStoreCall(const std::string& cause) {
   store_calls_.Add({{"cause", cause}}).Increment();
 }
--- a/src/gateway/internal/gateway_metrics.h
+++ b/src/gateway/internal/gateway_metrics.h
@@ -25,6 +25,7 @@
   void OnFirstByte(const std::string& kind, microseconds duration);
   void OnMove(const std::string& outcome);
   void OnResponseGivenUp();
+  void OnHandlerFailure();
   void OnStoreCall(const std::string& cause);
   void OnStoreLost();
   void SetConfigurationAge(double seconds);
@@ -38,6 +39,7 @@
   prometheus::Family<prometheus::Counter>& requests_;
   prometheus::Family<prometheus::Counter>& moves_;
   prometheus::Family<prometheus::Counter>& given_up_responses_;
+  prometheus::Family<prometheus::Counter>& handler_failures_;
   prometheus::Family<prometheus::Counter>& store_calls_;
   prometheus::Family<prometheus::Histogram>& first_byte_time_;
   prometheus::Family<prometheus::Histogram>& response_time_;
--- a/src/gateway/tests/exchange_test.cc
+++ b/src/gateway/tests/exchange_test.cc
@@ -477,3 +477,17 @@
     CHECK(f.target_channel().aborted);
   }
 }
+
+// Guards against an exception that leaves a request without an end.
+TEST_CASE("a response that cannot be processed ends its request only") {
+  exchange_fixture f;
+  f.SendRequest("/once/x");
+  CHECK_THROWS_AS(f.target_channel().Receive(f.Response(
+                      "200 OK", "done", "Signed: 1\r\nThrows: 1\r\n")),
+                  std::bad_alloc);
+  CHECK(f.response().starts_with("HTTP/1.1 502"));
+  f.scheduler.Advance(milliseconds(1));
+  f.SendRequest("/once/x");
+  f.target_channel().Receive(f.Response("200 OK", "done"));
+  CHECK(f.response().ends_with("\r\n\r\ndone"));
+}
--- a/src/gateway/tests/mocks/plain_dialect.h
+++ b/src/gateway/tests/mocks/plain_dialect.h
@@ -1,6 +1,7 @@
 #ifndef GATEWAY_TESTS_MOCKS_PLAIN_DIALECT_H_
 #define GATEWAY_TESTS_MOCKS_PLAIN_DIALECT_H_
 
+#include <new>
 #include <sstream>
 #include <string>
 
@@ -92,6 +93,8 @@
 
   std::vector<http_header> CallerHeaders(
       const http_response_head& head) const override {
+    if (!head.Header("Throws").empty())
+      throw std::bad_alloc();
     return {{"Id", std::string(head.Header("Id"))}};
   }
 
--- a/src/peers/internal/load_exchange.cc
+++ b/src/peers/internal/load_exchange.cc
@@ -73,14 +73,15 @@
 
 void load_exchange::Check() {
   const timestamp now = scheduler_.Now();
+  // Scheduled first, so that an exception does not end the checks.
+  check_timer_ =
+      scheduler_.RunAt(now + settings_.check_interval, [this] { Check(); });
   neighbors_.Check(now);
   table_.Expire(now);
   notices_.Expire(now);
   HandleDropped();
   ForgetFormerNeighbors();
   SendReports(/*keepalives_due=*/true);
-  check_timer_ =
-      scheduler_.RunAt(now + settings_.check_interval, [this] { Check(); });
 }
 
 void load_exchange::HandleDropped() {
