--- a/scenarios/runner.cc
+++ b/scenarios/runner.cc
@@ -157,6 +157,25 @@
   });
 }
 
+// peak_memory_mb(name): the largest resident memory of a running process so far
+int PeakMemory(lua_State* lua) {
+  return WithLuaErrors(lua, [&] {
+    const pid_t process =
+        ScriptState(lua).processes.ProcessId(CheckText(lua, 1));
+    std::ifstream status("/proc/" + std::to_string(process) + "/status");
+    constexpr std::string_view kField = "VmHWM:";
+    for (std::string line; std::getline(status, line);) {
+      if (!line.starts_with(kField))
+        continue;
+      constexpr double kMegabytesPerKibibyte = 1024 / 1e6;
+      lua_pushnumber(
+          lua, std::stod(line.substr(kField.size())) * kMegabytesPerKibibyte);
+      return 1;
+    }
+    return 0;
+  });
+}
+
 // http(port, method, path, body, headers): status and body, or nil if there is
 // no response
 int Http(lua_State* lua) {
@@ -289,6 +308,7 @@
   const luaL_Reg functions[] = {{"start", Start},
                                 {"signal", Signal},
                                 {"exit_code", ExitCode},
+                                {"peak_memory_mb", PeakMemory},
                                 {"http", Http},
                                 {"open_stream", OpenStream},
                                 {"resume_stream", ResumeStream},
