Answer the requests in progress before a stopped instance ends

Shown by the scenario stop_answers_requests: on 'expected an answer of status 502, got 0'.

Cause: at the stop limit the event loop was stopped, and what was in progress ended with the process.

--- a/src/gateway/internal/caller_connection.cc
+++ b/src/gateway/internal/caller_connection.cc
@@ -45,6 +45,12 @@
     CloseChannel();
 }
 
+void caller_connection::OnStopDeadline() {
+  const auto current = exchange_;
+  if (current)
+    current->OnStopDeadline();
+}
+
 void caller_connection::OnTargetLeaving(const target_id& target) {
   const auto current = exchange_;
   if (current)
--- a/src/gateway/internal/caller_connection.h
+++ b/src/gateway/internal/caller_connection.h
@@ -33,6 +33,9 @@
   // Whether a request is in progress.
   bool IsBusy() const { return exchange_ != nullptr; }
 
+  // The instance ends: a request in progress is answered as it stands.
+  void OnStopDeadline();
+
   void OnTargetLeaving(const target_id& target);
   void OnCrashesChanged();
 
--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -441,6 +441,16 @@
 }
 
 void exchange::OnDeadline() {
+  EndUnfinished(error_code::deadline_exceeded, "deadline");
+}
+
+void exchange::OnStopDeadline() {
+  EndUnfinished(error_code::stopping, "stopping");
+}
+
+// Answers a request for which there is no time left.
+void exchange::EndUnfinished(error_code code,
+                             const std::string& stream_reason) {
   if (finished_)
     return;
   const bool sent =
@@ -450,10 +460,9 @@
   if (attempt_)
     EndAttempt(run_end::timed_out);
   if (stream_started_)
-    return AbortStream("deadline");
-  Refuse(error_code::deadline_exceeded, sent || may_have_run_
-                                            ? run_verdict::may_have_run
-                                            : run_verdict::not_run);
+    return AbortStream(stream_reason);
+  Refuse(code, sent || may_have_run_ ? run_verdict::may_have_run
+                                     : run_verdict::not_run);
 }
 
 void exchange::EndAttempt(run_end end) {
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -50,6 +50,9 @@
   // The caller disconnected: cancels all work for the request.
   void OnCallerGone();
 
+  // This instance ends before the request can be completed.
+  void OnStopDeadline();
+
   // The target accepts no new work and will shut down soon.
   void OnTargetLeaving(const target_id& target);
 
@@ -90,6 +93,7 @@
   void OnInternalError();
   void OnSlowAttempt();
   void OnDeadline();
+  void EndUnfinished(error_code code, const std::string& stream_reason);
   void EndAttempt(run_end end);
 
   void StartMove();
--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -9,6 +9,7 @@
 #include "gateway/internal/crash_detector.h"
 #include "gateway/internal/quarantine_registry.h"
 #include "gateway/internal/status_listener.h"
+#include "gateway/internal/stop_schedule.h"
 #include "gateway/internal/store_view.h"
 #include "peers/load_exchange.h"
 #include "peers/mirror_server.h"
@@ -32,15 +33,8 @@
 // Interval of the log lines that count the calls to the store.
 constexpr milliseconds kStoreCallLogInterval{5000};
 
-// A stopping instance accepts requests for this long: the load balancer checks
-// readiness once a second and needs two failed checks to stop sending traffic.
-constexpr milliseconds kStopAcceptDuration{2600};
 constexpr milliseconds kStopCheckInterval{50};
 
-// The process exits this long before the stop limit, at which it would be
-// killed.
-constexpr milliseconds kStopMargin{150};
-
 class gateway final : public i_gateway {
  public:
   gateway(const gateway_settings& settings,
@@ -367,8 +361,9 @@
     if (services_.stop_deadline)
       return;
     const timestamp now = dependencies_.loop.Now();
-    services_.stop_deadline = now + settings_.stop_limit - kStopMargin;
-    services_.accept_deadline = now + kStopAcceptDuration;
+    stop_ = MakeStopSchedule(now, settings_.stop_limit);
+    services_.stop_deadline = stop_->answer_deadline;
+    services_.accept_deadline = stop_->accept_deadline;
     dependencies_.logger.Write(
         log_level::info, "stopping",
         {{"in_flight", static_cast<std::int64_t>(BusyConnections())}});
@@ -379,14 +374,26 @@
 
   void CheckStop() {
     const timestamp now = dependencies_.loop.Now();
-    const bool accepting = now < *services_.accept_deadline;
-    if (now >= *services_.stop_deadline ||
-        (!accepting && BusyConnections() == 0))
-      return dependencies_.loop.Stop();
-    if (!accepting)
-      CloseIdleConnections();
     stop_timer_ = dependencies_.loop.RunAt(now + kStopCheckInterval,
                                            [this] { CheckStop(); });
+    switch (NextStopStep(*stop_, now, BusyConnections())) {
+      case stop_step::accept:
+        return;
+      case stop_step::drain:
+        return CloseIdleConnections();
+      case stop_step::answer:
+        AnswerRequestsInProgress();
+        return CloseIdleConnections();
+      case stop_step::exit:
+        return dependencies_.loop.Stop();
+    }
+  }
+
+  void AnswerRequestsInProgress() {
+    // Iterates over a copy, since connections are removed meanwhile.
+    const auto connections = connections_;
+    for (const auto& connection : connections)
+      connection->OnStopDeadline();
   }
 
   gateway_settings settings_;
@@ -412,6 +419,7 @@
   std::map<std::string, std::int64_t> store_calls_;
   std::unique_ptr<status_listener> status_;
   std::set<std::shared_ptr<caller_connection>> connections_;
+  std::optional<stop_schedule> stop_;
   bool was_ready_ = false;
   std::unique_ptr<i_timer> flush_timer_;
   std::unique_ptr<i_timer> check_timer_;
