End a stopped instance only when its answers are sent

Cause: the stop waited for exchanges.

Change: the process ends when no channel of a caller is left, those included that are closed and still send or linger, and at its limit in any case. The log line 'stop' has the bytes that were lost.

--- a/src/framework/net/tests/tcp_channel_test.cc
+++ b/src/framework/net/tests/tcp_channel_test.cc
@@ -3,6 +3,7 @@
 #include <signal.h>
 #include <unistd.h>
 
+#include <functional>
 #include <new>
 #include <optional>
 #include <stdexcept>
@@ -199,3 +200,39 @@
       loop->RunAt(loop->Now(), [] { throw std::length_error("too long"); });
   CHECK_THROWS_AS(loop->Run(), std::length_error);
 }
+
+// Guards against planned stops that end the process while the end of an answer
+// is in its own memory: a stop waits for the channels that are still alive.
+TEST_CASE("a closed channel is alive until its bytes are sent") {
+  const auto loop = MakeEventLoop(MakeSystemClock());
+  constexpr std::size_t kAnswerBytes = 32'000'000;
+  std::weak_ptr<i_channel> server;
+  std::size_t received = 0;
+  bool was_alive = false;
+  const auto hang_timer =
+      loop->RunAt(loop->Now() + kHangLimit, [&] { loop->Stop(); });
+  loop->Listen({"127.0.0.1", kPort}, [&](std::shared_ptr<i_channel> channel) {
+    server = channel;
+    channel->SetCallbacks({nullptr, nullptr});
+    channel->Write(std::string(kAnswerBytes, 'x'));
+    channel->Close();
+  });
+  std::unique_ptr<i_timer> check;
+  const std::function<void()> stop_once_ended = [&] {
+    if (server.expired())
+      return loop->Stop();
+    check = loop->RunAt(loop->Now() + milliseconds(5), stop_once_ended);
+  };
+  const auto client = loop->Connect(
+      {"127.0.0.1", kPort}, loop->Now() + kHangLimit,
+      {[&](std::string_view bytes) {
+         if (received == 0)
+           was_alive = !server.expired() && server.lock()->UnsentBytes() > 0;
+         received += bytes.size();
+       },
+       [&](channel_end) { stop_once_ended(); }});
+  loop->Run();
+  CHECK(was_alive);
+  CHECK(received == kAnswerBytes);
+  CHECK(server.expired());
+}
--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -1,6 +1,7 @@
 #include <signal.h>
 
 #include <set>
+#include <vector>
 
 #include "follower/prefix_follower.h"
 #include "framework/base/hashing.h"
@@ -165,7 +166,8 @@
     load_exchange_.Detach();
     dependencies_.logger.Write(
         log_level::info, "stop",
-        {{"cut", static_cast<std::int64_t>(BusyConnections())}});
+        {{"cut", static_cast<std::int64_t>(BusyConnections())},
+         {"unsent_bytes", static_cast<std::int64_t>(UnsentBytes())}});
     dependencies_.logger.Flush();
   }
 
@@ -261,6 +263,7 @@
       dependencies_.logger.Write(log_level::warning, "too_many_channels", {});
       return channel->Abort();
     }
+    caller_channels_.push_back(channel);
     const auto connection = std::make_shared<caller_connection>(
         services_, std::move(channel),
         [this](caller_connection* ended) { Remove(ended); });
@@ -327,6 +330,7 @@
     services_.crashes.Expire(now);
     quarantines_.Check();
     services_.buffers.RemoveSentChannels();
+    CountOpenChannels();
     if (now >= reload_due_) {
       reload_due_ = now + kReloadInterval;
       Reload();
@@ -376,7 +380,7 @@
     const timestamp now = dependencies_.loop.Now();
     stop_timer_ = dependencies_.loop.RunAt(now + kStopCheckInterval,
                                            [this] { CheckStop(); });
-    switch (NextStopStep(*stop_, now, BusyConnections())) {
+    switch (NextStopStep(*stop_, now, CountOpenChannels())) {
       case stop_step::accept:
         return;
       case stop_step::drain:
@@ -396,6 +400,23 @@
       connection->OnStopDeadline();
   }
 
+  // A channel stays alive after its connection has closed it, until its bytes
+  // are sent.
+  std::size_t CountOpenChannels() {
+    std::erase_if(caller_channels_,
+                  [](const auto& channel) { return channel.expired(); });
+    return caller_channels_.size();
+  }
+
+  std::size_t UnsentBytes() const {
+    std::size_t bytes = 0;
+    for (const auto& weak_channel : caller_channels_) {
+      if (const auto channel = weak_channel.lock())
+        bytes += channel->UnsentBytes();
+    }
+    return bytes;
+  }
+
   gateway_settings settings_;
   const gateway_dependencies dependencies_;
   gateway_metrics metrics_;
@@ -419,6 +440,8 @@
   std::map<std::string, std::int64_t> store_calls_;
   std::unique_ptr<status_listener> status_;
   std::set<std::shared_ptr<caller_connection>> connections_;
+  // All channels of callers, also those that their connections have closed.
+  std::vector<std::weak_ptr<i_channel>> caller_channels_;
   std::optional<stop_schedule> stop_;
   bool was_ready_ = false;
   std::unique_ptr<i_timer> flush_timer_;
