Ask whether a receiver accepts a run right before it is sent

Cause: the receiver was chosen when the copy was requested, up to 8 s before the send, and not asked about again; a notice about it did not find the run that was on its way.

Change: gateway_services::AcceptsRun is asked when a copy is complete, and again before the send if the decision is older than 500 ms. A receiver that has begun to leave, is evacuated or asks for a pause is replaced by another one while the run goes on at its source. A run that arrives at a leaving target moves on. The backup asks the same function.

--- a/src/framework/net/tests/mocks/virtual_scheduler.h
+++ b/src/framework/net/tests/mocks/virtual_scheduler.h
@@ -36,6 +36,9 @@
     now_ = end;
   }
 
+  // Advances the time without running tasks, as while a process is paused.
+  void Pause(microseconds span) { now_ += span; }
+
  private:
   using key = std::pair<timestamp, std::uint64_t>;
   using task_map = std::map<key, std::function<void()>>;
--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -184,6 +184,8 @@
   if (kv_cache)
     dispatch.last_event_id = splitter_.last_id().value_or("");
   AssignBackup(dispatch);
+  const known_target* known = services_.directory.Find(target.id);
+  move_pending_ = known && known->leaving && CanMove();
 
   const auto self = shared_from_this();
   const run_number run = attempt_->run;
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -96,10 +96,11 @@
   void EndUnfinished(error_code code, const std::string& stream_reason);
   void EndAttempt(run_end end);
 
+  bool CanMove() const;
   void StartMove();
   void OnMoveEnd(std::optional<moved_run> moved);
   void ResumeAfterStop(run_end end, const moved_run& moved);
-  void Resume(const moved_run& moved);
+  void Resume(const moved_run& moved, timestamp send_deadline);
   void AssignBackup(target_dispatch& dispatch);
   bool ResumeFromBackup();
 
--- a/src/gateway/internal/exchange_continuation.cc
+++ b/src/gateway/internal/exchange_continuation.cc
@@ -18,18 +18,18 @@
 // request itself may be what crashes its targets.
 constexpr int kMaxBackupResumes = 2;
 
+// A receiver that has begun to leave may be sent runs for a second or two. The
+// source is stopped in less time than this unless the process was paused.
+constexpr milliseconds kMaxDecisionAge{500};
+
 // Runs expected to finish sooner are not backed up.
 constexpr milliseconds kMinBackedUpDuration{1500};
 
 }  // namespace
 
 void exchange::OnTargetLeaving(const target_id& target) {
-  if (finished_ || !attempt_ || attempt_->target.id != target || mover_)
-    return;
-  if (Route().kind != call_kind::streaming || !request_.generation)
-    return;
-  const routed_service* service = routed_.table->FindService(routed_.service);
-  if (!service || !service->engine || !service->engine->can_move_runs)
+  if (finished_ || !attempt_ || attempt_->target.id != target || mover_ ||
+      !CanMove())
     return;
   // A run that has not started yet has no KV cache to copy.
   if (attempt_->classification.kind == response_kind::success &&
@@ -38,6 +38,13 @@
   move_pending_ = true;
 }
 
+bool exchange::CanMove() const {
+  if (Route().kind != call_kind::streaming || !request_.generation)
+    return false;
+  const routed_service* service = routed_.table->FindService(routed_.service);
+  return service && service->engine && service->engine->can_move_runs;
+}
+
 void exchange::StartMove() {
   const timestamp now = services_.scheduler.Now();
   move_pending_ = false;
@@ -68,16 +75,23 @@
   EndAttempt(end);
   const auto stopper = std::make_shared<run_stopper>(
       services_, request_.id, source, moved.receiver.address,
-      moved.kv_cache.handle, [weak = weak_from_this(), moved] {
+      moved.kv_cache.handle,
+      [weak = weak_from_this(), moved,
+       send_deadline = services_.scheduler.Now() + kMaxDecisionAge] {
         if (const auto self = weak.lock())
-          self->Resume(moved);
+          self->Resume(moved, send_deadline);
       });
   stopper->Start();
 }
 
-void exchange::Resume(const moved_run& moved) {
+// The receiver accepted runs when it was chosen. One that has begun to leave
+// since then is still used until `send_deadline`, and the run moves on from it.
+void exchange::Resume(const moved_run& moved, timestamp send_deadline) {
   if (finished_)
     return;
+  const bool is_late = services_.scheduler.Now() >= send_deadline;
+  if (is_late && !services_.AcceptsRun(moved.receiver.id))
+    return AbortStream("target_ended_stream");
   if (++resume_count_ > kMaxResumes)
     return AbortStream("target_ended_stream");
   Send(moved.receiver, moved.kv_cache);
@@ -112,12 +126,10 @@
   if (!attempt_->backup_target || backup_resume_count_ >= kMaxBackupResumes ||
       IsQuarantined())
     return false;
+  if (!services_.AcceptsRun(attempt_->backup_target->id))
+    return false;
   const known_target* holder =
       services_.directory.Find(attempt_->backup_target->id);
-  if (!holder || !services_.directory.AcceptsNewWork(*holder) ||
-      services_.selector.PausedUntil(holder->entry.id,
-                                     services_.scheduler.Now()))
-    return false;
   // The handle of a backup is the id of its request.
   const moved_run copy{holder->entry, {holder->entry.address, request_.id}};
   services_.logger.Write(log_level::info, "resume_from_backup",
--- a/src/gateway/internal/gateway_services.cc
+++ b/src/gateway/internal/gateway_services.cc
@@ -21,4 +21,10 @@
   directory.OnLeavingStated(target, now);
 }
 
+bool gateway_services::AcceptsRun(const target_id& target) const {
+  const known_target* known = directory.Find(target);
+  return known && directory.AcceptsNewWork(*known) &&
+         !selector.PausedUntil(target, scheduler.Now());
+}
+
 }  // namespace wist
--- a/src/gateway/internal/gateway_services.h
+++ b/src/gateway/internal/gateway_services.h
@@ -72,6 +72,10 @@
                        const target_signals& signals,
                        const std::string& request_id);
 
+  // Whether a run that another target worked on may be sent to this one now. To
+  // be asked right before the send.
+  bool AcceptsRun(const target_id& target) const;
+
   retry_window_settings RetrySettings() const {
     return {settings.retry_window, settings.retry_ratio, settings.retry_slack};
   }
--- a/src/gateway/internal/run_mover.cc
+++ b/src/gateway/internal/run_mover.cc
@@ -102,12 +102,16 @@
 
 void run_mover::OnMoveResponse(const move_response& response) {
   Log(std::to_string(response.status));
-  if (response.status == kOk && !response.handle.empty())
+  const bool is_copied = response.status == kOk && !response.handle.empty();
+  if (is_copied && services_.AcceptsRun(receiver_->id))
     return Finish(moved_run{*receiver_, {source_.address, response.handle}});
   services_.selector.EndRun(*std::exchange(reservation_, std::nullopt),
                             run_end::cancelled, services_.scheduler.Now());
   if (response.status == kNotFound || response.status == kConflict)
     return ScheduleRetry();
+  // The receiver has no room, or it has begun to leave during the copy.
+  if (is_copied)
+    Log("receiver_left");
   full_receivers_.insert(receiver_->id);
   ChooseReceiver();
 }
--- a/src/gateway/tests/run_move_test.cc
+++ b/src/gateway/tests/run_move_test.cc
@@ -27,6 +27,13 @@
     return written.substr(from, written.find(' ', from) - from);
   }
 
+  // Returns the receiver named in the latest stop request.
+  std::string StopReceiverHost() {
+    const std::string& written = target_channel().written;
+    const std::size_t from = written.rfind("/stop/r/") + 8;
+    return written.substr(from, written.find(' ', from) - from);
+  }
+
   std::string source;
 };
 
@@ -213,3 +220,56 @@
     CHECK(f.response().ends_with("0\r\n\r\n"));
   }
 }
+
+// Guards against runs that are sent to engines which have said meanwhile that
+// they leave, and that end with them: a copy takes up to some seconds.
+TEST_CASE("a run is not sent to a receiver that left during the copy") {
+  running_stream f;
+  f.RemoveSource();
+  const std::string first = f.ReceiverHost();
+  f.directory.Remove(target_id(first), false, f.scheduler.Now());
+  f.target_channel(1).Receive(f.Response("200 OK", "h1"));
+  REQUIRE(f.connector.channels.size() == 3);
+  CHECK(f.TargetName(2) == f.source);
+  CHECK(f.target_channel().written.starts_with("POST /move/r/"));
+  CHECK(f.ReceiverHost() != first);
+  CHECK(f.target_channel(0).open());
+  f.target_channel().Receive(f.Response("200 OK", "h2"));
+  f.ConfirmStop();
+  CHECK(f.target_channel().written.find("Memory: h2\r\n") != std::string::npos);
+}
+
+TEST_CASE("a run is not sent to a receiver whose domain was evacuated") {
+  running_stream f;
+  f.AddTarget("far", "engines", "other");
+  f.RemoveSource();
+  f.directory.SetEvacuated({domain_id("d")});
+  f.target_channel(1).Receive(f.Response("200 OK", "h1"));
+  CHECK(f.ReceiverHost() == "far");
+}
+
+TEST_CASE("a run that arrives at a leaving target moves on") {
+  running_stream f;
+  f.RemoveSource();
+  f.target_channel(1).Receive(f.Response("200 OK", "h1"));
+  const std::string receiver = f.StopReceiverHost();
+  f.directory.Remove(target_id(receiver), false, f.scheduler.Now());
+  f.ConfirmStop();
+  REQUIRE(f.TargetName(3) == receiver);
+  f.target_channel(3).Receive(f.StreamHead() + f.Event(3));
+  REQUIRE(f.connector.channels.size() == 5);
+  CHECK(f.TargetName(4) == receiver);
+  CHECK(f.target_channel().written.starts_with("POST /move/r/"));
+}
+
+// The pattern: a process that is paused between the decision and the send.
+TEST_CASE("a run is not sent when its receiver left some time ago") {
+  running_stream f;
+  f.RemoveSource();
+  f.target_channel(1).Receive(f.Response("200 OK", "h1"));
+  f.directory.Remove(target_id(f.StopReceiverHost()), false, f.scheduler.Now());
+  f.scheduler.Pause(milliseconds(3000));
+  f.ConfirmStop();
+  CHECK(f.connector.channels.size() == 3);
+  CHECK(f.caller_channel->aborted);
+}
