--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -15,6 +15,10 @@
 
 namespace wist {
 
+// A response that is not a stream is buffered completely before it is
+// forwarded; larger ones are aborted.
+inline constexpr std::size_t kMaxBufferedResponseBytes = 8'388'608;
+
 // One dispatch of a request to a target.
 struct target_attempt {
   target_entry target;
--- /dev/null
+++ b/src/gateway/internal/exchange_response.cc
@@ -0,0 +1,140 @@
+#include <algorithm>
+#include <charconv>
+
+#include "gateway/internal/exchange.h"
+
+// The response of a target on its way to the caller: streams are forwarded
+// event by event, other responses once they are complete.
+namespace wist {
+namespace {
+
+// Appends `bytes` to `body` without reserving more than the stated length, or
+// twice what has arrived.
+void AppendToBody(std::string_view bytes,
+                  const http_response_head& head,
+                  std::string& body) {
+  const std::size_t size = body.size() + bytes.size();
+  if (size > body.capacity()) {
+    std::size_t capacity = std::max(size, 2 * body.capacity());
+    const std::string_view length = head.Header("Content-Length");
+    std::size_t stated = 0;
+    std::from_chars(length.data(), length.data() + length.size(), stated);
+    if (stated >= size)
+      capacity = std::min(capacity, stated);
+    body.reserve(capacity);
+  }
+  body += bytes;
+}
+
+}  // namespace
+
+void exchange::OnHead(const http_response_head& head) {
+  attempt_->classification = services_.dialect.ClassifyResponse(head);
+  attempt_->head = head;
+  services_.OnTargetSignals(attempt_->target,
+                            services_.dialect.DecodeSignals(head), request_.id);
+}
+
+void exchange::OnBody(std::string bytes) {
+  const bool is_stream =
+      attempt_->classification.kind == response_kind::success &&
+      attempt_->classification.is_event_stream;
+  if (!is_stream) {
+    AppendToBody(bytes, attempt_->head, attempt_->body);
+    if (!HoldBytes(attempt_->body.capacity()) ||
+        attempt_->body.size() <= kMaxBufferedResponseBytes)
+      return;
+    attempt_->call->Cancel();
+    return OnFailure(run_end::broken);
+  }
+  std::string events = splitter_.Feed(bytes);
+  if (splitter_.IsTooLong()) {
+    attempt_->call->Cancel();
+    return OnFailure(run_end::broken);
+  }
+  if (!HoldBytes(splitter_.partial_bytes()))
+    return;
+  if (events.empty())
+    return;
+  services_.selector.OnFirstOutput(attempt_->run, services_.scheduler.Now());
+  RecordEventTimes();
+  RecordOutput();
+  if (move_pending_ && !mover_)
+    StartMove();
+  if (!stream_started_) {
+    stream_started_ = true;
+    const std::vector<http_header> headers =
+        services_.dialect.CallerHeaders(attempt_->head);
+    services_.metrics.OnFirstByte(CallKindName(Route().kind),
+                                  services_.scheduler.Now() - received_at_);
+    response_writer_->StartStream(
+        EncodeChunkedResponseHead(attempt_->head.status, headers));
+  }
+  if (!finished_)
+    response_writer_->AppendToStream(EncodeChunk(events));
+}
+
+// Returns false if the response was given up, which has ended the attempt.
+bool exchange::HoldBytes(std::size_t bytes) {
+  if (!attempt_->buffer) {
+    if (bytes == 0)
+      return true;
+    attempt_->buffer = services_.buffers.AddGrowing(
+        attempt_->target.id.text(),
+        [weak = weak_from_this(), run = attempt_->run] {
+          const auto self = weak.lock();
+          if (self && self->attempt_ && self->attempt_->run == run)
+            self->OnResponseGivenUp();
+        });
+  }
+  return attempt_->buffer->SetBytes(bytes);
+}
+
+// The instance holds more than it has memory for.
+void exchange::OnResponseGivenUp() {
+  attempt_->call->Cancel();
+  OnFailure(run_end::broken);
+}
+
+void exchange::RecordEventTimes() {
+  const timestamp now = services_.scheduler.Now();
+  if (!first_event_at_)
+    first_event_at_ = now;
+  else
+    longest_pause_ = std::max(longest_pause_, now - last_event_at_);
+  last_event_at_ = now;
+}
+
+// Whether a stream that seems complete has been broken off: in the middle of an
+// event or, where only the end of the channel ends it, before its first one.
+bool exchange::IsStreamBrokenOff() const {
+  return splitter_.HasPartial() ||
+         (attempt_->classification.is_event_stream &&
+          attempt_->head.EndsWithChannel() && splitter_.event_count() == 0);
+}
+
+void exchange::ForwardResponse() {
+  services_.selector.OnFirstOutput(attempt_->run, services_.scheduler.Now());
+  const bool succeeded =
+      attempt_->classification.kind == response_kind::success;
+  // A target that reports a failure has not necessarily begun a response to the
+  // prompt.
+  services_.crashes.OnResponse(
+      succeeded ? fingerprint_ : run_fingerprint{fingerprint_.request, {}},
+      services_.scheduler.Now());
+  if (stream_started_) {
+    EndAttempt(run_end::completed);
+    response_writer_->FinishStream(std::string(LastChunk()));
+    return Finish("answered", "", run_verdict::ran);
+  }
+  std::string bytes = EncodeHttpResponse(
+      attempt_->head.status, services_.dialect.CallerHeaders(attempt_->head),
+      attempt_->body);
+  EndAttempt(succeeded ? run_end::completed : run_end::failed);
+  services_.metrics.OnFirstByte(CallKindName(Route().kind),
+                                services_.scheduler.Now() - received_at_);
+  response_writer_->Send(std::move(bytes));
+  Finish(succeeded ? "answered" : "target_failure", "", run_verdict::ran);
+}
+
+}  // namespace wist
