Answer requests also when a stop ends right after a pause

A gateway that is paused from before the answer deadline of its stop until after the exit deadline ended with requests in progress: their callers saw the connection close, and the requests outlived the gateway's services, which their buffers refer to. Found while reading the change; shown by the scenario stop_after_pause, which fails on ('expected status 502, got 0') and passes now. The step before the exit answers them as well. ForgetEndedChannels says what it does by its name.

--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -330,7 +330,7 @@
     services_.crashes.Expire(now);
     quarantines_.Check();
     services_.buffers.RemoveSentChannels();
-    CountOpenChannels();
+    ForgetEndedChannels();
     if (now >= reload_due_) {
       reload_due_ = now + kReloadInterval;
       Reload();
@@ -380,7 +380,8 @@
     const timestamp now = dependencies_.loop.Now();
     stop_timer_ = dependencies_.loop.RunAt(now + kStopCheckInterval,
                                            [this] { CheckStop(); });
-    switch (NextStopStep(*stop_, now, CountOpenChannels())) {
+    ForgetEndedChannels();
+    switch (NextStopStep(*stop_, now, caller_channels_.size())) {
       case stop_step::accept:
         return;
       case stop_step::drain:
@@ -389,6 +390,8 @@
         AnswerRequestsInProgress();
         return CloseIdleConnections();
       case stop_step::exit:
+        // A process that was paused may have missed the step before.
+        AnswerRequestsInProgress();
         return dependencies_.loop.Stop();
     }
   }
@@ -402,10 +405,9 @@
 
   // A channel stays alive after its connection has closed it, until its bytes
   // are sent.
-  std::size_t CountOpenChannels() {
+  void ForgetEndedChannels() {
     std::erase_if(caller_channels_,
                   [](const auto& channel) { return channel.expired(); });
-    return caller_channels_.size();
   }
 
   std::size_t UnsentBytes() const {
