Name who ended a stream: reasons of broken streams, and a counter of them

Cause of the gap: a stream whose target broke off, whose receiver refused the run, accepted no connection or left, and one that was moved too often all had the reason target_ended_stream, so that the record could not tell the first hypothesis from the others.

Change: reasons receiver_refused, receiver_unreachable, receiver_left and too_many_resumes, and wist_gateway_streams_broken_total{reason}. The behaviour is the same.

Test: gateway run_move, 'the reason of a broken stream names who ended it'.

--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -232,7 +232,7 @@
         failed_abroad_ || attempt_->target.domain != services_.settings.domain;
     EndAttempt(run_end::unreachable);
     if (stream_started_)
-      return AbortStream("target_ended_stream");
+      return AbortStream("receiver_unreachable");
     return OnRejected(/*reached_target=*/false);
   }
   if (outcome.end != call_end::complete)
@@ -247,7 +247,7 @@
       services_.caller.CloseIdleChannels(attempt_->target.address);
     EndAttempt(run_end::rejected);
     if (stream_started_)
-      return AbortStream("target_ended_stream");
+      return AbortStream("receiver_refused");
     return OnRejected(/*reached_target=*/true);
   }
   if (classification.kind == response_kind::invalid)
@@ -324,6 +324,7 @@
 
 void exchange::AbortStream(const std::string& reason) {
   response_writer_->Abort();
+  services_.metrics.OnStreamBroken(reason);
   Finish("broken", reason, run_verdict::may_have_run);
 }
 
--- a/src/gateway/internal/exchange_continuation.cc
+++ b/src/gateway/internal/exchange_continuation.cc
@@ -91,9 +91,9 @@
     return;
   const bool is_late = services_.scheduler.Now() >= send_deadline;
   if (is_late && !services_.AcceptsRun(moved.receiver.id))
-    return AbortStream("target_ended_stream");
+    return AbortStream("receiver_left");
   if (++resume_count_ > kMaxResumes)
-    return AbortStream("target_ended_stream");
+    return AbortStream("too_many_resumes");
   Send(moved.receiver, moved.kv_cache);
 }
 
--- a/src/gateway/internal/gateway_metrics.cc
+++ b/src/gateway/internal/gateway_metrics.cc
@@ -28,6 +28,11 @@
                  .Name("wist_gateway_moves_total")
                  .Help("Runs moved to another target, by outcome")
                  .Register(*registry_)),
+      broken_streams_(prometheus::BuildCounter()
+                          .Name("wist_gateway_streams_broken_total")
+                          .Help("Streams that ended without their last event, "
+                                "by reason")
+                          .Register(*registry_)),
       given_up_responses_(
           prometheus::BuildCounter()
               .Name("wist_gateway_responses_given_up_total")
@@ -76,6 +81,10 @@
   moves_.Add({{"outcome", outcome}}).Increment();
 }
 
+void gateway_metrics::OnStreamBroken(const std::string& reason) {
+  broken_streams_.Add({{"reason", reason}}).Increment();
+}
+
 void gateway_metrics::OnResponseGivenUp() {
   given_up_responses_.Add({}).Increment();
 }
--- a/src/gateway/internal/gateway_metrics.h
+++ b/src/gateway/internal/gateway_metrics.h
@@ -24,6 +24,8 @@
                     microseconds duration);
   void OnFirstByte(const std::string& kind, microseconds duration);
   void OnMove(const std::string& outcome);
+  // A stream ended without its last event; not counted if its caller left.
+  void OnStreamBroken(const std::string& reason);
   void OnResponseGivenUp();
   void OnHandlerFailure();
   void OnStoreCall(const std::string& cause);
@@ -38,6 +40,7 @@
   const std::shared_ptr<prometheus::Registry> registry_;
   prometheus::Family<prometheus::Counter>& requests_;
   prometheus::Family<prometheus::Counter>& moves_;
+  prometheus::Family<prometheus::Counter>& broken_streams_;
   prometheus::Family<prometheus::Counter>& given_up_responses_;
   prometheus::Family<prometheus::Counter>& handler_failures_;
   prometheus::Family<prometheus::Counter>& store_calls_;
--- a/src/gateway/tests/run_move_test.cc
+++ b/src/gateway/tests/run_move_test.cc
@@ -130,6 +130,32 @@
   CHECK(f.caller_channel->aborted);
 }
 
+// Tells a stream that this instance gave up from one whose target broke off.
+TEST_CASE("the reason of a broken stream names who ended it") {
+  running_stream refused;
+  refused.RemoveSource();
+  refused.target_channel(1).Receive(refused.Response("200 OK", "h"));
+  refused.ConfirmStop();
+  refused.target_channel(3).Receive(
+      refused.Response("503 Gone", "", "Not-Run: 1\r\n"));
+  CHECK(refused.metrics.Text().find(
+            "streams_broken_total{reason=\"receiver_refused\"} 1") !=
+        std::string::npos);
+  running_stream unreachable;
+  unreachable.RemoveSource();
+  unreachable.target_channel(1).Receive(unreachable.Response("200 OK", "h"));
+  unreachable.ConfirmStop();
+  unreachable.target_channel(3).End(channel_end::connect_failed);
+  CHECK(unreachable.metrics.Text().find(
+            "streams_broken_total{reason=\"receiver_unreachable\"} 1") !=
+        std::string::npos);
+  running_stream broken;
+  broken.target_channel(0).End(channel_end::reset);
+  CHECK(broken.metrics.Text().find(
+            "streams_broken_total{reason=\"target_ended_stream\"} 1") !=
+        std::string::npos);
+}
+
 TEST_CASE("a run is moved again when its receiver shuts down as well") {
   running_stream f;
   f.RemoveSource();
