Continue a moved run from another copy when its receiver refuses it

Callers saw long streams that ended without their last events, their targets sound: the gateway had stopped the run itself, and the receiver refused it, accepted no connection, failed it or had begun to leave.

Cause: a move closed the run's connection first, which ends the run at most engines, then asked the source to stop it, and had exactly one copy from then on. Any other end of the next send called AbortStream, although the source, the copy that the stop makes or the backup still held the run. The stream that the users traced: stop requested, run sent after 100 ms, 503, caller's channel closed, while the stop's answer with a second copy came 600 ms later.

Change: the source is told to stop the run while the connection is open, and its events are forwarded until it closes the stream, answers, or is silent for 100 ms. A refused stop leaves the run where it is. run_continuation, without network or clock, holds the copies that are known and says what is next: those at the receiver, the latest first, the source that kept its memory (for half of drain_ms after its notice), the backup; while the stop can still bring a copy, the run waits for it. Unused copies are freed. A stream that only its channel's end completes is closed before the stop, since a stop would make it look complete. Log event run_continues.

Cases of run_move and run_stop expected the source's connection to be closed right after the copy; they now check that the run is sent only after the stop, with the right copy, and that unused copies are freed; in 'a run is not sent when its receiver left some time ago' the fourth channel frees the copy.

--- a/src/gateway/gateway_types.h
+++ b/src/gateway/gateway_types.h
@@ -123,6 +123,9 @@
   milliseconds key_validity{5000};
   // Maximum time from the stop signal to the end of the process.
   milliseconds stop_limit{8000};
+  // How long a target may be sent requests after the store holds that it
+  // leaves.
+  milliseconds leaving_target_use{2000};
   // Grace period for entries to be registered again after a store outage.
   milliseconds outage_grace{2000};
   double retry_ratio = 0.2;
--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -232,9 +232,11 @@
         failed_abroad_ || attempt_->target.domain != services_.settings.domain;
     EndAttempt(run_end::unreachable);
     if (stream_started_)
-      return AbortStream("receiver_unreachable");
+      return OnCopyUnusable("receiver_unreachable");
     return OnRejected(/*reached_target=*/false);
   }
+  if (outcome.end == call_end::broken && IsWaitingForStop())
+    return OnSourceEnded();
   if (outcome.end != call_end::complete)
     return OnFailure(run_end::broken);
   OnResponseComplete();
@@ -247,7 +249,7 @@
       services_.caller.CloseIdleChannels(attempt_->target.address);
     EndAttempt(run_end::rejected);
     if (stream_started_)
-      return AbortStream("receiver_refused");
+      return OnCopyUnusable("receiver_refused");
     return OnRejected(/*reached_target=*/true);
   }
   if (classification.kind == response_kind::invalid)
@@ -257,6 +259,11 @@
       return RetryOnAnotherTarget(run_end::failed);
     return ForwardResponse();
   }
+  // The target does not work on the run any more.
+  if (classification.kind == response_kind::failure && handover_) {
+    EndAttempt(run_end::failed);
+    return OnCopyUnusable("receiver_failed");
+  }
   if (classification.kind == response_kind::failure || IsStreamBrokenOff())
     return OnFailure(run_end::broken);
   ForwardResponse();
@@ -289,6 +296,11 @@
 
 // The target may have run the request, but its response can't be used.
 void exchange::OnFailure(run_end end) {
+  // The stop of the run was requested; its outcome or a timer follows.
+  if (IsWaitingForStop()) {
+    EndAttempt(end);
+    return ArmStopTimer();
+  }
   // The end of a target that announced its shutdown is not a crash.
   const known_target* target = services_.directory.Find(attempt_->target.id);
   if (target && !target->leaving)
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -5,10 +5,12 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 
 #include "gateway/internal/gateway_services.h"
 #include "gateway/internal/i_response_writer.h"
 #include "gateway/internal/request_routing.h"
+#include "gateway/internal/run_continuation.h"
 #include "gateway/internal/run_mover.h"
 #include "gateway/internal/run_stopper.h"
 #include "streams/event_splitter.h"
@@ -34,6 +36,24 @@
   run_number backup_run = 0;
 };
 
+// A run on its way from one target to another: from the request to stop it
+// until its first event from elsewhere.
+struct run_handover {
+  run_handover(int handover_number, run_continuation run)
+      : number(handover_number), continuation(std::move(run)) {}
+
+  int number = 0;
+  run_continuation continuation;
+  std::shared_ptr<run_stopper> stopper;
+  // Targets chosen before are asked again from this time on.
+  timestamp decision_deadline;
+  // Set while the run waits for its source to stop.
+  std::unique_ptr<i_timer> stop_timer;
+  bool was_sent = false;
+  // Why the last copy could not be used.
+  std::string failure = "receiver_left";
+};
+
 // Handles one request from its arrival to the end of its response: selects
 // targets, retries or moves the run, and responds to the caller.
 class exchange : public std::enable_shared_from_this<exchange> {
@@ -103,8 +123,19 @@
   bool CanMove() const;
   void StartMove();
   void OnMoveEnd(std::optional<moved_run> moved);
-  void ResumeAfterStop(run_end end, const moved_run& moved);
-  void Resume(const moved_run& moved, timestamp send_deadline);
+  void StartHandover(const target_entry& source, const run_copy& copy);
+  void ArmStopTimer();
+  void OnStopTimer();
+  bool OnStopResult(int number, const stop_result& result);
+  void OnStopEnd(int number);
+  bool IsWaitingForStop() const { return handover_ && !handover_->was_sent; }
+  void OnSourceEnded();
+  void TakeFromSource();
+  bool MayUse(const run_copy& copy) const;
+  void ContinueRun();
+  void ContinueFrom(const run_copy& copy);
+  void OnCopyUnusable(const std::string& reason);
+  void EndHandover();
   void AssignBackup(target_dispatch& dispatch);
   bool ResumeFromBackup();
 
@@ -152,6 +183,8 @@
   microseconds longest_pause_{0};
   std::shared_ptr<run_mover> mover_;
   bool move_pending_ = false;  // Move the run after its first event.
+  std::optional<run_handover> handover_;
+  int handover_count_ = 0;
   int resume_count_ = 0;
   int backup_resume_count_ = 0;
   std::unique_ptr<i_timer> deadline_timer_;
--- a/src/gateway/internal/exchange_continuation.cc
+++ b/src/gateway/internal/exchange_continuation.cc
@@ -4,6 +4,8 @@
 
 // Continuation of a run on another target: a move when its target announces its
 // shutdown, and a resume from the backup when its target fails without notice.
+// Both tell the source to stop the run, and then try the copies of the run
+// until one is accepted.
 namespace wist {
 namespace {
 
@@ -18,10 +20,14 @@
 // request itself may be what crashes its targets.
 constexpr int kMaxBackupResumes = 2;
 
-// A receiver that has begun to leave may be sent runs for a second or two. The
-// source is stopped in less time than this unless the process was paused.
+// A receiver that has begun to leave may be sent runs for a second or two.
 constexpr milliseconds kMaxDecisionAge{500};
 
+// A source that neither sends events nor responds for this long, once it was
+// told to stop the run, is not waited for: it stops a run before it copies the
+// rest, and its response may wait behind other copies.
+constexpr milliseconds kMaxStopSilence{100};
+
 // Runs expected to finish sooner are not backed up.
 constexpr milliseconds kMinBackedUpDuration{1500};
 
@@ -29,7 +35,7 @@
 
 void exchange::OnTargetLeaving(const target_id& target) {
   if (finished_ || !attempt_ || attempt_->target.id != target || mover_ ||
-      !CanMove())
+      IsWaitingForStop() || !CanMove())
     return;
   // A run that has not started yet has no KV cache to copy.
   if (attempt_->classification.kind == response_kind::success &&
@@ -62,39 +68,173 @@
   mover_.reset();
   if (finished_ || !moved)
     return;
-  // The receiver recomputes what was generated after the copy.
-  attempt_->call->Cancel();
-  ResumeAfterStop(run_end::cancelled, *moved);
+  const target_entry source = attempt_->target;
+  const auto backup = attempt_->backup_target;
+  // The end of the channel would not tell whether such a stream is complete.
+  if (attempt_->head.EndsWithChannel()) {
+    attempt_->call->Cancel();
+    EndAttempt(run_end::cancelled);
+  }
+  StartHandover(source,
+                {copy_place::receiver, moved->receiver, moved->kv_cache});
+  if (backup) {
+    handover_->continuation.AddCopy(
+        {copy_place::backup, *backup, {backup->address, request_.id}});
+  }
 }
 
-// Not every target drops a run when its connection closes.
-void exchange::ResumeAfterStop(run_end end, const moved_run& moved) {
-  may_have_run_ = true;
-  splitter_.DropPartial();
-  const target_entry source = attempt_->target;
-  EndAttempt(end);
-  const auto stopper = std::make_shared<run_stopper>(
-      services_, request_.id, source, moved.receiver.address,
-      moved.kv_cache.handle,
-      [weak = weak_from_this(), moved,
-       send_deadline = services_.scheduler.Now() + kMaxDecisionAge] {
+// Not every target drops a run when its connection closes, and one that does
+// could not continue the run if nobody else does. The connection therefore
+// stays open, and events are forwarded, until the target has stopped the run.
+void exchange::StartHandover(const target_entry& source, const run_copy& copy) {
+  EndHandover();
+  const int number = ++handover_count_;
+  handover_.emplace(number, run_continuation(source, copy));
+  handover_->decision_deadline = services_.scheduler.Now() + kMaxDecisionAge;
+  handover_->stopper = std::make_shared<run_stopper>(
+      services_, request_.id, source, copy.holder.address,
+      [weak = weak_from_this(), number](const stop_result& result) {
+        const auto self = weak.lock();
+        return self && self->OnStopResult(number, result);
+      },
+      [weak = weak_from_this(), number] {
         if (const auto self = weak.lock())
-          self->Resume(moved, send_deadline);
+          self->OnStopEnd(number);
       });
-  stopper->Start();
+  handover_->stopper->Start();
+  ArmStopTimer();
+}
+
+void exchange::ArmStopTimer() {
+  handover_->stop_timer = services_.scheduler.RunAt(
+      services_.scheduler.Now() + kMaxStopSilence,
+      [self = shared_from_this()] { self->OnStopTimer(); });
+}
+
+// The stop is not confirmed. The stopper goes on requesting it.
+void exchange::OnStopTimer() {
+  if (IsWaitingForStop())
+    TakeFromSource();
 }
 
-// The receiver accepted runs when it was chosen. One that has begun to leave
-// since then is still used until `send_deadline`, and the run moves on from it.
-void exchange::Resume(const moved_run& moved, timestamp send_deadline) {
-  if (finished_)
+// Returns whether the run may need the copy that the result names.
+bool exchange::OnStopResult(int number, const stop_result& result) {
+  if (finished_ || !handover_ || handover_->number != number)
+    return false;
+  handover_->continuation.OnStopResult(result);
+  if (handover_->was_sent) {
+    // All copies known before were refused.
+    if (!attempt_)
+      ContinueRun();
+    return true;
+  }
+  switch (result.outcome) {
+    case stop_outcome::copied:
+    case stop_outcome::kept:
+      TakeFromSource();
+      break;
+    case stop_outcome::had_ended:
+      // The end of the response may still be on its way.
+      if (!attempt_)
+        TakeFromSource();
+      break;
+    case stop_outcome::refused:
+    case stop_outcome::unreachable:
+      if (attempt_)
+        handover_->stop_timer.reset();
+      else if (result.outcome == stop_outcome::unreachable)
+        TakeFromSource();
+      break;
+    case stop_outcome::broken:
+      break;
+  }
+  return true;
+}
+
+void exchange::OnStopEnd(int number) {
+  if (finished_ || !handover_ || handover_->number != number)
     return;
-  const bool is_late = services_.scheduler.Now() >= send_deadline;
-  if (is_late && !services_.AcceptsRun(moved.receiver.id))
-    return AbortStream("receiver_left");
+  handover_->continuation.OnStopEnd();
+  if (handover_->was_sent && !attempt_)
+    ContinueRun();
+}
+
+// The source has closed the connection of a run that it was told to stop.
+void exchange::OnSourceEnded() {
+  EndAttempt(run_end::cancelled);
+  ContinueRun();
+}
+
+void exchange::TakeFromSource() {
+  if (attempt_) {
+    attempt_->call->Cancel();
+    EndAttempt(run_end::cancelled);
+  }
+  ContinueRun();
+}
+
+// A receiver accepted runs when it was chosen. One that has begun to leave
+// since then is still used for a short time, and the run moves on from it.
+bool exchange::MayUse(const run_copy& copy) const {
+  switch (copy.place) {
+    case copy_place::receiver:
+      return services_.scheduler.Now() < handover_->decision_deadline ||
+             services_.AcceptsRun(copy.holder.id);
+    case copy_place::backup:
+      return services_.AcceptsRun(copy.holder.id);
+    case copy_place::source:
+      return services_.AcceptsReturn(copy.holder.id);
+  }
+  return false;
+}
+
+void exchange::ContinueRun() {
+  may_have_run_ = true;
+  splitter_.DropPartial();
+  handover_->was_sent = true;
+  handover_->stop_timer.reset();
+  struct step_visitor {
+    exchange& self;
+    void operator()(const continue_from_copy& step) const {
+      self.ContinueFrom(step.copy);
+    }
+    void operator()(const await_stop&) const {}
+    void operator()(const give_up_run&) const {
+      self.AbortStream(self.handover_->failure);
+    }
+  };
+  std::visit(step_visitor{*this},
+             handover_->continuation.Next(
+                 [this](const run_copy& copy) { return MayUse(copy); }));
+}
+
+void exchange::ContinueFrom(const run_copy& copy) {
   if (++resume_count_ > kMaxResumes)
     return AbortStream("too_many_resumes");
-  Send(moved.receiver, moved.kv_cache);
+  services_.logger.Write(log_level::info, "run_continues",
+                         {{"request_id", request_.id},
+                          {"target", copy.holder.id.text()},
+                          {"place", std::string(CopyPlaceName(copy.place))},
+                          {"events", splitter_.event_count()}});
+  Send(copy.holder, copy.kv_cache);
+}
+
+// The target to which the run was sent does not work on it.
+void exchange::OnCopyUnusable(const std::string& reason) {
+  if (!handover_)
+    return AbortStream(reason);
+  handover_->failure = reason;
+  ContinueRun();
+}
+
+void exchange::EndHandover() {
+  if (!handover_)
+    return;
+  const run_handover ended = std::move(*handover_);
+  handover_.reset();
+  ended.stopper->Detach(ended.continuation.HandleInUse());
+  for (const unused_copy& copy : ended.continuation.UnusedCopies())
+    ReleaseCopy(services_, copy);
 }
 
 // The KV caches of long runs are copied to a backup target while they grow, so
@@ -131,7 +271,8 @@
   const known_target* holder =
       services_.directory.Find(attempt_->backup_target->id);
   // The handle of a backup is the id of its request.
-  const moved_run copy{holder->entry, {holder->entry.address, request_.id}};
+  const run_copy copy{
+      copy_place::backup, holder->entry, {holder->entry.address, request_.id}};
   services_.logger.Write(log_level::info, "resume_from_backup",
                          {{"request_id", request_.id},
                           {"from", attempt_->target.id.text()},
@@ -140,7 +281,9 @@
   ++backup_resume_count_;
   if (mover_)
     std::exchange(mover_, nullptr)->Cancel();
-  ResumeAfterStop(run_end::broken, copy);
+  const target_entry source = attempt_->target;
+  EndAttempt(run_end::broken);
+  StartHandover(source, copy);
   return true;
 }
 
--- a/src/gateway/internal/exchange_end.cc
+++ b/src/gateway/internal/exchange_end.cc
@@ -74,6 +74,7 @@
   EndAttempt(run_end::cancelled);
   if (mover_)
     std::exchange(mover_, nullptr)->Cancel();
+  EndHandover();
   deadline_timer_.reset();
   attempt_timer_.reset();
   capacity_timer_.reset();
--- a/src/gateway/internal/exchange_response.cc
+++ b/src/gateway/internal/exchange_response.cc
@@ -59,6 +59,10 @@
   services_.selector.OnFirstOutput(attempt_->run, services_.scheduler.Now());
   RecordEventTimes();
   RecordOutput();
+  if (IsWaitingForStop())
+    ArmStopTimer();
+  else if (handover_)
+    EndHandover();
   if (move_pending_ && !mover_)
     StartMove();
   if (!stream_started_) {
--- a/src/gateway/internal/gateway_services.cc
+++ b/src/gateway/internal/gateway_services.cc
@@ -1,6 +1,13 @@
 #include "gateway/internal/gateway_services.h"
 
 namespace wist {
+namespace {
+
+// A notice that a target leaves is up to this share of the time old for which
+// the target may still be used.
+constexpr int kNoticeAgeDivisor = 2;
+
+}  // namespace
 
 void gateway_services::OnTargetSignals(const target_entry& target,
                                        const target_signals& signals,
@@ -27,4 +34,14 @@
          !selector.PausedUntil(target, scheduler.Now());
 }
 
+bool gateway_services::AcceptsReturn(const target_id& target) const {
+  const known_target* known = directory.Find(target);
+  if (!known || directory.IsEvacuated(known->entry.domain) ||
+      selector.PausedUntil(target, scheduler.Now()))
+    return false;
+  return !known->leaving ||
+         scheduler.Now() < known->leaving_since +
+                               settings.leaving_target_use / kNoticeAgeDivisor;
+}
+
 }  // namespace wist
--- a/src/gateway/internal/gateway_services.h
+++ b/src/gateway/internal/gateway_services.h
@@ -76,6 +76,9 @@
   // be asked right before the send.
   bool AcceptsRun(const target_id& target) const;
 
+  // Whether a run may be sent back to a target that it was about to leave.
+  bool AcceptsReturn(const target_id& target) const;
+
   retry_window_settings RetrySettings() const {
     return {settings.retry_window, settings.retry_ratio, settings.retry_slack};
   }
--- a/src/gateway/internal/run_stopper.cc
+++ b/src/gateway/internal/run_stopper.cc
@@ -5,10 +5,6 @@
 namespace wist {
 namespace {
 
-// A target stops the run before it copies anything, so that its response, which
-// may wait behind other copies, is not worth a longer pause in the stream.
-constexpr milliseconds kMaxConfirmationWait{100};
-
 constexpr milliseconds kConnectTimeout{300};
 constexpr milliseconds kRetryInterval{60};
 
@@ -31,24 +27,26 @@
                          std::string request_id,
                          target_entry source,
                          http_address receiver,
-                         std::string used_handle,
-                         std::function<void()> on_continue)
+                         result_handler on_result,
+                         std::function<void()> on_end)
     : services_(services),
       request_id_(std::move(request_id)),
       source_(std::move(source)),
       receiver_(std::move(receiver)),
-      used_handle_(std::move(used_handle)),
       started_at_(services.scheduler.Now()),
-      on_continue_(std::move(on_continue)) {}
+      on_result_(std::move(on_result)),
+      on_end_(std::move(on_end)) {}
 
 void run_stopper::Start() {
-  // The timer is destroyed by Continue, at the latest when it fires.
-  continue_timer_ = services_.scheduler.RunAt(
-      started_at_ + kMaxConfirmationWait,
-      [self = shared_from_this()] { self->Continue(); });
   RequestStop();
 }
 
+void run_stopper::Detach(std::string used_handle) {
+  on_result_ = nullptr;
+  on_end_ = nullptr;
+  used_handle_ = std::move(used_handle);
+}
+
 void run_stopper::RequestStop() {
   ++request_count_;
   call_ = buffered_call::Start(
@@ -58,61 +56,68 @@
       {kConnectTimeout, kMaxResponseTime, kMaxIdle, kMaxMoveResponseBytes},
       [self = shared_from_this()](std::optional<buffered_response> response) {
         const auto call = std::exchange(self->call_, nullptr);
-        if (!response)
-          return self->OnNoResponse(call->HasFailedToConnect());
-        self->services_.OnTargetSignals(
-            self->source_,
-            self->services_.dialect.DecodeSignals(response->head),
-            self->request_id_);
-        self->OnResponse(self->services_.dialect.DecodeMoveResponse(
-            response->head.status, response->body));
+        self->OnResult(self->ResultOf(response, call->HasFailedToConnect()),
+                       response ? response->head.status : 0);
       });
 }
 
-void run_stopper::OnNoResponse(bool connect_failed) {
-  // The target has ended, or this instance cannot reach it. The run is not
-  // held up by the latter; the stop is requested again.
-  if (connect_failed)
-    Continue();
-  RetryOrGiveUp(connect_failed ? "unreachable" : "broken");
+stop_result run_stopper::ResultOf(
+    const std::optional<buffered_response>& response,
+    bool connect_failed) {
+  if (!response) {
+    return {connect_failed ? stop_outcome::unreachable : stop_outcome::broken,
+            ""};
+  }
+  services_.OnTargetSignals(
+      source_, services_.dialect.DecodeSignals(response->head), request_id_);
+  const move_response decoded = services_.dialect.DecodeMoveResponse(
+      response->head.status, response->body);
+  if (decoded.status == kOk)
+    return {stop_outcome::copied, decoded.handle};
+  if (decoded.status == kNotFound)
+    return {stop_outcome::had_ended, ""};
+  // A refusal with a handle says that the run was stopped but not copied.
+  if (!decoded.handle.empty())
+    return {stop_outcome::kept, decoded.handle};
+  return {stop_outcome::refused, ""};
 }
 
-void run_stopper::OnResponse(const move_response& response) {
-  // A refusal with a handle says that the run was stopped but not copied.
-  const bool is_stopped = response.status == kOk ||
-                          response.status == kNotFound ||
-                          !response.handle.empty();
-  if (!is_stopped)
-    return RetryOrGiveUp(std::to_string(response.status));
-  Log(response.status == kNotFound ? "had_ended" : "stopped");
-  if (!response.handle.empty() && response.handle != used_handle_)
-    ReleaseCopy(response.handle);
-  Continue();
+void run_stopper::OnResult(const stop_result& result, int status) {
+  const auto on_result = on_result_;
+  const bool is_needed = on_result && on_result(result);
+  if (!is_needed && !result.handle.empty() && result.handle != used_handle_)
+    ReleaseCopy(services_, {source_, result.handle});
+  switch (result.outcome) {
+    case stop_outcome::copied:
+    case stop_outcome::kept:
+      Log("stopped");
+      return End();
+    case stop_outcome::had_ended:
+      Log("had_ended");
+      return End();
+    case stop_outcome::refused:
+      return RetryOrGiveUp(std::to_string(status));
+    case stop_outcome::unreachable:
+      return RetryOrGiveUp("unreachable");
+    case stop_outcome::broken:
+      return RetryOrGiveUp("broken");
+  }
 }
 
 void run_stopper::RetryOrGiveUp(const std::string& outcome) {
-  if (request_count_ >= kMaxStopRequests)
-    return Log("unconfirmed: " + outcome);
+  if (request_count_ >= kMaxStopRequests) {
+    Log("unconfirmed: " + outcome);
+    return End();
+  }
   retry_timer_ = services_.scheduler.RunAt(
       services_.scheduler.Now() + kRetryInterval,
       [self = shared_from_this()] { self->RequestStop(); });
 }
 
-void run_stopper::ReleaseCopy(const std::string& handle) {
-  buffered_call::Start(
-      services_.caller, services_.scheduler, source_.address,
-      services_.dialect.EncodeReleaseRequest(source_, handle),
-      {kConnectTimeout, kMaxResponseTime, kMaxIdle, kMaxMoveResponseBytes},
-      [](const std::optional<buffered_response>&) {
-        // Targets free unused copies themselves after some
-        // time.
-      });
-}
-
-void run_stopper::Continue() {
-  continue_timer_.reset();
-  if (const auto on_continue = std::exchange(on_continue_, nullptr))
-    on_continue();
+void run_stopper::End() {
+  on_result_ = nullptr;
+  if (const auto on_end = std::exchange(on_end_, nullptr))
+    on_end();
 }
 
 void run_stopper::Log(const std::string& outcome) {
@@ -125,4 +130,14 @@
        {"took_ms", ToMilliseconds(services_.scheduler.Now() - started_at_)}});
 }
 
+void ReleaseCopy(gateway_services& services, const unused_copy& copy) {
+  buffered_call::Start(
+      services.caller, services.scheduler, copy.told_target.address,
+      services.dialect.EncodeReleaseRequest(copy.told_target, copy.handle),
+      {kConnectTimeout, kMaxResponseTime, kMaxIdle, kMaxMoveResponseBytes},
+      [](const std::optional<buffered_response>&) {
+        // Targets free unused copies themselves after some time.
+      });
+}
+
 }  // namespace wist
--- a/src/gateway/internal/run_stopper.h
+++ b/src/gateway/internal/run_stopper.h
@@ -3,52 +3,62 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "framework/net/buffered_call.h"
 #include "gateway/internal/gateway_services.h"
+#include "gateway/internal/run_continuation.h"
 
 namespace wist {
 
-// Makes a target stop a run whose connection was closed, so that the run can
-// continue on another target. Each object stops one run.
+// Tells a target to stop a run that continues on another target, until it has
+// confirmed that. Each object stops one run.
 class run_stopper : public std::enable_shared_from_this<run_stopper> {
  public:
-  // `used_handle` is the copy with which the run continues on `receiver`; a
-  // copy that the stop itself makes is freed. `on_continue` is called once:
-  // when the target has confirmed the stop or accepts no connection, at the
-  // latest after 100 ms. An unconfirmed stop is requested again after that.
+  // Called for each response, and for each request that got none. Returns
+  // whether the run may need the copy that the result names; else it is freed.
+  using result_handler = std::function<bool(const stop_result&)>;
+
+  // `on_end` is called after the last result.
   run_stopper(gateway_services& services,
               std::string request_id,
               target_entry source,
               http_address receiver,
-              std::string used_handle,
-              std::function<void()> on_continue);
+              result_handler on_result,
+              std::function<void()> on_end);
 
   void Start();
 
+  // Calls no handler from now on. The run uses `used_handle`; copies with other
+  // handles are freed.
+  void Detach(std::string used_handle);
+
  private:
   void RequestStop();
-  void OnNoResponse(bool connect_failed);
-  void OnResponse(const move_response& response);
+  stop_result ResultOf(const std::optional<buffered_response>& response,
+                       bool connect_failed);
+  void OnResult(const stop_result& result, int status);
   void RetryOrGiveUp(const std::string& outcome);
-  void ReleaseCopy(const std::string& handle);
-  void Continue();
+  void End();
   void Log(const std::string& outcome);
 
   gateway_services& services_;
   const std::string request_id_;
   const target_entry source_;
   const http_address receiver_;
-  const std::string used_handle_;
   const timestamp started_at_;
-  std::function<void()> on_continue_;
+  result_handler on_result_;
+  std::function<void()> on_end_;
+  std::string used_handle_;
   int request_count_ = 0;
   std::shared_ptr<buffered_call> call_;
-  std::unique_ptr<i_timer> continue_timer_;
   std::unique_ptr<i_timer> retry_timer_;
 };
 
+// Tells a target to free a copy that no run uses.
+void ReleaseCopy(gateway_services& services, const unused_copy& copy);
+
 }  // namespace wist
 
 #endif  // GATEWAY_INTERNAL_RUN_STOPPER_H_
--- /dev/null
+++ b/src/gateway/tests/run_handover_test.cc
@@ -0,0 +1,215 @@
+#include <catch2/catch.hpp>
+
+#include "gateway/tests/mocks/exchange_fixture.h"
+
+// Guards against streams that the instance cuts although their targets are
+// sound: it has told the source to stop the run, and the receiver does not take
+// it.
+
+using namespace wist;
+
+namespace {
+
+struct moving_stream : exchange_fixture {
+  explicit moving_stream(bool is_backed_up = false) {
+    AddTarget("far", "engines", "other");
+    if (is_backed_up)
+      SendLongStreamRequest();
+    else
+      SendStreamRequest();
+    source = TargetName(0);
+    target_channel(0).Receive(StreamHead() + Event(1) + Event(2));
+  }
+
+  // The source leaves, and the first copy is complete.
+  void RequestStop() {
+    directory.Remove(target_id(source), false, scheduler.Now());
+    target_channel().Receive(Response("200 OK", "first"));
+    stop = connector.channels.back();
+    REQUIRE(stop->written.starts_with("POST /stop/"));
+  }
+
+  void EndSource() { target_channel(0).End(channel_end::closed); }
+
+  void Refuse() {
+    target_channel().Receive(Response("503 Full", "", "Not-Run: 1\r\n"));
+  }
+
+  // Whether the latest call continues the run at `target` from `handle`.
+  bool Continues(const std::string& target, const std::string& handle) {
+    return connector.addresses.back().host == target &&
+           target_channel().written.find("Memory: " + handle + "\r\n") !=
+               std::string::npos;
+  }
+
+  void CheckIsCompletedAfter(int last_event) {
+    target_channel().Receive(StreamHead() + Event(last_event + 1) +
+                             std::string(LastChunk()));
+    CHECK(response().ends_with("0\r\n\r\n"));
+    for (int id = 1; id <= last_event + 1; ++id) {
+      const std::string line = "id: " + std::to_string(id) + "\n";
+      CHECK(ResponseContains(line));
+      CHECK(response().find(line) == response().rfind(line));
+    }
+  }
+
+  std::size_t CountRequests(const std::string& start) const {
+    std::size_t count = 0;
+    for (const auto& channel : connector.channels)
+      count += channel->written.starts_with(start) ? 1 : 0;
+    return count;
+  }
+
+  std::string source;
+  std::shared_ptr<scripted_channel> stop;
+};
+
+}  // namespace
+
+// The pattern: the receiver refuses the run, and the source, which was told to
+// stop it, has seconds left.
+TEST_CASE("a refused run goes on at the source that kept its memory") {
+  moving_stream f;
+  f.RequestStop();
+  f.EndSource();
+  f.Refuse();
+  CHECK(f.caller_channel->open());
+  f.stop->Receive(f.Response("503 Full", "kept"));
+  REQUIRE(f.Continues(f.source, "kept"));
+  f.CheckIsCompletedAfter(2);
+}
+
+TEST_CASE("a refused run waits for the copy that the stop makes") {
+  moving_stream f;
+  f.RequestStop();
+  f.scheduler.Advance(milliseconds(100));
+  const std::string receiver = f.connector.addresses.back().host;
+  REQUIRE(f.Continues(receiver, "first"));
+  f.Refuse();
+  f.scheduler.Advance(milliseconds(631));
+  CHECK(f.caller_channel->open());
+  f.stop->Receive(f.Response("200 OK", "second"));
+  REQUIRE(f.Continues(receiver, "second"));
+  f.CheckIsCompletedAfter(2);
+}
+
+TEST_CASE("a run whose receiver accepts no connection goes on at its source") {
+  moving_stream f;
+  f.RequestStop();
+  f.stop->Receive(f.Response("200 OK", "first"));
+  f.target_channel().End(channel_end::connect_failed);
+  REQUIRE(f.Continues(f.source, "first"));
+  f.CheckIsCompletedAfter(2);
+}
+
+TEST_CASE("a run that its receiver fails goes on at its source") {
+  moving_stream f;
+  f.RequestStop();
+  f.stop->Receive(f.Response("503 Full", "first"));
+  f.target_channel().Receive(f.Response("500 Error", ""));
+  REQUIRE(f.Continues(f.source, "first"));
+  f.CheckIsCompletedAfter(2);
+}
+
+TEST_CASE("a refused run whose source has dropped it uses its backup") {
+  moving_stream f(/*is_backed_up=*/true);
+  f.RequestStop();
+  f.ConfirmStop();
+  f.Refuse();
+  REQUIRE(f.Continues("far", "r"));
+  f.CheckIsCompletedAfter(2);
+}
+
+// A target that has left for long may not be sent requests any more.
+TEST_CASE("a run does not return to a source whose notice is old") {
+  moving_stream f;
+  f.RequestStop();
+  for (int i = 0; i < 20; ++i) {
+    f.scheduler.Advance(milliseconds(50));
+    f.target_channel(0).Receive(f.Event(3 + i));
+  }
+  f.stop->Receive(f.Response("503 Full", "kept"));
+  f.Refuse();
+  CHECK(f.caller_channel->aborted);
+}
+
+TEST_CASE("a run is given up when every copy of it was refused") {
+  moving_stream f;
+  f.RequestStop();
+  f.stop->Receive(f.Response("503 Full", "first"));
+  f.Refuse();
+  REQUIRE(f.Continues(f.source, "first"));
+  f.Refuse();
+  CHECK(f.caller_channel->aborted);
+  CHECK(f.logger.LastField("request", "reason") == "receiver_refused");
+}
+
+TEST_CASE("the events of a run are forwarded until it is stopped") {
+  moving_stream f;
+  f.RequestStop();
+  f.scheduler.Advance(milliseconds(90));
+  f.target_channel(0).Receive(f.Event(3));
+  f.scheduler.Advance(milliseconds(90));
+  f.target_channel(0).Receive(f.Event(4));
+  CHECK(f.ResponseContains("id: 4\n"));
+  f.EndSource();
+  CHECK(f.target_channel().written.find("After: 4\r\n") != std::string::npos);
+  f.CheckIsCompletedAfter(4);
+}
+
+TEST_CASE("a run that ends while it is told to stop is complete") {
+  moving_stream f;
+  f.RequestStop();
+  f.stop->Receive(f.Response("404 Not Found", ""));
+  f.target_channel(0).Receive(f.Event(3) + std::string(LastChunk()));
+  CHECK(f.response().ends_with("0\r\n\r\n"));
+  CHECK(f.CountRequests("DELETE /copy/first") == 1);
+  CHECK(f.CountRequests("POST /stream/") == 1);
+}
+
+// The source may be busy with copies of other runs, or of this one.
+TEST_CASE("a run whose stop is refused goes on at its source") {
+  moving_stream f;
+  f.RequestStop();
+  f.stop->Receive(f.Response("409 Conflict", ""));
+  f.scheduler.Advance(milliseconds(59));
+  CHECK(f.CountRequests("POST /stream/") == 1);
+  f.target_channel(0).Receive(f.Event(3));
+  CHECK(f.ResponseContains("id: 3\n"));
+  f.scheduler.Advance(milliseconds(1));
+  REQUIRE(f.CountRequests("POST /stop/") == 2);
+  f.target_channel().Receive(f.Response("200 OK", "second"));
+  REQUIRE(f.target_channel().written.find("Memory: second\r\n") !=
+          std::string::npos);
+  f.CheckIsCompletedAfter(3);
+}
+
+// Guards against a stream that a stop has cut and that looks complete.
+TEST_CASE("a stopped stream that ends with its channel is not complete") {
+  exchange_fixture f;
+  f.SendStreamRequest();
+  const std::string source = f.TargetName(0);
+  f.target_channel(0).Receive(
+      "HTTP/1.1 200 OK\r\nId: r\r\nSigned: 1\r\nEvents: 1\r\n\r\n"
+      "id: 1\ndata: x\n\n");
+  f.directory.Remove(target_id(source), false, f.scheduler.Now());
+  f.target_channel(1).Receive(f.Response("200 OK", "first"));
+  const auto stop = f.connector.channels.back();
+  f.target_channel(0).End(channel_end::closed);
+  CHECK_FALSE(f.response().ends_with("0\r\n\r\n"));
+  stop->Receive(f.Response("200 OK", "second"));
+  CHECK(f.target_channel().written.find("Memory: second\r\n") !=
+        std::string::npos);
+}
+
+// A malformed response does not say whether the run goes on.
+TEST_CASE("a source that sends malformed bytes is stopped before the move") {
+  moving_stream f;
+  f.RequestStop();
+  f.target_channel(0).Receive("no chunk\r\n");
+  CHECK(f.CountRequests("POST /stream/") == 1);
+  f.stop->Receive(f.Response("200 OK", "second"));
+  REQUIRE(f.target_channel().written.find("Memory: second\r\n") !=
+          std::string::npos);
+  f.CheckIsCompletedAfter(2);
+}
--- a/src/gateway/tests/run_move_test.cc
+++ b/src/gateway/tests/run_move_test.cc
@@ -48,8 +48,8 @@
   CHECK(receiver != f.source);
   f.target_channel(0).Receive(f.Event(3));
   f.target_channel(1).Receive(f.Response("200 OK", "handle9"));
-  CHECK(f.target_channel(0).aborted);
   CHECK(f.TargetName(2) == f.source);
+  CHECK(f.connector.channels.size() == 3);
   f.ConfirmStop();
   REQUIRE(f.connector.channels.size() == 4);
   CHECK(f.TargetName(3) == receiver);
@@ -200,7 +200,8 @@
   f.target_channel().Receive(f.Response("503 Full", ""));
   f.scheduler.Advance(milliseconds(200));
   f.target_channel().Receive(f.Response("200 OK", "h"));
-  CHECK(f.target_channel(0).aborted);
+  f.ConfirmStop();
+  CHECK(f.target_channel().written.find("Memory: h\r\n") != std::string::npos);
 }
 
 // Guards against an earlier refusal that a target writes once more on a kept
@@ -296,6 +297,7 @@
   f.directory.Remove(target_id(f.StopReceiverHost()), false, f.scheduler.Now());
   f.scheduler.Pause(milliseconds(3000));
   f.ConfirmStop();
-  CHECK(f.connector.channels.size() == 3);
+  REQUIRE(f.connector.channels.size() == 4);
+  CHECK(f.target_channel().written.starts_with("DELETE /copy/h1"));
   CHECK(f.caller_channel->aborted);
 }
