Treat a continued stream without events as broken off when its channel ends it

Callers would see a stream that ends as complete before its last piece (ORDER): a run is moved, and its new target answers with a stream that has neither a length nor chunks and closes it before the first event.

Cause: a stream that only its channel ends counts as broken off if it had no event, and the events of the earlier targets were counted as well.

Test: gateway run_handover, 'a continued stream without events is not completed by its channel', failed before (the response ended with the last chunk).

--- a/src/gateway/internal/exchange_response.cc
+++ b/src/gateway/internal/exchange_response.cc
@@ -110,11 +110,13 @@
 }
 
 // Whether a stream that seems complete has been broken off: in the middle of an
-// event or, where only the end of the channel ends it, before its first one.
+// event or, where only the end of the channel ends it, before its target has
+// sent one.
 bool exchange::IsStreamBrokenOff() const {
+  const bool has_events = splitter_.event_count() > 0 && !handover_;
   return splitter_.HasPartial() ||
          (attempt_->classification.is_event_stream &&
-          attempt_->head.EndsWithChannel() && splitter_.event_count() == 0);
+          attempt_->head.EndsWithChannel() && !has_events);
 }
 
 void exchange::ForwardResponse() {
--- a/src/gateway/tests/run_handover_test.cc
+++ b/src/gateway/tests/run_handover_test.cc
@@ -213,3 +213,16 @@
           std::string::npos);
   f.CheckIsCompletedAfter(2);
 }
+
+// Guards against the same at the receiver, whose stream ends before it has sent
+// any event.
+TEST_CASE("a continued stream without events is not completed by its channel") {
+  moving_stream f;
+  f.RequestStop();
+  f.ConfirmStop();
+  f.target_channel().Receive(
+      "HTTP/1.1 200 OK\r\nId: r\r\nSigned: 1\r\nEvents: 1\r\n\r\n");
+  f.target_channel().End(channel_end::closed);
+  CHECK_FALSE(f.response().ends_with("0\r\n\r\n"));
+  CHECK(f.caller_channel->aborted);
+}
