Survive a response to a stop that can't be processed

An exception while a response to a stop is processed, or while the run is sent on, is reported to the handler once more without a response; the handler then used the call that it had already given up, a null pointer. The instance ended with all of its streams. Only exceptions of the standard library (std::bad_alloc) are known to get there; no run of real processes has shown one.

Change: such a response counts as one that did not arrive, and the stop is requested again.

--- a/src/gateway/internal/run_stopper.cc
+++ b/src/gateway/internal/run_stopper.cc
@@ -56,7 +56,9 @@
       {kConnectTimeout, kMaxResponseTime, kMaxIdle, kMaxMoveResponseBytes},
       [self = shared_from_this()](std::optional<buffered_response> response) {
         const auto call = std::exchange(self->call_, nullptr);
-        self->OnResult(self->ResultOf(response, call->HasFailedToConnect()),
+        // The call is null if this handler has thrown on its response.
+        const bool connect_failed = call && call->HasFailedToConnect();
+        self->OnResult(self->ResultOf(response, connect_failed),
                        response ? response->head.status : 0);
       });
 }
--- a/src/gateway/tests/run_handover_test.cc
+++ b/src/gateway/tests/run_handover_test.cc
@@ -213,3 +213,13 @@
           std::string::npos);
   f.CheckIsCompletedAfter(2);
 }
+
+// Guards against an instance that ends by itself when a response to a stop
+// can't be processed.
+TEST_CASE("a stop response that can't be processed ends no instance") {
+  moving_stream f;
+  f.RequestStop();
+  CHECK_THROWS(f.stop->Receive(f.Response("200 OK", "second", "Pause: x\r\n")));
+  f.scheduler.Advance(milliseconds(100));
+  CHECK(f.CountRequests("POST /stop/") == 2);
+}
