Take a run from a source that is cut off after it refused the stop

A refused or unreachable stop cleared the timer that bounds the wait for the source. If the source then fell silent with its connection open, as behind a cut, nothing was pending but the stopper, whose last result changes nothing for a run that was not sent: the caller's stream stood still until its deadline, with its copy at the receiver.

Change: after a refusal the silence of the source counts from the next request, and an unreachable source leaves the timer as it is. Each event and each further refusal arm it again, so that a run whose stop is refused stays where it is as before, up to the last of the stopper's requests.

--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -124,7 +124,8 @@
   void StartMove();
   void OnMoveEnd(std::optional<moved_run> moved);
   void StartHandover(const target_entry& source, const run_copy& copy);
-  void ArmStopTimer();
+  // The silence of the source counts from `delay` after now.
+  void ArmStopTimer(milliseconds delay = milliseconds(0));
   void OnStopTimer();
   bool OnStopResult(int number, const stop_result& result);
   void OnStopEnd(int number);
--- a/src/gateway/internal/exchange_continuation.cc
+++ b/src/gateway/internal/exchange_continuation.cc
@@ -105,9 +105,9 @@
   ArmStopTimer();
 }
 
-void exchange::ArmStopTimer() {
+void exchange::ArmStopTimer(milliseconds delay) {
   handover_->stop_timer = services_.scheduler.RunAt(
-      services_.scheduler.Now() + kMaxStopSilence,
+      services_.scheduler.Now() + delay + kMaxStopSilence,
       [self = shared_from_this()] { self->OnStopTimer(); });
 }
 
@@ -139,10 +139,12 @@
         TakeFromSource();
       break;
     case stop_outcome::refused:
-    case stop_outcome::unreachable:
+      // The silence counts from the next request.
       if (attempt_)
-        handover_->stop_timer.reset();
-      else if (result.outcome == stop_outcome::unreachable)
+        ArmStopTimer(kStopRetryInterval);
+      break;
+    case stop_outcome::unreachable:
+      if (!attempt_)
         TakeFromSource();
       break;
     case stop_outcome::broken:
--- a/src/gateway/internal/run_stopper.cc
+++ b/src/gateway/internal/run_stopper.cc
@@ -6,7 +6,6 @@
 namespace {
 
 constexpr milliseconds kConnectTimeout{300};
-constexpr milliseconds kRetryInterval{60};
 
 // Bounds the load on a target that refuses or cannot be reached.
 constexpr int kMaxStopRequests = 16;
@@ -112,7 +111,7 @@
     return End();
   }
   retry_timer_ = services_.scheduler.RunAt(
-      services_.scheduler.Now() + kRetryInterval,
+      services_.scheduler.Now() + kStopRetryInterval,
       [self = shared_from_this()] { self->RequestStop(); });
 }
 
--- a/src/gateway/internal/run_stopper.h
+++ b/src/gateway/internal/run_stopper.h
@@ -12,6 +12,9 @@
 
 namespace wist {
 
+// A stop that was refused or not confirmed is requested again after this time.
+inline constexpr milliseconds kStopRetryInterval{60};
+
 // Tells a target to stop a run that continues on another target, until it has
 // confirmed that. Each object stops one run.
 class run_stopper : public std::enable_shared_from_this<run_stopper> {
--- a/src/gateway/tests/run_handover_test.cc
+++ b/src/gateway/tests/run_handover_test.cc
@@ -42,6 +42,25 @@
                std::string::npos;
   }
 
+  // Whether some call continues the run at `target` from `handle`.
+  bool ContinuesAnywhere(const std::string& target,
+                         const std::string& handle) const {
+    for (std::size_t i = 0; i < connector.channels.size(); ++i) {
+      const std::string& written = connector.channels[i]->written;
+      if (connector.addresses[i].host == target &&
+          written.starts_with("POST /stream/") &&
+          written.find("Memory: " + handle + "\r\n") != std::string::npos)
+        return true;
+    }
+    return false;
+  }
+
+  // The receiver that the request to stop the run names.
+  std::string StopReceiver() const {
+    const std::size_t from = std::string("POST /stop/r/").size();
+    return stop->written.substr(from, stop->written.find(' ', from) - from);
+  }
+
   void CheckIsCompletedAfter(int last_event) {
     target_channel().Receive(StreamHead() + Event(last_event + 1) +
                              std::string(LastChunk()));
@@ -223,3 +242,20 @@
   f.scheduler.Advance(milliseconds(100));
   CHECK(f.CountRequests("POST /stop/") == 2);
 }
+
+// Guards against a run that hangs until its deadline although its copy is at
+// the receiver: the source refuses the stop once and is cut off afterwards.
+TEST_CASE("a run whose source is cut off after it refused the stop goes on") {
+  moving_stream f;
+  f.RequestStop();
+  const std::string receiver = f.StopReceiver();
+  f.stop->Receive(f.Response("409 Conflict", ""));
+  f.scheduler.Advance(milliseconds(60));
+  REQUIRE(f.CountRequests("POST /stop/") == 2);
+  SECTION("it accepts no connection") {
+    f.target_channel().End(channel_end::connect_failed);
+  }
+  SECTION("it does not respond") {}
+  f.scheduler.Advance(milliseconds(110));
+  REQUIRE(f.ContinuesAnywhere(receiver, "first"));
+}
