Repeat a copy request that got no response

One copy request without a response (a connection that the source did not accept within 300 ms, one that broke) ended the whole move. The run stayed at a source that had announced its end and was cut with it, although the source and its receivers could have gone on with the copy for seconds.

Change: the request is repeated after 60 ms like one that was refused, within the same bounds of 16 requests and of the move's time. The receiver's reservation ends meanwhile. A mover that has finished does not start again if its handler throws.

Test: run_handover, 'a copy request without a response is repeated', both sections failed before. wist_gateway_test passes, 156 cases.

--- a/src/gateway/internal/run_mover.cc
+++ b/src/gateway/internal/run_mover.cc
@@ -95,8 +95,10 @@
               self->services_.dialect.DecodeMoveResponse(response->head.status,
                                                          response->body));
         }
+        // The run goes on at its source.
         self->Log("broken");
-        self->Finish(std::nullopt);
+        self->EndReservation();
+        self->ScheduleRetry();
       });
 }
 
@@ -105,8 +107,7 @@
   const bool is_copied = response.status == kOk && !response.handle.empty();
   if (is_copied && services_.AcceptsRun(receiver_->id))
     return Finish(moved_run{*receiver_, {source_.address, response.handle}});
-  services_.selector.EndRun(*std::exchange(reservation_, std::nullopt),
-                            run_end::cancelled, services_.scheduler.Now());
+  EndReservation();
   if (response.status == kNotFound || response.status == kConflict)
     return ScheduleRetry();
   // The receiver has no room, or it has begun to leave during the copy.
@@ -118,20 +119,24 @@
 
 void run_mover::ScheduleRetry() {
   const timestamp now = services_.scheduler.Now();
-  if (now >= deadline_)
+  if (now >= deadline_ || !on_complete_)
     return Finish(std::nullopt);
   timer_ = services_.scheduler.RunAt(
       now + kRetryInterval,
       [self = shared_from_this()] { self->ChooseReceiver(); });
 }
 
+void run_mover::EndReservation() {
+  if (!reservation_)
+    return;
+  services_.selector.EndRun(*std::exchange(reservation_, std::nullopt),
+                            run_end::cancelled, services_.scheduler.Now());
+  services_.on_load_change();
+}
+
 void run_mover::Finish(std::optional<moved_run> moved) {
   timer_.reset();
-  if (reservation_) {
-    services_.selector.EndRun(*std::exchange(reservation_, std::nullopt),
-                              run_end::cancelled, services_.scheduler.Now());
-    services_.on_load_change();
-  }
+  EndReservation();
   const auto on_complete = std::exchange(on_complete_, nullptr);
   if (!on_complete)
     return;
--- a/src/gateway/internal/run_mover.h
+++ b/src/gateway/internal/run_mover.h
@@ -42,6 +42,7 @@
   void RequestCopy();
   void OnMoveResponse(const move_response& response);
   void ScheduleRetry();
+  void EndReservation();
   void Finish(std::optional<moved_run> moved);
   void Log(const std::string& outcome);
 
--- a/src/gateway/tests/run_handover_test.cc
+++ b/src/gateway/tests/run_handover_test.cc
@@ -259,3 +259,21 @@
   f.scheduler.Advance(milliseconds(110));
   REQUIRE(f.ContinuesAnywhere(receiver, "first"));
 }
+
+// Guards against a run that is not moved at all since one request for its copy
+// got no response, while its source has seconds left.
+TEST_CASE("a copy request without a response is repeated") {
+  moving_stream f;
+  f.directory.Remove(target_id(f.source), false, f.scheduler.Now());
+  REQUIRE(f.CountRequests("POST /move/") == 1);
+  SECTION("the source accepts no connection") {
+    f.target_channel().End(channel_end::connect_failed);
+  }
+  SECTION("the connection breaks") {
+    f.target_channel().End(channel_end::reset);
+  }
+  f.scheduler.Advance(milliseconds(100));
+  CHECK(f.CountRequests("POST /move/") == 2);
+  f.target_channel().Receive(f.Response("200 OK", "first"));
+  CHECK(f.CountRequests("POST /stop/") == 1);
+}
