--- a/src/gateway/internal/run_stopper.cc
+++ b/src/gateway/internal/run_stopper.cc
@@ -6,7 +6,6 @@
 namespace {
 
 constexpr milliseconds kConnectTimeout{300};
-constexpr milliseconds kRetryInterval{60};
 
 // Bounds the load on a target that refuses or cannot be reached.
 constexpr int kMaxStopRequests = 16;
@@ -56,7 +55,9 @@
       {kConnectTimeout, kMaxResponseTime, kMaxIdle, kMaxMoveResponseBytes},
       [self = shared_from_this()](std::optional<buffered_response> response) {
         const auto call = std::exchange(self->call_, nullptr);
-        self->OnResult(self->ResultOf(response, call->HasFailedToConnect()),
+        // The call is null if this handler has thrown on its response.
+        const bool connect_failed = call && call->HasFailedToConnect();
+        self->OnResult(self->ResultOf(response, connect_failed),
                        response ? response->head.status : 0);
       });
 }
@@ -110,7 +111,7 @@
     return End();
   }
   retry_timer_ = services_.scheduler.RunAt(
-      services_.scheduler.Now() + kRetryInterval,
+      services_.scheduler.Now() + kStopRetryInterval,
       [self = shared_from_this()] { self->RequestStop(); });
 }
 
--- a/src/gateway/tests/run_handover_test.cc
+++ b/src/gateway/tests/run_handover_test.cc
@@ -42,6 +42,25 @@
                std::string::npos;
   }
 
+  // Whether some call continues the run at `target` from `handle`.
+  bool ContinuesAnywhere(const std::string& target,
+                         const std::string& handle) const {
+    for (std::size_t i = 0; i < connector.channels.size(); ++i) {
+      const std::string& written = connector.channels[i]->written;
+      if (connector.addresses[i].host == target &&
+          written.starts_with("POST /stream/") &&
+          written.find("Memory: " + handle + "\r\n") != std::string::npos)
+        return true;
+    }
+    return false;
+  }
+
+  // The receiver that the request to stop the run names.
+  std::string StopReceiver() const {
+    const std::size_t from = std::string("POST /stop/r/").size();
+    return stop->written.substr(from, stop->written.find(' ', from) - from);
+  }
+
   void CheckIsCompletedAfter(int last_event) {
     target_channel().Receive(StreamHead() + Event(last_event + 1) +
                              std::string(LastChunk()));
@@ -226,3 +245,48 @@
   CHECK_FALSE(f.response().ends_with("0\r\n\r\n"));
   CHECK(f.caller_channel->aborted);
 }
+
+// Guards against an instance that ends by itself when a response to a stop
+// can't be processed.
+TEST_CASE("a stop response that can't be processed ends no instance") {
+  moving_stream f;
+  f.RequestStop();
+  CHECK_THROWS(f.stop->Receive(f.Response("200 OK", "second", "Pause: x\r\n")));
+  f.scheduler.Advance(milliseconds(100));
+  CHECK(f.CountRequests("POST /stop/") == 2);
+}
+
+// Guards against a run that hangs until its deadline although its copy is at
+// the receiver: the source refuses the stop once and is cut off afterwards.
+TEST_CASE("a run whose source is cut off after it refused the stop goes on") {
+  moving_stream f;
+  f.RequestStop();
+  const std::string receiver = f.StopReceiver();
+  f.stop->Receive(f.Response("409 Conflict", ""));
+  f.scheduler.Advance(milliseconds(60));
+  REQUIRE(f.CountRequests("POST /stop/") == 2);
+  SECTION("it accepts no connection") {
+    f.target_channel().End(channel_end::connect_failed);
+  }
+  SECTION("it does not respond") {}
+  f.scheduler.Advance(milliseconds(110));
+  REQUIRE(f.ContinuesAnywhere(receiver, "first"));
+}
+
+// Guards against a run that is not moved at all since one request for its copy
+// got no response, while its source has seconds left.
+TEST_CASE("a copy request without a response is repeated") {
+  moving_stream f;
+  f.directory.Remove(target_id(f.source), false, f.scheduler.Now());
+  REQUIRE(f.CountRequests("POST /move/") == 1);
+  SECTION("the source accepts no connection") {
+    f.target_channel().End(channel_end::connect_failed);
+  }
+  SECTION("the connection breaks") {
+    f.target_channel().End(channel_end::reset);
+  }
+  f.scheduler.Advance(milliseconds(100));
+  CHECK(f.CountRequests("POST /move/") == 2);
+  f.target_channel().Receive(f.Response("200 OK", "first"));
+  CHECK(f.CountRequests("POST /stop/") == 1);
+}
