Read the keys again when their source is behind what is known

After lost history the follower reads all keys, and a parent in the watch tree may have another, earlier revision than the instance had.

Cause: the watch compares revisions (a mirror that is behind gives no answer), the range did not. A range whose first page is of an earlier revision than was reported is read again after the retry pause, for at most the age that content may have; a source that stays behind has lost the entries. The store does not count as lost meanwhile, so that notices are not delayed.

--- a/src/follower/internal/prefix_follower.cc
+++ b/src/follower/internal/prefix_follower.cc
@@ -59,10 +59,14 @@
   // The pages may be read at different revisions. The watch continues from the
   // revision of the first one, and returns again changes that later pages
   // already contain.
-  if (range_revision_ == 0)
+  const bool is_first_page = range_revision_ == 0;
+  if (is_first_page)
     range_revision_ = page.at_revision;
   if (page.age > settings_.max_age)
     return OnError(store_error::unavailable);
+  if (is_first_page && IsBehind(page))
+    return RunAfter(settings_.initial_retry_pause,
+                    &prefix_follower::StartRangeRead);
   max_page_age_ = std::max(max_page_age_, page.age);
   for (const store_change& item : page.items) {
     if (item.value)
@@ -72,12 +76,28 @@
     return ReadPage(page.items.back().key);
   OnSuccess();
   revision_ = range_revision_;
+  latest_revision_ = range_revision_;
+  behind_deadline_.reset();
   listener_.OnSnapshot(items_, *revision_, IsAfterOutage());
   items_.clear();
   listener_.OnConfirmed(*revision_, called_at_ - max_page_age_);
   StartWatch();
 }
 
+// Whether the source lacks changes that are known here. Entries that it lacks
+// would be taken for removed ones. A source that remains behind for longer than
+// its content may be old has lost them.
+bool prefix_follower::IsBehind(const range_page& first_page) {
+  if (first_page.at_revision >= latest_revision_) {
+    behind_deadline_.reset();
+    return false;
+  }
+  const timestamp now = scheduler_.Now();
+  if (!behind_deadline_)
+    behind_deadline_ = now + settings_.max_age;
+  return now < *behind_deadline_;
+}
+
 void prefix_follower::StartWatch() {
   called_at_ = scheduler_.Now();
   store_.Watch(prefix_, *revision_, settings_.watch_wait,
@@ -94,6 +114,7 @@
   for (const store_change& change : page.changes)
     listener_.OnChange(change, IsAfterOutage());
   revision_ = std::max(*revision_, page.at_revision);
+  latest_revision_ = *revision_;
   if (page.changes.empty()) {
     // An empty response of the store after the whole wait confirms that there
     // was no change until the end of the wait. An earlier one confirms only the
--- a/src/follower/prefix_follower.h
+++ b/src/follower/prefix_follower.h
@@ -64,6 +64,7 @@
   void StartRangeRead();
   void ReadPage(const std::string& after_key);
   void OnRangePage(range_result result);
+  bool IsBehind(const range_page& first_page);
   void StartWatch();
   void OnWatchPage(watch_result result);
   void OnError(store_error error);
@@ -85,6 +86,10 @@
   // been read.
   std::optional<std::int64_t> revision_;
   std::int64_t range_revision_ = 0;
+  // Latest revision that was reported to the listener.
+  std::int64_t latest_revision_ = 0;
+  // Until when ranges of earlier revisions are rejected.
+  std::optional<timestamp> behind_deadline_;
   bool store_lost_ = false;
   int consecutive_errors_ = 0;
   std::optional<timestamp> grace_deadline_;
--- a/src/follower/tests/prefix_follower_test.cc
+++ b/src/follower/tests/prefix_follower_test.cc
@@ -136,6 +136,43 @@
   CHECK(f.listener.lost == 0);
 }
 
+// Guards against sound targets that look removed: after lost history the keys
+// may be read from another mirror, which does not have the latest ones yet.
+TEST_CASE("keys are read again if their source is behind what is known") {
+  fixture f;
+  f.store.RespondToRange(range_page{{}, false, 10});
+  f.store.RespondToWatch(watch_page{{{"p/a", "1", 12}}, 12});
+  f.scheduler.Advance(milliseconds(40));
+  f.store.RespondToWatch(store_error::history_gone);
+  f.scheduler.Advance(milliseconds(1));
+  f.store.RespondToRange(range_page{{}, false, 11});
+  CHECK(f.listener.snapshots.size() == 1);
+  CHECK(f.listener.lost == 0);
+  f.scheduler.Advance(milliseconds(100));
+  REQUIRE(f.store.range_done);
+  f.store.RespondToRange(range_page{{{"p/a", "1", 12}}, false, 12});
+  CHECK(f.listener.snapshots.size() == 2);
+  CHECK(f.store.watch_since.back() == 12);
+  CHECK_FALSE(f.listener.after_outage);
+}
+
+TEST_CASE("a source that stays behind what is known is used in the end") {
+  fixture f;
+  f.store.RespondToRange(range_page{{}, false, 10});
+  f.store.RespondToWatch(store_error::history_gone);
+  f.scheduler.Advance(milliseconds(1));
+  const timestamp started_at = f.scheduler.Now();
+  while (f.listener.snapshots.size() < 2 &&
+         f.scheduler.Now() < started_at + milliseconds(3000)) {
+    REQUIRE(f.store.range_done);
+    f.store.RespondToRange(range_page{{}, false, 4});
+    f.scheduler.Advance(milliseconds(100));
+  }
+  CHECK(f.listener.snapshots.size() == 2);
+  CHECK(f.scheduler.Now() >= started_at + milliseconds(1500));
+  CHECK(f.store.watch_since.back() == 4);
+}
+
 TEST_CASE("an error is retried with increasing pauses and reported once") {
   fixture f;
   f.store.RespondToRange(range_page{{}, false, 10});
