Apply the limits of a new version to channels in use

Callers saw a kept channel closed, or a body refused (413), by limits of an earlier version: the timer of an idle channel ran to the end of the limit at its start, and the reader of a channel kept its limits for good. A caller that reuses its channel within the new, higher idle limit met a close.

When the timer of a channel fires, the limit in force decides whether the wait is over. The reader takes new limits with the next request of which nothing has arrived yet, so that a lower limit does not refuse a request that was sent under the one before.

--- a/src/framework/net/http_codec.h
+++ b/src/framework/net/http_codec.h
@@ -49,6 +49,8 @@
   // A message with a longer body is rejected, with its head if that states the
   // length.
   std::size_t max_body_bytes = 1'048'576;
+
+  bool operator==(const http_reader_limits&) const = default;
 };
 
 enum class http_read_error { malformed, header_too_large, body_too_large };
@@ -59,6 +61,9 @@
  public:
   virtual ~i_http_request_reader() = default;
 
+  // Takes effect with the next request of which nothing has arrived yet.
+  virtual void SetLimits(const http_reader_limits& limits) = 0;
+
   // Appends received bytes to the input.
   virtual void Feed(std::string_view bytes) = 0;
 
--- a/src/framework/net/internal/http_codec.cc
+++ b/src/framework/net/internal/http_codec.cc
@@ -87,10 +87,19 @@
 
 class request_reader final : public i_http_request_reader {
  public:
-  explicit request_reader(const http_reader_limits& limits) : limits_(limits) {
+  explicit request_reader(const http_reader_limits& limits)
+      : next_limits_(limits) {
     ResetParser();
   }
 
+  void SetLimits(const http_reader_limits& limits) override {
+    if (limits == next_limits_)
+      return;
+    next_limits_ = limits;
+    if (!HasPartialRequest())
+      ResetParser();
+  }
+
   void Feed(std::string_view bytes) override { buffer_.append(bytes); }
 
   std::optional<http_request_message> Next() override {
@@ -133,6 +142,7 @@
 
  private:
   void ResetParser() {
+    limits_ = next_limits_;
     parser_.emplace();
     parser_->header_limit(static_cast<std::uint32_t>(limits_.max_header_bytes));
     parser_->body_limit(limits_.max_body_bytes);
@@ -185,7 +195,8 @@
     return request;
   }
 
-  const http_reader_limits limits_;
+  http_reader_limits limits_;
+  http_reader_limits next_limits_;
   std::string buffer_;
   std::optional<http::request_parser<growing_body>> parser_;
   std::optional<http_read_error> read_error_;
--- a/src/gateway/internal/caller_connection.cc
+++ b/src/gateway/internal/caller_connection.cc
@@ -24,11 +24,14 @@
   return table ? table->configuration().limits : caller_limits{};
 }
 
-void caller_connection::Start() {
+http_reader_limits caller_connection::ReaderLimits() const {
   const caller_limits limits = Limits();
-  reader_ =
-      MakeHttpRequestReader({static_cast<std::size_t>(limits.max_header_bytes),
-                             static_cast<std::size_t>(limits.max_body_bytes)});
+  return {static_cast<std::size_t>(limits.max_header_bytes),
+          static_cast<std::size_t>(limits.max_body_bytes)};
+}
+
+void caller_connection::Start() {
+  reader_ = MakeHttpRequestReader(ReaderLimits());
   const auto self = shared_from_this();
   channel_->SetCallbacks(
       {[self](std::string_view bytes) { self->OnData(bytes); },
@@ -65,6 +68,7 @@
 
 void caller_connection::OnData(std::string_view bytes) {
   const auto self = shared_from_this();
+  reader_->SetLimits(ReaderLimits());
   reader_->Feed(bytes);
   if (!exchange_)
     return ReadNext();
@@ -152,18 +156,27 @@
       !reader_->IsHeadComplete())
     return;
   awaiting_head_ = reader_->HasPartialRequest() && !reader_->IsHeadComplete();
+  waiting_since_ = services_.scheduler.Now();
+  ScheduleTimer();
+}
+
+timestamp caller_connection::WaitDeadline() const {
   const caller_limits limits = Limits();
-  const milliseconds limit = reader_->HasPartialRequest()
-                                 ? limits.header_timeout
-                                 : limits.idle_timeout;
+  return waiting_since_ + (reader_->HasPartialRequest() ? limits.header_timeout
+                                                        : limits.idle_timeout);
+}
+
+void caller_connection::ScheduleTimer() {
   timer_ = services_.scheduler.RunAt(
-      services_.scheduler.Now() + limit,
-      [self = shared_from_this()] { self->OnTimer(); });
+      WaitDeadline(), [self = shared_from_this()] { self->OnTimer(); });
 }
 
 void caller_connection::OnTimer() {
   if (exchange_ || !channel_)
     return;
+  // A later configuration may have raised the limit.
+  if (services_.scheduler.Now() < WaitDeadline())
+    return ScheduleTimer();
   if (reader_->HasPartialRequest()) {
     channel_->Write(services_.dialect.EncodeRefusal(
         "", {error_code::request_timeout, run_verdict::not_run, std::nullopt},
--- a/src/gateway/internal/caller_connection.h
+++ b/src/gateway/internal/caller_connection.h
@@ -56,11 +56,14 @@
   void RefuseMalformed(http_read_error error);
   void OnExchangeFinished();
   void ArmTimer();
+  void ScheduleTimer();
+  timestamp WaitDeadline() const;
   void OnTimer();
   void CloseChannel();
   void AbortChannel();
   void DisconnectSlowCaller();
   caller_limits Limits() const;
+  http_reader_limits ReaderLimits() const;
 
   gateway_services& services_;
   std::shared_ptr<i_channel> channel_;
@@ -73,6 +76,8 @@
   bool aborted_ = false;
   // Whether the timer limits the time to receive a request's head.
   bool awaiting_head_ = false;
+  // Start of the wait that the timer limits.
+  timestamp waiting_since_{};
 };
 
 }  // namespace wist
