Continue a run elsewhere when its receiver breaks off at once

A receiver whose channel broke, or whose response was invalid, before its first event was treated as a target that broke off: the run's other copies (the source that kept its memory, the backup of the attempt before) were freed, and only the backup of the new attempt was tried, which can hold nothing of the run yet.

Change: while the handover goes on, the copies that it knows are tried, those at targets that broke off excepted, and the backup of the new attempt among them. The broken target is told to stop the run. Such breaks count for the bound on unannounced failures (2) and, as before, as possible crashes; a quarantined run is not continued.

--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -307,7 +307,7 @@
     services_.on_run_broken(SuspectsOfBrokenRun(), splitter_.event_count(),
                             attempt_->target);
   if (stream_started_) {
-    if (ResumeFromBackup())
+    if (ResumeFromOtherCopy() || ResumeFromBackup())
       return;
     EndAttempt(end);
     return AbortStream("target_ended_stream");
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -50,6 +50,8 @@
   // Set while the run waits for its source to stop.
   std::unique_ptr<i_timer> stop_timer;
   bool was_sent = false;
+  // Targets that broke off before their first event.
+  std::set<target_id> broken_targets;
   // Why the last copy could not be used.
   std::string failure = "receiver_left";
 };
@@ -139,6 +141,7 @@
   void EndHandover();
   void AssignBackup(target_dispatch& dispatch);
   bool ResumeFromBackup();
+  bool ResumeFromOtherCopy();
 
   void ForwardResponse();
   void Refuse(error_code code, run_verdict verdict);
--- a/src/gateway/internal/exchange_continuation.cc
+++ b/src/gateway/internal/exchange_continuation.cc
@@ -178,6 +178,8 @@
 // A receiver accepted runs when it was chosen. One that has begun to leave
 // since then is still used for a short time, and the run moves on from it.
 bool exchange::MayUse(const run_copy& copy) const {
+  if (handover_->broken_targets.contains(copy.holder.id))
+    return false;
   switch (copy.place) {
     case copy_place::receiver:
       return services_.scheduler.Now() < handover_->decision_deadline ||
@@ -263,6 +265,33 @@
       services_.selector.BeginBackup(target->entry.id, request, now);
 }
 
+// The target to which the run was sent broke off before its first event. Other
+// copies of the run may be held still. Returns whether the run continues from
+// one, or has been given up.
+bool exchange::ResumeFromOtherCopy() {
+  if (!handover_ || backup_resume_count_ >= kMaxBackupResumes ||
+      IsQuarantined())
+    return false;
+  ++backup_resume_count_;
+  const target_entry broken = attempt_->target;
+  if (const auto& backup = attempt_->backup_target) {
+    handover_->continuation.AddCopy(
+        {copy_place::backup, *backup, {backup->address, request_.id}});
+  }
+  EndAttempt(run_end::broken);
+  // It may work on the run still. The copy that the stop makes is freed.
+  const run_continuation& run = handover_->continuation;
+  const target_entry& other =
+      broken.id == run.source().id ? run.receiver() : run.source();
+  std::make_shared<run_stopper>(services_, request_.id, broken, other.address,
+                                nullptr, nullptr)
+      ->Start();
+  handover_->broken_targets.insert(broken.id);
+  handover_->failure = "target_ended_stream";
+  ContinueRun();
+  return true;
+}
+
 // Returns whether the run continues from its backup.
 bool exchange::ResumeFromBackup() {
   if (!attempt_->backup_target || backup_resume_count_ >= kMaxBackupResumes ||
--- a/src/gateway/internal/run_continuation.h
+++ b/src/gateway/internal/run_continuation.h
@@ -77,6 +77,9 @@
   // `copy` is the one that exists before the source is told to stop.
   run_continuation(target_entry source, run_copy copy);
 
+  const target_entry& source() const { return source_; }
+  const target_entry& receiver() const { return receiver_; }
+
   void AddCopy(const run_copy& copy);
 
   // Applies a response to the request to stop the run.
--- a/src/gateway/tests/run_handover_test.cc
+++ b/src/gateway/tests/run_handover_test.cc
@@ -277,3 +277,31 @@
   f.target_channel().Receive(f.Response("200 OK", "first"));
   CHECK(f.CountRequests("POST /stop/") == 1);
 }
+
+// Guards against a stream that is cut although its source kept the run's
+// memory: the receiver breaks off before its first event.
+TEST_CASE("a run whose receiver breaks off at once goes on at its source") {
+  moving_stream f;
+  f.RequestStop();
+  f.stop->Receive(f.Response("503 Full", "kept"));
+  SECTION("its channel breaks") {
+    f.target_channel().End(channel_end::reset);
+  }
+  SECTION("its response is invalid") {
+    f.target_channel().Receive(f.Response("200 OK", "", ""));
+  }
+  CHECK(f.CountRequests("POST /stop/") == 2);
+  REQUIRE(f.Continues(f.source, "kept"));
+  f.CheckIsCompletedAfter(2);
+}
+
+TEST_CASE("a run is given up when every target that held it broke off") {
+  moving_stream f;
+  f.RequestStop();
+  f.stop->Receive(f.Response("503 Full", "kept"));
+  f.target_channel().End(channel_end::reset);
+  REQUIRE(f.Continues(f.source, "kept"));
+  f.target_channel().End(channel_end::reset);
+  CHECK(f.caller_channel->aborted);
+  CHECK(f.logger.LastField("request", "reason") == "target_ended_stream");
+}
