Wait for the stop of a refused run while its source is asked again

A source that once accepted no connection for the stop (a full queue, a cut of a second) was taken for one that holds nothing: a refused run was given up at once, although the source may keep its memory and the stopper asks it up to 15 times more.

Change: an unreachable source may still bring a copy, until the last request. The caller of a run whose source has really ended learns of it later: 16 requests at 60 ms, or with connections that time out at 360 ms, about 1 to 6 s, within the deadline.

--- a/src/gateway/internal/run_continuation.cc
+++ b/src/gateway/internal/run_continuation.cc
@@ -40,7 +40,9 @@
 }
 
 void run_continuation::OnStopResult(const stop_result& result) {
+  // A source that accepts no connection may do so later.
   is_stop_pending_ = result.outcome == stop_outcome::refused ||
+                     result.outcome == stop_outcome::unreachable ||
                      result.outcome == stop_outcome::broken;
   if (result.handle.empty())
     return;
--- a/src/gateway/tests/run_continuation_test.cc
+++ b/src/gateway/tests/run_continuation_test.cc
@@ -77,6 +77,8 @@
   CHECK(run.Next(IsUsable) == continuation_step(await_stop{}));
   SECTION("the source is gone") {
     run.OnStopResult({stop_outcome::unreachable, ""});
+    CHECK(run.Next(IsUsable) == continuation_step(await_stop{}));
+    run.OnStopEnd();
   }
   SECTION("the source has dropped the run") {
     run.OnStopResult({stop_outcome::had_ended, ""});
--- a/src/gateway/tests/run_handover_test.cc
+++ b/src/gateway/tests/run_handover_test.cc
@@ -305,3 +305,34 @@
   CHECK(f.caller_channel->aborted);
   CHECK(f.logger.LastField("request", "reason") == "target_ended_stream");
 }
+
+// Guards against a stream that is cut since its source did not accept one
+// connection, though it keeps the run's memory and is asked again.
+TEST_CASE("a refused run waits for a source that was unreachable once") {
+  moving_stream f;
+  f.RequestStop();
+  f.EndSource();
+  f.stop->End(channel_end::connect_failed);
+  f.Refuse();
+  CHECK(f.caller_channel->open());
+  f.scheduler.Advance(milliseconds(60));
+  REQUIRE(f.CountRequests("POST /stop/") == 2);
+  SECTION("it has the run") {
+    f.target_channel().Receive(f.Response("503 Full", "kept"));
+    REQUIRE(f.Continues(f.source, "kept"));
+    f.CheckIsCompletedAfter(2);
+  }
+  SECTION("it has dropped the run") {
+    f.target_channel().Receive(f.Response("404 Not Found", ""));
+    CHECK(f.caller_channel->aborted);
+  }
+  SECTION("it stays unreachable") {
+    while (f.CountRequests("POST /stop/") < 16) {
+      CHECK(f.caller_channel->open());
+      f.target_channel().End(channel_end::connect_failed);
+      f.scheduler.Advance(milliseconds(60));
+    }
+    f.target_channel().End(channel_end::connect_failed);
+    CHECK(f.caller_channel->aborted);
+  }
+}
