Leave a run at a source that refuses to the last to stop it

Each event armed the timer that bounds the source's silence, also after the stopper had given up. A run whose source refused all 16 requests was taken from it at the first pause of 100 ms between two events, unstopped: an engine that does not drop closed runs would have worked on it beside the receiver (TWICE).

Change: after a refusal of the last request the run stays until its stream ends, and then continues from its copy as before. A source that is cut off after that is noticed by its channel or deadline only, as for a run that is not moved.

--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -49,6 +49,10 @@
   timestamp decision_deadline;
   // Set while the run waits for its source to stop.
   std::unique_ptr<i_timer> stop_timer;
+  // What the latest request to stop the run has shown.
+  std::optional<stop_outcome> last_stop_outcome;
+  // The source refused the last request, and is not asked again.
+  bool stays_at_source = false;
   bool was_sent = false;
   // Targets that broke off before their first event.
   std::set<target_id> broken_targets;
--- a/src/gateway/internal/exchange_continuation.cc
+++ b/src/gateway/internal/exchange_continuation.cc
@@ -122,6 +122,7 @@
   if (finished_ || !handover_ || handover_->number != number)
     return false;
   handover_->continuation.OnStopResult(result);
+  handover_->last_stop_outcome = result.outcome;
   if (handover_->was_sent) {
     // All copies known before were refused.
     if (!attempt_)
@@ -158,7 +159,13 @@
     return;
   handover_->continuation.OnStopEnd();
   if (handover_->was_sent && !attempt_)
-    ContinueRun();
+    return ContinueRun();
+  // A run whose source refuses to stop it is taken only when its stream ends.
+  if (IsWaitingForStop() && attempt_ &&
+      handover_->last_stop_outcome == stop_outcome::refused) {
+    handover_->stays_at_source = true;
+    handover_->stop_timer.reset();
+  }
 }
 
 // The source has closed the connection of a run that it was told to stop.
--- a/src/gateway/internal/exchange_response.cc
+++ b/src/gateway/internal/exchange_response.cc
@@ -59,10 +59,10 @@
   services_.selector.OnFirstOutput(attempt_->run, services_.scheduler.Now());
   RecordEventTimes();
   RecordOutput();
-  if (IsWaitingForStop())
-    ArmStopTimer();
-  else if (handover_)
+  if (handover_ && handover_->was_sent)
     EndHandover();
+  else if (handover_ && !handover_->stays_at_source)
+    ArmStopTimer();
   if (move_pending_ && !mover_)
     StartMove();
   if (!stream_started_) {
--- a/src/gateway/tests/run_handover_test.cc
+++ b/src/gateway/tests/run_handover_test.cc
@@ -336,3 +336,38 @@
     CHECK(f.caller_channel->aborted);
   }
 }
+
+// Guards against a run that two targets work on: its source refuses to be
+// stopped, and sends events at intervals that are longer than the wait.
+TEST_CASE("a run whose stop is refused to the last stays at its source") {
+  moving_stream f;
+  f.RequestStop();
+  const std::string receiver = f.StopReceiver();
+  f.stop->Receive(f.Response("409 Conflict", ""));
+  int last_event = 2;
+  for (int i = 0; i < 40; ++i) {
+    f.scheduler.Advance(milliseconds(60));
+    if (f.target_channel().written.starts_with("POST /stop/"))
+      f.target_channel().Receive(f.Response("409 Conflict", ""));
+    if (i % 3 == 0)
+      f.target_channel(0).Receive(f.Event(++last_event));
+  }
+  CHECK(f.CountRequests("POST /stop/") == 16);
+  CHECK(f.CountRequests("POST /stream/") == 1);
+  REQUIRE(f.target_channel(0).open());
+  SECTION("it ends there") {
+    f.target_channel(0).Receive(std::string(LastChunk()));
+    CHECK(f.response().ends_with("0\r\n\r\n"));
+  }
+  SECTION("its source ends") {
+    f.EndSource();
+    REQUIRE(f.Continues(receiver, "first"));
+    f.CheckIsCompletedAfter(last_event);
+  }
+  SECTION("its source sends malformed bytes") {
+    f.target_channel(0).Receive("no chunk\r\n");
+    f.scheduler.Advance(milliseconds(100));
+    REQUIRE(f.Continues(receiver, "first"));
+    f.CheckIsCompletedAfter(last_event);
+  }
+}
