--- a/src/gateway/internal/exchange_continuation.cc
+++ b/src/gateway/internal/exchange_continuation.cc
@@ -122,6 +122,7 @@
   if (finished_ || !handover_ || handover_->number != number)
     return false;
   handover_->continuation.OnStopResult(result);
+  handover_->last_stop_outcome = result.outcome;
   if (handover_->was_sent) {
     // All copies known before were refused.
     if (!attempt_)
@@ -158,7 +159,13 @@
     return;
   handover_->continuation.OnStopEnd();
   if (handover_->was_sent && !attempt_)
-    ContinueRun();
+    return ContinueRun();
+  // A run whose source refuses to stop it is taken only when its stream ends.
+  if (IsWaitingForStop() && attempt_ &&
+      handover_->last_stop_outcome == stop_outcome::refused) {
+    handover_->stays_at_source = true;
+    handover_->stop_timer.reset();
+  }
 }
 
 // The source has closed the connection of a run that it was told to stop.
@@ -178,6 +185,8 @@
 // A receiver accepted runs when it was chosen. One that has begun to leave
 // since then is still used for a short time, and the run moves on from it.
 bool exchange::MayUse(const run_copy& copy) const {
+  if (handover_->broken_targets.contains(copy.holder.id))
+    return false;
   switch (copy.place) {
     case copy_place::receiver:
       return services_.scheduler.Now() < handover_->decision_deadline ||
@@ -263,6 +272,33 @@
       services_.selector.BeginBackup(target->entry.id, request, now);
 }
 
+// The target to which the run was sent broke off before its first event. Other
+// copies of the run may be held still. Returns whether the run continues from
+// one, or has been given up.
+bool exchange::ResumeFromOtherCopy() {
+  if (!handover_ || backup_resume_count_ >= kMaxBackupResumes ||
+      IsQuarantined())
+    return false;
+  ++backup_resume_count_;
+  const target_entry broken = attempt_->target;
+  if (const auto& backup = attempt_->backup_target) {
+    handover_->continuation.AddCopy(
+        {copy_place::backup, *backup, {backup->address, request_.id}});
+  }
+  EndAttempt(run_end::broken);
+  // It may work on the run still. The copy that the stop makes is freed.
+  const run_continuation& run = handover_->continuation;
+  const target_entry& other =
+      broken.id == run.source().id ? run.receiver() : run.source();
+  std::make_shared<run_stopper>(services_, request_.id, broken, other.address,
+                                nullptr, nullptr)
+      ->Start();
+  handover_->broken_targets.insert(broken.id);
+  handover_->failure = "target_ended_stream";
+  ContinueRun();
+  return true;
+}
+
 // Returns whether the run continues from its backup.
 bool exchange::ResumeFromBackup() {
   if (!attempt_->backup_target || backup_resume_count_ >= kMaxBackupResumes ||
--- a/src/gateway/tests/run_handover_test.cc
+++ b/src/gateway/tests/run_handover_test.cc
@@ -290,3 +290,97 @@
   f.target_channel().Receive(f.Response("200 OK", "first"));
   CHECK(f.CountRequests("POST /stop/") == 1);
 }
+
+// Guards against a stream that is cut although its source kept the run's
+// memory: the receiver breaks off before its first event.
+TEST_CASE("a run whose receiver breaks off at once goes on at its source") {
+  moving_stream f;
+  f.RequestStop();
+  f.stop->Receive(f.Response("503 Full", "kept"));
+  SECTION("its channel breaks") {
+    f.target_channel().End(channel_end::reset);
+  }
+  SECTION("its response is invalid") {
+    f.target_channel().Receive(f.Response("200 OK", "", ""));
+  }
+  CHECK(f.CountRequests("POST /stop/") == 2);
+  REQUIRE(f.Continues(f.source, "kept"));
+  f.CheckIsCompletedAfter(2);
+}
+
+TEST_CASE("a run is given up when every target that held it broke off") {
+  moving_stream f;
+  f.RequestStop();
+  f.stop->Receive(f.Response("503 Full", "kept"));
+  f.target_channel().End(channel_end::reset);
+  REQUIRE(f.Continues(f.source, "kept"));
+  f.target_channel().End(channel_end::reset);
+  CHECK(f.caller_channel->aborted);
+  CHECK(f.logger.LastField("request", "reason") == "target_ended_stream");
+}
+
+// Guards against a stream that is cut since its source did not accept one
+// connection, though it keeps the run's memory and is asked again.
+TEST_CASE("a refused run waits for a source that was unreachable once") {
+  moving_stream f;
+  f.RequestStop();
+  f.EndSource();
+  f.stop->End(channel_end::connect_failed);
+  f.Refuse();
+  CHECK(f.caller_channel->open());
+  f.scheduler.Advance(milliseconds(60));
+  REQUIRE(f.CountRequests("POST /stop/") == 2);
+  SECTION("it has the run") {
+    f.target_channel().Receive(f.Response("503 Full", "kept"));
+    REQUIRE(f.Continues(f.source, "kept"));
+    f.CheckIsCompletedAfter(2);
+  }
+  SECTION("it has dropped the run") {
+    f.target_channel().Receive(f.Response("404 Not Found", ""));
+    CHECK(f.caller_channel->aborted);
+  }
+  SECTION("it stays unreachable") {
+    while (f.CountRequests("POST /stop/") < 16) {
+      CHECK(f.caller_channel->open());
+      f.target_channel().End(channel_end::connect_failed);
+      f.scheduler.Advance(milliseconds(60));
+    }
+    f.target_channel().End(channel_end::connect_failed);
+    CHECK(f.caller_channel->aborted);
+  }
+}
+
+// Guards against a run that two targets work on: its source refuses to be
+// stopped, and sends events at intervals that are longer than the wait.
+TEST_CASE("a run whose stop is refused to the last stays at its source") {
+  moving_stream f;
+  f.RequestStop();
+  const std::string receiver = f.StopReceiver();
+  f.stop->Receive(f.Response("409 Conflict", ""));
+  int last_event = 2;
+  for (int i = 0; i < 40; ++i) {
+    f.scheduler.Advance(milliseconds(60));
+    if (f.target_channel().written.starts_with("POST /stop/"))
+      f.target_channel().Receive(f.Response("409 Conflict", ""));
+    if (i % 3 == 0)
+      f.target_channel(0).Receive(f.Event(++last_event));
+  }
+  CHECK(f.CountRequests("POST /stop/") == 16);
+  CHECK(f.CountRequests("POST /stream/") == 1);
+  REQUIRE(f.target_channel(0).open());
+  SECTION("it ends there") {
+    f.target_channel(0).Receive(std::string(LastChunk()));
+    CHECK(f.response().ends_with("0\r\n\r\n"));
+  }
+  SECTION("its source ends") {
+    f.EndSource();
+    REQUIRE(f.Continues(receiver, "first"));
+    f.CheckIsCompletedAfter(last_event);
+  }
+  SECTION("its source sends malformed bytes") {
+    f.target_channel(0).Receive("no chunk\r\n");
+    f.scheduler.Advance(milliseconds(100));
+    REQUIRE(f.Continues(receiver, "first"));
+    f.CheckIsCompletedAfter(last_event);
+  }
+}
