--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -53,6 +53,8 @@
   std::optional<stop_outcome> last_stop_outcome;
   // The source refused the last request, and is not asked again.
   bool stays_at_source = false;
+  // Whether the wait has been extended after a pause of the process.
+  bool was_extended = false;
   bool was_sent = false;
   // Targets that broke off before their first event.
   std::set<target_id> broken_targets;
@@ -132,7 +134,7 @@
   void StartHandover(const target_entry& source, const run_copy& copy);
   // The silence of the source counts from `delay` after now.
   void ArmStopTimer(milliseconds delay = milliseconds(0));
-  void OnStopTimer();
+  void OnStopTimer(timestamp deadline);
   bool OnStopResult(int number, const stop_result& result);
   void OnStopEnd(int number);
   bool IsWaitingForStop() const { return handover_ && !handover_->was_sent; }
