Leave room for more urgent generations

Change: a generation whose service has more urgent routes with a shorter objective is not placed where it would exceed that objective, or where it would use the last tenth of the memory limit. Other configurations are not affected.

--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -101,6 +101,8 @@
     request.session = request_.generation->session;
   if (Route().first_byte_objective > milliseconds(0))
     request.first_output_objective = Route().first_byte_objective;
+  request.urgent_objective =
+      routed_.table->UrgentObjective(routed_.service, Route());
   return request;
 }
 
--- a/src/routing/internal/route_table.cc
+++ b/src/routing/internal/route_table.cc
@@ -2,6 +2,8 @@
 
 #include <Poco/String.h>
 
+#include <algorithm>
+
 namespace wist {
 namespace {
 
@@ -16,6 +18,17 @@
     : configuration_(std::move(configuration)) {
   for (const route_spec& route : configuration_.routes)
     routes_by_host_[NormalizeHost(route.host)][route.path_prefix] = &route;
+  for (const route_spec& route : configuration_.routes) {
+    if (route.kind != call_kind::streaming)
+      continue;
+    for (const weighted_service& weighted : route.services) {
+      const auto [objective, added] =
+          stream_objectives_[weighted.service].try_emplace(
+              route.priority, route.first_byte_objective);
+      objective->second =
+          std::min(objective->second, route.first_byte_objective);
+    }
+  }
   for (const keyed_workspace& workspace : configuration_.workspaces) {
     for (const std::string& key : workspace.valid_keys)
       workspaces_by_key_[key] = &workspace;
@@ -63,6 +76,22 @@
   return found == services_.end() ? nullptr : found->second;
 }
 
+std::optional<milliseconds> route_table::UrgentObjective(
+    const service_id& service,
+    const route_spec& route) const {
+  const auto objectives = stream_objectives_.find(service);
+  if (objectives == stream_objectives_.end())
+    return std::nullopt;
+  std::optional<milliseconds> shortest;
+  for (const auto& [priority, objective] : objectives->second) {
+    if (priority >= route.priority)
+      break;
+    if (objective < shortest.value_or(route.first_byte_objective))
+      shortest = objective;
+  }
+  return shortest;
+}
+
 const service_id& PickService(const route_spec& route, double point) {
   std::int64_t total = 0;
   for (const weighted_service& weighted : route.services)
--- a/src/routing/route_table.h
+++ b/src/routing/route_table.h
@@ -1,6 +1,8 @@
 #ifndef ROUTING_ROUTE_TABLE_H_
 #define ROUTING_ROUTE_TABLE_H_
 
+#include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -38,6 +40,12 @@
   // Returns null if there is no such service.
   const routed_service* FindService(const service_id& id) const;
 
+  // Returns the shortest first-byte objective of the streaming routes that
+  // share `service` with `route`, are more urgent and have a shorter objective;
+  // nullopt if there are none.
+  std::optional<milliseconds> UrgentObjective(const service_id& service,
+                                              const route_spec& route) const;
+
  private:
   const route_spec* FindRoute(std::string_view host,
                               std::string_view path) const;
@@ -48,6 +56,9 @@
       routes_by_host_;
   std::unordered_map<std::string, const keyed_workspace*> workspaces_by_key_;
   std::unordered_map<service_id, const routed_service*> services_;
+  // Shortest objective of each service's streaming routes, by priority.
+  std::unordered_map<service_id, std::map<std::int32_t, milliseconds>>
+      stream_objectives_;
 };
 
 // Selects one of the route's services in proportion to the weights. `point`, in
--- a/src/selection/internal/target_costs.cc
+++ b/src/selection/internal/target_costs.cc
@@ -53,9 +53,12 @@
   if (!request.first_output_objective || request.continues_run ||
       load.runs == 0 || !estimator)
     return false;
+  // A long queue of prompts would delay more urgent generations as well.
+  const milliseconds objective =
+      std::min(*request.first_output_objective,
+               request.urgent_objective.value_or(milliseconds::max()));
   return estimator->EstimateTime(load.pending_prefill_tokens +
-                                 request.size->prompt_tokens) >
-         *request.first_output_objective;
+                                 request.size->prompt_tokens) > objective;
 }
 
 double Fill(const target_candidate& candidate,
@@ -65,6 +68,15 @@
          static_cast<double>(engine.memory_tokens);
 }
 
+double FillLimit(const selection_request& request,
+                 const selection_settings& settings) {
+  if (request.continues_run)
+    return settings.continued_run_fill_limit;
+  return request.urgent_objective
+             ? settings.memory_fill_limit - settings.urgent_reserve
+             : settings.memory_fill_limit;
+}
+
 double FailureRate(const target_candidate& candidate) {
   return candidate.health ? candidate.health->failure_rate() : 0;
 }
@@ -80,9 +92,7 @@
                        const selection_request& request,
                        const placement_context& context) {
   const target_load& load = candidate.load;
-  const double limit = request.continues_run
-                           ? context.settings.continued_run_fill_limit
-                           : context.settings.memory_fill_limit;
+  const double limit = FillLimit(request, context.settings);
   // An idle engine accepts a generation larger than the limit.
   if (load.runs > 0 && Fill(candidate, engine, request) > limit)
     return false;
--- a/src/selection/selection_types.h
+++ b/src/selection/selection_types.h
@@ -33,6 +33,9 @@
   std::set<target_id> excluded;
   // Time within which the first output is due; no bound if not set.
   std::optional<milliseconds> first_output_objective;
+  // First-output objective of more urgent generations of the service, for which
+  // this one leaves room; none if not set.
+  std::optional<milliseconds> urgent_objective;
   // Whether the run continues one that started on another engine.
   bool continues_run = false;
   // Whether the run may crash its target.
@@ -92,6 +95,9 @@
   // a refusal would lose all work done for the run, and the engine itself
   // refuses a run that does not fit in its memory.
   double continued_run_fill_limit = 1.1;
+  // Fraction of an engine's memory that generations leave free for more urgent
+  // ones. A short generation with its prompt takes about a tenth.
+  double urgent_reserve = 0.1;
   // The same for backup copies of runs on other engines, which must not use
   // memory that new runs need.
   double backup_fill_limit = 0.4;
