Test that less urgent generations leave room for urgent ones

Cause: the rule had no test of its load. Change: a burst of long generations before short urgent ones, in prompt time and in memory; which routes are urgent.

--- a/src/routing/tests/route_table_test.cc
+++ b/src/routing/tests/route_table_test.cc
@@ -76,3 +76,21 @@
   CHECK(PickService(route, 0.901) == service_id("b"));
   CHECK(PickService(route, 0.9999) == service_id("b"));
 }
+
+TEST_CASE("only more urgent streams with a shorter objective are urgent") {
+  routing_configuration configuration = Configuration();
+  route_spec& patient = configuration.routes[0];
+  route_spec& urgent = configuration.routes[1];
+  patient.kind = urgent.kind = call_kind::streaming;
+  patient.priority = 2;
+  patient.first_byte_objective = milliseconds(4000);
+  urgent.first_byte_objective = milliseconds(1500);
+  const route_table table(configuration);
+  CHECK(table.UrgentObjective(service_id("s"), patient) == milliseconds(1500));
+  CHECK_FALSE(table.UrgentObjective(service_id("s"), urgent));
+  CHECK_FALSE(table.UrgentObjective(service_id("other"), patient));
+
+  urgent.first_byte_objective = milliseconds(5000);
+  const route_table slower(configuration);
+  CHECK_FALSE(slower.UrgentObjective(service_id("s"), patient));
+}
--- a/src/selection/tests/target_selector_test.cc
+++ b/src/selection/tests/target_selector_test.cc
@@ -489,3 +489,37 @@
   f.selector.OnPauseRequested(target_id("a"), At(1000));
   CHECK(f.Choose(f.PlainCall(), At(4000)).empty());
 }
+
+// Load: a burst of long, less urgent generations fills the engines' prompt
+// queues and memory before short urgent ones arrive.
+TEST_CASE("less urgent generations leave prompt time for urgent ones") {
+  fixture f;
+  f.AddTarget("a");
+  selection_request patient = fixture::Generation(1000);
+  patient.first_output_objective = milliseconds(4000);
+  patient.urgent_objective = milliseconds(200);
+  selection_request urgent = fixture::Generation(1000);
+  urgent.first_output_objective = milliseconds(200);
+  // An output after 50 ms shows that the engine reads 10 tokens in 1 ms.
+  f.selector.OnFirstOutput(f.selector.BeginRun(target_id("a"), patient, At(0)),
+                           At(50));
+  for (int i = 0; i < 3; ++i)
+    f.selector.BeginRun(target_id("a"), patient, At(50));
+  CHECK(f.Choose(urgent) == "a");
+  f.selector.BeginRun(target_id("a"), urgent, At(50));
+  CHECK(f.Choose(patient).empty());
+  patient.urgent_objective.reset();
+  CHECK(f.Choose(patient) == "a");
+}
+
+TEST_CASE("less urgent generations leave memory for urgent ones") {
+  fixture f;
+  f.AddTarget("a");
+  f.selector.BeginRun(target_id("a"), fixture::Generation(7500), At(0));
+  selection_request request = fixture::Generation(1000);
+  CHECK(f.Choose(request) == "a");
+  request.urgent_objective = milliseconds(1500);
+  CHECK(f.Choose(request).empty());
+  request.continues_run = true;
+  CHECK(f.Choose(request) == "a");
+}
