Test crowds of clients that send large or endless requests

The scenario runner gets raw connections that send a part of a request and stay open, the kernel's receive queues of a process, its resident memory and its open descriptors.

--- a/scenarios/runner.cc
+++ b/scenarios/runner.cc
@@ -15,6 +15,8 @@
 #include "record/record_module.h"
 #include "scenarios/background_streams.h"
 #include "scenarios/process_group.h"
+#include "scenarios/process_usage.h"
+#include "scenarios/raw_connections.h"
 
 namespace wist::scenarios {
 namespace {
@@ -32,6 +34,7 @@
   std::shared_ptr<i_http_client> http = MakeHttpClient(clock);
   process_group processes;
   background_streams streams;
+  raw_connections raw;
   std::mt19937_64 random;
 };
 
@@ -157,21 +160,99 @@
   });
 }
 
+constexpr double kMegabytesPerKibibyte = 1024 / 1e6;
+
+// Pushes a value in KiB of /proc/PID/status in megabytes.
+int PushStatusMegabytes(lua_State* lua, const std::string& field) {
+  const auto value = StatusValue(
+      ScriptState(lua).processes.ProcessId(CheckText(lua, 1)), field);
+  if (!value)
+    return 0;
+  lua_pushnumber(lua, *value * kMegabytesPerKibibyte);
+  return 1;
+}
+
 // peak_memory_mb(name): the largest resident memory of a running process so far
 int PeakMemory(lua_State* lua) {
+  return WithLuaErrors(lua, [&] { return PushStatusMegabytes(lua, "VmHWM"); });
+}
+
+// resident_memory_mb(name): the resident memory of a running process now
+int ResidentMemory(lua_State* lua) {
+  return WithLuaErrors(lua, [&] { return PushStatusMegabytes(lua, "VmRSS"); });
+}
+
+// receive_queues_mb(name): received bytes that the process has not read
+int ReceiveQueues(lua_State* lua) {
   return WithLuaErrors(lua, [&] {
-    const pid_t process =
-        ScriptState(lua).processes.ProcessId(CheckText(lua, 1));
-    std::ifstream status("/proc/" + std::to_string(process) + "/status");
-    constexpr std::string_view kField = "VmHWM:";
-    for (std::string line; std::getline(status, line);) {
-      if (!line.starts_with(kField))
-        continue;
-      constexpr double kMegabytesPerKibibyte = 1024 / 1e6;
-      lua_pushnumber(
-          lua, std::stod(line.substr(kField.size())) * kMegabytesPerKibibyte);
-      return 1;
-    }
+    lua_pushnumber(
+        lua, static_cast<double>(ReceiveQueueBytes(
+                 ScriptState(lua).processes.ProcessId(CheckText(lua, 1)))) /
+                 1e6);
+    return 1;
+  });
+}
+
+// open_descriptors(name): number of open file descriptors of a process
+int OpenDescriptors(lua_State* lua) {
+  return WithLuaErrors(lua, [&] {
+    lua_pushinteger(
+        lua, static_cast<lua_Integer>(CountDescriptors(
+                 ScriptState(lua).processes.ProcessId(CheckText(lua, 1)))));
+    return 1;
+  });
+}
+
+// raw_open(port, unread): number of a new connection, which does not read what
+// arrives if `unread` is set
+int RawOpen(lua_State* lua) {
+  return WithLuaErrors(lua, [&] {
+    lua_pushinteger(lua, static_cast<lua_Integer>(ScriptState(lua).raw.Open(
+                             ReadAddress(lua, 1).port,
+                             lua_toboolean(lua, 2) == 0)));
+    return 1;
+  });
+}
+
+std::size_t CheckNumber(lua_State* lua, int index) {
+  return static_cast<std::size_t>(luaL_checkinteger(lua, index));
+}
+
+// raw_send(number, text, repetitions): queues the text; raw_pump sends it
+int RawSend(lua_State* lua) {
+  return WithLuaErrors(lua, [&] {
+    ScriptState(lua).raw.Send(
+        CheckNumber(lua, 1), CheckText(lua, 2),
+        static_cast<std::size_t>(luaL_optinteger(lua, 3, 1)));
+    return 0;
+  });
+}
+
+// raw_pump(milliseconds): sends and receives on all raw connections
+int RawPump(lua_State* lua) {
+  return WithLuaErrors(lua, [&] {
+    ScriptState(lua).raw.Pump(milliseconds(luaL_checkinteger(lua, 1)));
+    return 0;
+  });
+}
+
+// raw_state(number): table of unsent_bytes, received and ended ("", "closed" or
+// "reset")
+int RawState(lua_State* lua) {
+  return WithLuaErrors(lua, [&] {
+    const raw_connection_state state =
+        ScriptState(lua).raw.State(CheckNumber(lua, 1));
+    PushJson(lua, {{"unsent_bytes", state.unsent_bytes},
+                   {"received", state.received},
+                   {"ended", state.end}});
+    return 1;
+  });
+}
+
+// raw_close(number)
+int RawClose(lua_State* lua) {
+  return WithLuaErrors(lua, [&] {
+    ScriptState(lua).raw.Close(CheckNumber(lua, 1));
     return 0;
   });
 }
@@ -309,6 +390,14 @@
                                 {"signal", Signal},
                                 {"exit_code", ExitCode},
                                 {"peak_memory_mb", PeakMemory},
+                                {"resident_memory_mb", ResidentMemory},
+                                {"receive_queues_mb", ReceiveQueues},
+                                {"open_descriptors", OpenDescriptors},
+                                {"raw_open", RawOpen},
+                                {"raw_send", RawSend},
+                                {"raw_pump", RawPump},
+                                {"raw_state", RawState},
+                                {"raw_close", RawClose},
                                 {"http", Http},
                                 {"open_stream", OpenStream},
                                 {"resume_stream", ResumeStream},
