Bound the memory and the connections of a gateway's clients

All bytes held for callers share one budget, half of the memory limit: requests that arrive or wait in an exchange, and responses, which keep their own limit of a quarter. A request whose stated length finds no room is refused from its head with 503, not_run and Retry-After, a chunked one as it grows. 100 Continue is sent once there is room. The bytes of a refused body are read and discarded while they arrive, for at most 10 s and 16 MiB, so that the caller gets the refusal.

Accepted sockets have small receive buffers. At the limit of connections one that waits for its caller is closed. The ports of peers, readiness and metrics bound heads, bodies, unread responses and connections. A dispatch copies the body once instead of twice, and a head that arrives in parts is searched once.

--- a/src/framework/net/http_codec.h
+++ b/src/framework/net/http_codec.h
@@ -2,6 +2,7 @@
 #define FRAMEWORK_NET_HTTP_CODEC_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <limits>
 #include <memory>
 #include <optional>
@@ -81,6 +82,19 @@
 
   // Number of input bytes that have not been parsed yet.
   virtual std::size_t BufferedBytes() const = 0;
+
+  // Number of bytes held of that request and of what follows it.
+  virtual std::size_t HeldBytes() const = 0;
+
+  // Length of the body as its head states it; nullopt if the head is not
+  // complete or the body is chunked.
+  virtual std::optional<std::uint64_t> StatedBodyBytes() const = 0;
+
+  // Whether the sender waits for an interim response before it sends the body.
+  virtual bool ExpectsContinue() const = 0;
+
+  // Returns that request without its body. Requires IsHeadComplete.
+  virtual http_request_message PartialRequest() const = 0;
 };
 
 std::unique_ptr<i_http_request_reader> MakeHttpRequestReader(
@@ -123,6 +137,9 @@
 // Content-Length or Transfer-Encoding header that they need, but no Connection
 // header.
 std::string EncodeHttpRequest(const http_request_message& request);
+// The same with another body, which spares a copy of a large one.
+std::string EncodeHttpRequest(const http_request_message& head,
+                              std::string_view body);
 std::string EncodeHttpResponse(int status,
                                const std::vector<http_header>& headers,
                                std::string_view body);
--- a/src/framework/net/i_event_loop.h
+++ b/src/framework/net/i_event_loop.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "framework/base/i_clock.h"
 #include "framework/net/i_channel.h"
@@ -16,6 +17,12 @@
 using datagram_handler =
     std::function<void(std::string_view bytes, const http_address& from)>;
 
+struct listen_options {
+  // Size of the kernel's receive buffer of each accepted channel; 0 leaves the
+  // kernel's default, which grows to several megabytes.
+  int receive_buffer_bytes = 0;
+};
+
 // Receives what the event belonged to (the address of a peer, or its kind) and
 // the cause, when an exception has left the handler of an event.
 using handler_error_reporter =
@@ -27,7 +34,12 @@
   // Calls `handler` for each accepted channel, which starts reading once
   // SetCallbacks is called. Throws std::runtime_error if the loop cannot listen
   // on the address, for example because it is in use.
-  virtual void Listen(const http_address& address, accept_handler handler) = 0;
+  virtual void Listen(const http_address& address,
+                      accept_handler handler,
+                      const listen_options& options) = 0;
+  void Listen(const http_address& address, accept_handler handler) {
+    Listen(address, std::move(handler), {});
+  }
   virtual std::unique_ptr<i_datagram_port> OpenDatagramPort(
       const http_address& address,
       datagram_handler handler) = 0;
--- a/src/framework/net/internal/asio_event_loop.cc
+++ b/src/framework/net/internal/asio_event_loop.cc
@@ -168,9 +168,13 @@
     return channel;
   }
 
-  void Listen(const http_address& address, accept_handler handler) override {
-    listeners_.emplace_back(context_, ToEndpoint<tcp::endpoint>(address),
-                            std::move(handler));
+  using i_event_loop::Listen;
+  void Listen(const http_address& address,
+              accept_handler handler,
+              const listen_options& options) override {
+    listeners_.emplace_back(context_, std::move(handler));
+    OpenAcceptor(listeners_.back().acceptor, ToEndpoint<tcp::endpoint>(address),
+                 options);
     Accept(listeners_.back());
   }
 
@@ -199,16 +203,29 @@
 
  private:
   struct listener {
-    listener(asio::io_context& context,
-             const tcp::endpoint& endpoint,
-             accept_handler accept)
-        : acceptor(context, endpoint, true), handler(std::move(accept)) {}
+    listener(asio::io_context& context, accept_handler accept)
+        : acceptor(context), handler(std::move(accept)) {}
 
     tcp::acceptor acceptor;
     accept_handler handler;
     std::unique_ptr<i_timer> retry_timer;
   };
 
+  static void OpenAcceptor(tcp::acceptor& acceptor,
+                           const tcp::endpoint& endpoint,
+                           const listen_options& options) {
+    acceptor.open(endpoint.protocol());
+    acceptor.set_option(tcp::acceptor::reuse_address(true));
+    // Accepted sockets inherit the size. It is set before listening, since a
+    // connection's window scale is fixed when it opens.
+    if (options.receive_buffer_bytes > 0) {
+      acceptor.set_option(
+          asio::socket_base::receive_buffer_size(options.receive_buffer_bytes));
+    }
+    acceptor.bind(endpoint);
+    acceptor.listen();
+  }
+
   void Accept(listener& tcp_listener) {
     tcp_listener.acceptor.async_accept(
         [this, &tcp_listener](const boost::system::error_code& error,
--- a/src/framework/net/internal/http_codec.cc
+++ b/src/framework/net/internal/http_codec.cc
@@ -13,6 +13,10 @@
 
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
 
+// An empty input buffer that is larger than this is freed. Reads are smaller,
+// so it only grows with large heads and pipelined requests.
+constexpr std::size_t kMaxKeptBufferBytes = 65'536;
+
 // A body that grows with the bytes that arrive. The string body of Beast
 // reserves the length that the sender states.
 struct growing_body {
@@ -123,9 +127,12 @@
       // What is left is the incomplete header of a chunk.
       if (buffer_.size() > limits_.max_header_bytes)
         read_error_ = http_read_error::header_too_large;
+      FreeLargeBuffer();
       return std::nullopt;
     }
-    http_request_message request = ExtractRequest();
+    FreeLargeBuffer();
+    http_request_message request = HeadOf(parser_->get());
+    request.body = std::move(parser_->get().body());
     ResetParser();
     return request;
   }
@@ -140,7 +147,32 @@
   bool IsHeadComplete() const override { return is_head_complete_; }
   std::size_t BufferedBytes() const override { return buffer_.size(); }
 
+  std::size_t HeldBytes() const override {
+    return buffer_.size() + parser_->get().body().size();
+  }
+
+  std::optional<std::uint64_t> StatedBodyBytes() const override {
+    if (!is_head_complete_ || !parser_->content_length())
+      return std::nullopt;
+    return *parser_->content_length();
+  }
+
+  bool ExpectsContinue() const override {
+    return is_head_complete_ && parser_->get().version() >= 11 &&
+           boost::beast::iequals(parser_->get()[http::field::expect],
+                                 "100-continue");
+  }
+
+  http_request_message PartialRequest() const override {
+    return HeadOf(parser_->get());
+  }
+
  private:
+  void FreeLargeBuffer() {
+    if (buffer_.empty() && buffer_.capacity() > kMaxKeptBufferBytes)
+      buffer_ = std::string();
+  }
+
   void ResetParser() {
     limits_ = next_limits_;
     parser_.emplace();
@@ -148,6 +180,7 @@
     parser_->body_limit(limits_.max_body_bytes);
     parser_->eager(true);
     is_head_complete_ = false;
+    searched_bytes_ = 0;
   }
 
   // Passes the head to the parser once it is complete. Returns whether it has
@@ -158,8 +191,12 @@
     // Empty lines before a request line are ignored (RFC 9112, section 2.2).
     while (buffer_.starts_with("\r\n"))
       buffer_.erase(0, 2);
-    const std::size_t end = buffer_.find(kHeadEnd);
+    const std::size_t end = buffer_.find(kHeadEnd, searched_bytes_);
     if (end == std::string::npos) {
+      // The end of the head may have arrived in part.
+      searched_bytes_ = buffer_.size() < kHeadEnd.size()
+                            ? 0
+                            : buffer_.size() - kHeadEnd.size() + 1;
       if (buffer_.size() > limits_.max_header_bytes)
         read_error_ = http_read_error::header_too_large;
       return false;
@@ -184,20 +221,21 @@
     return true;
   }
 
-  http_request_message ExtractRequest() {
-    auto& message = parser_->get();
+  template <typename Message>
+  static http_request_message HeadOf(const Message& message) {
     http_request_message request;
     request.method = std::string(message.method_string());
     request.target = std::string(message.target());
     request.headers = CopyHeaders(message);
     request.keep_alive = message.keep_alive();
-    request.body = std::move(message.body());
     return request;
   }
 
   http_reader_limits limits_;
   http_reader_limits next_limits_;
   std::string buffer_;
+  // Leading bytes of the buffer in which no head ends.
+  std::size_t searched_bytes_ = 0;
   std::optional<http::request_parser<growing_body>> parser_;
   std::optional<http_read_error> read_error_;
   bool is_head_complete_ = false;
@@ -369,14 +407,20 @@
 }
 
 std::string EncodeHttpRequest(const http_request_message& request) {
+  return EncodeHttpRequest(request, request.body);
+}
+
+std::string EncodeHttpRequest(const http_request_message& head,
+                              std::string_view body) {
   std::string text =
-      fmt::format("{} {} HTTP/1.1\r\n", request.method, request.target);
-  for (const http_header& header : request.headers)
+      fmt::format("{} {} HTTP/1.1\r\n", head.method, head.target);
+  for (const http_header& header : head.headers)
     text += fmt::format("{}: {}\r\n", header.name, header.value);
-  if (!request.body.empty() || request.method != "GET")
-    text += fmt::format("Content-Length: {}\r\n", request.body.size());
+  if (!body.empty() || head.method != "GET")
+    text += fmt::format("Content-Length: {}\r\n", body.size());
   text += "\r\n";
-  text += request.body;
+  text.reserve(text.size() + body.size());
+  text += body;
   return text;
 }
 
--- a/src/framework/net/internal/tcp_channel.cc
+++ b/src/framework/net/internal/tcp_channel.cc
@@ -24,7 +24,11 @@
 
 // How long a closed channel still reads and discards incoming bytes. Closing a
 // socket that has unread bytes would reset the connection.
+// The time starts again while bytes arrive, so that a caller that is still
+// sending a refused body gets the refusal, up to a limit of time and of bytes.
 constexpr std::chrono::milliseconds kLingerTimeout{1000};
+constexpr int kMaxLingerTimeouts = 10;
+constexpr std::size_t kMaxLingerBytes = 16'777'216;
 
 // All channels of a thread share one read buffer, because the bytes of each
 // read are handled before the next read.
@@ -147,6 +151,11 @@
                      }))
       return End(channel_end::reset);
   }
+  if (lingering_) {
+    linger_bytes_ += size;
+    if (linger_bytes_ > kMaxLingerBytes)
+      return End(channel_end::closed);
+  }
   if (state_ != state::ended)
     Read();
 }
@@ -235,12 +244,20 @@
   lingering_ = true;
   boost::system::error_code error;
   socket_.shutdown(tcp::socket::shutdown_send, error);
+  WaitForLingerEnd(kMaxLingerTimeouts);
+}
+
+void tcp_channel::WaitForLingerEnd(int timeouts_left) {
   timer_.expires_after(kLingerTimeout);
-  timer_.async_wait(
-      [self = shared_from_this()](const boost::system::error_code& cancelled) {
-        if (!cancelled)
-          self->CloseSocket();
-      });
+  timer_.async_wait([self = shared_from_this(), timeouts_left,
+                     bytes_before = linger_bytes_](
+                        const boost::system::error_code& cancelled) {
+    if (cancelled)
+      return;
+    if (self->linger_bytes_ == bytes_before || timeouts_left <= 1)
+      return self->CloseSocket();
+    self->WaitForLingerEnd(timeouts_left - 1);
+  });
 }
 
 void tcp_channel::Abort() {
--- a/src/framework/net/internal/tcp_channel.h
+++ b/src/framework/net/internal/tcp_channel.h
@@ -49,6 +49,7 @@
   void Flush();
   void OnWritten(const boost::system::error_code& error, std::size_t size);
   void StartLinger();
+  void WaitForLingerEnd(int timeouts_left);
   void End(channel_end end);
   void CloseSocket();
 
@@ -61,6 +62,8 @@
   bool has_sent_bytes_ = false;
   bool write_pending_ = false;
   bool lingering_ = false;
+  // Bytes that were discarded since the lingering began.
+  std::size_t linger_bytes_ = 0;
   std::size_t unsent_bytes_ = 0;
   std::string write_buffer_;
   std::string unsent_queue_;
--- a/src/gateway/gateway_types.h
+++ b/src/gateway/gateway_types.h
@@ -134,6 +134,12 @@
   std::size_t max_connections = 3000;
   // Memory beyond which the platform ends this process.
   std::size_t memory_limit_bytes = 64'000'000;
+  // Memory for all bytes that are held for callers; 0 selects half of the
+  // memory limit. The rest is left for other state, for the kernel's receive
+  // buffers and for what the allocator can't return.
+  std::size_t caller_memory_bytes = 0;
+  // Maximum number of connections to each port that serves no callers.
+  std::size_t max_internal_connections = 256;
   // Bandwidth of this instance's network link, in Mbit/s.
   std::int64_t link_mbps = 0;
   // Whether no instance of the system has run before.
@@ -142,6 +148,19 @@
   auto operator<=>(const gateway_settings&) const = default;
 };
 
+std::size_t CallerMemoryBytes(const gateway_settings& settings);
+
+// The body of a request is held twice: as received, and as it is sent to a
+// target. Returns the memory that a request with a body of this size needs.
+constexpr std::size_t RequestMemoryBytes(std::size_t body_bytes) {
+  constexpr std::size_t kCopies = 2;
+  return kCopies * body_bytes;
+}
+
+// Size of the kernel's receive buffer of each connection from a caller, so that
+// all of them together stay within their share of the memory limit.
+int ReceiveBufferBytes(const gateway_settings& settings);
+
 }  // namespace wist
 
 #endif  // GATEWAY_GATEWAY_TYPES_H_
--- a/src/gateway/internal/caller_connection.cc
+++ b/src/gateway/internal/caller_connection.cc
@@ -1,5 +1,7 @@
 #include "gateway/internal/caller_connection.h"
 
+#include <algorithm>
+
 namespace wist {
 namespace {
 
@@ -10,6 +12,23 @@
 // Maximum size of the pipelined requests buffered for a caller.
 constexpr std::size_t kMaxPipelinedBytes = 262'144;
 
+// Pipelined bytes that are held without a claim.
+constexpr std::size_t kUnclaimedPipelinedBytes = 4096;
+
+// What has arrived of a request whose length is not known is claimed in steps,
+// so that not every read needs a decision.
+constexpr std::size_t kClaimStepBytes = 16'384;
+
+// A refused caller may retry on another instance, or here once slow requests
+// have made room.
+constexpr milliseconds kNoRoomRetryAfter{500};
+
+constexpr char kContinueResponse[] = "HTTP/1.1 100 Continue\r\n\r\n";
+
+std::size_t RoundUpToStep(std::size_t bytes) {
+  return (bytes / kClaimStepBytes + 1) * kClaimStepBytes;
+}
+
 }  // namespace
 
 caller_connection::caller_connection(gateway_services& services,
@@ -68,11 +87,15 @@
 
 void caller_connection::OnData(std::string_view bytes) {
   const auto self = shared_from_this();
+  has_received_ = true;
   reader_->SetLimits(ReaderLimits());
   reader_->Feed(bytes);
   if (!exchange_)
     return ReadNext();
-  if (reader_->BufferedBytes() <= kMaxPipelinedBytes)
+  const std::size_t pipelined_bytes = reader_->BufferedBytes();
+  if (pipelined_bytes <= kUnclaimedPipelinedBytes ||
+      (pipelined_bytes <= kMaxPipelinedBytes &&
+       buffer_->Claim(request_bytes_ + RoundUpToStep(pipelined_bytes))))
     return;
   services_.logger.Write(log_level::warning, "too_many_pipelined_bytes", {});
   aborted_ = true;
@@ -85,9 +108,15 @@
     auto message = reader_->Next();
     if (const auto error = reader_->read_error())
       return RefuseMalformed(*error);
-    if (!message)
-      return ArmTimer();
+    if (!message) {
+      if (HoldPartialRequest())
+        ArmTimer();
+      return;
+    }
     timer_.reset();
+    has_sent_continue_ = false;
+    if (!HoldCompleteRequest(*message))
+      return;
     StartExchange(std::move(*message));
   }
 }
@@ -109,6 +138,90 @@
   started->Start();
 }
 
+bool caller_connection::HoldPartialRequest() {
+  const std::size_t held_bytes = reader_->HeldBytes();
+  if (!reader_->HasPartialRequest()) {
+    buffer_.reset();
+    request_bytes_ = 0;
+    return true;
+  }
+  if (!buffer_) {
+    receiving_since_ = services_.scheduler.Now();
+    buffer_ =
+        services_.requests.Add([weak = weak_from_this()] {
+          if (const auto self = weak.lock(); self && self->channel_)
+            self->RefuseUnheld(self->PartialRequestId());
+        });
+  }
+  buffer_->OnReceived(held_bytes);
+  // A stated length is at most max_body_bytes, otherwise reading has failed.
+  const auto stated_bytes = reader_->StatedBodyBytes();
+  const std::size_t needed =
+      stated_bytes
+          ? RequestMemoryBytes(static_cast<std::size_t>(*stated_bytes))
+          : (reader_->IsHeadComplete()
+                 ? RequestMemoryBytes(RoundUpToStep(held_bytes))
+                 : RoundUpToStep(held_bytes));
+  if (needed > request_bytes_) {
+    if (!buffer_->Claim(needed)) {
+      RefuseUnheld(PartialRequestId());
+      return false;
+    }
+    request_bytes_ = needed;
+  }
+  if (!has_sent_continue_ && reader_->ExpectsContinue()) {
+    has_sent_continue_ = true;
+    channel_->Write(kContinueResponse);
+  }
+  return true;
+}
+
+bool caller_connection::HoldCompleteRequest(http_request_message& message) {
+  if (!buffer_)
+    buffer_ = services_.requests.Add([] {});
+  buffer_->OnComplete();
+  request_bytes_ = RequestMemoryBytes(message.body.size());
+  if (buffer_->Claim(request_bytes_))
+    return true;
+  message.body = {};
+  auto decoded = services_.dialect.DecodeRequest(std::move(message));
+  const auto* request = std::get_if<caller_request>(&decoded);
+  RefuseUnheld(request ? request->id : "");
+  return false;
+}
+
+// The request has not run, and never will.
+void caller_connection::RefuseUnheld(const std::string& request_id) {
+  channel_->Write(services_.dialect.EncodeRefusal(
+      request_id,
+      {error_code::overloaded, run_verdict::not_run, kNoRoomRetryAfter},
+      false));
+  CloseChannel();
+}
+
+std::string caller_connection::PartialRequestId() const {
+  if (!reader_->IsHeadComplete())
+    return "";
+  auto decoded = services_.dialect.DecodeRequest(reader_->PartialRequest());
+  const auto* request = std::get_if<caller_request>(&decoded);
+  return request ? request->id : "";
+}
+
+connection_progress caller_connection::Progress() const {
+  const connection_phase phase =
+      exchange_                       ? connection_phase::responding
+      : !has_received_                ? connection_phase::silent
+      : reader_->HasPartialRequest() ? connection_phase::receiving
+                                      : connection_phase::idle;
+  return {phase, phase == connection_phase::receiving ? receiving_since_
+                                                      : waiting_since_};
+}
+
+void caller_connection::MakeRoom() {
+  if (channel_)
+    AbortChannel();
+}
+
 void caller_connection::RefuseMalformed(http_read_error error) {
   const error_code code = error == http_read_error::body_too_large
                               ? error_code::body_too_large
@@ -124,6 +237,9 @@
 
 void caller_connection::OnExchangeFinished() {
   exchange_.reset();
+  // What is pipelined is claimed again when it is read.
+  buffer_.reset();
+  request_bytes_ = 0;
   if (!channel_)
     return;
   if (aborted_)
--- a/src/gateway/internal/caller_connection.h
+++ b/src/gateway/internal/caller_connection.h
@@ -6,6 +6,7 @@
 
 #include "framework/net/i_channel.h"
 #include "gateway/internal/exchange.h"
+#include "limits/connection_limit.h"
 
 namespace wist {
 
@@ -30,6 +31,14 @@
   // Closes the connection unless a request is in progress or being received.
   void CloseIfIdle();
 
+  // What the connection waits for, to choose one that makes room.
+  connection_progress Progress() const;
+
+  const i_channel* channel() const { return channel_.get(); }
+
+  // Makes room for another connection, by ending this one at once.
+  void MakeRoom();
+
   // Whether a request is in progress.
   bool IsBusy() const { return exchange_ != nullptr; }
 
@@ -54,6 +63,13 @@
   void ReadNext();
   void StartExchange(http_request_message message);
   void RefuseMalformed(http_read_error error);
+  // Returns whether the request that is arriving may go on; otherwise it has
+  // been refused.
+  bool HoldPartialRequest();
+  bool HoldCompleteRequest(http_request_message& message);
+  // Ends a request that has not arrived completely, or that found no room.
+  void RefuseUnheld(const std::string& request_id);
+  std::string PartialRequestId() const;
   void OnExchangeFinished();
   void ArmTimer();
   void ScheduleTimer();
@@ -70,14 +86,24 @@
   end_handler on_end_;
   std::unique_ptr<i_http_request_reader> reader_;
   std::shared_ptr<exchange> exchange_;
+  // Memory of the request that is arriving or in progress, and of those that
+  // are pipelined behind it.
+  std::unique_ptr<request_buffer> buffer_;
   std::unique_ptr<i_timer> timer_;
   bool keep_alive_ = true;
   bool draining_ = false;
   bool aborted_ = false;
+  bool has_received_ = false;
+  // The sender of the body was told that it may send it.
+  bool has_sent_continue_ = false;
+  // Memory that the request in progress needs.
+  std::size_t request_bytes_ = 0;
   // Whether the timer limits the time to receive a request's head.
   bool awaiting_head_ = false;
   // Start of the wait that the timer limits.
   timestamp waiting_since_{};
+  // When the first bytes of the request arrived that is not complete yet.
+  timestamp receiving_since_{};
 };
 
 }  // namespace wist
--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -36,6 +36,13 @@
 
 constexpr milliseconds kStopCheckInterval{50};
 
+// Interval of the log lines that count refused and closed callers.
+constexpr milliseconds kShedLogInterval{1000};
+
+// Size of the kernel's receive buffer of connections to the peers' port, whose
+// requests are short.
+constexpr int kInternalReceiveBufferBytes = 16'384;
+
 class gateway final : public i_gateway {
  public:
   gateway(const gateway_settings& settings,
@@ -70,7 +77,12 @@
                     services_,
                     Seed(),
                     [this](const std::string& cause) { OnStoreCall(cause); }),
-        mirror_server_(store_view_.mirror(), dependencies.loop),
+        mirror_server_(store_view_.mirror(),
+                       dependencies.loop,
+                       settings_.max_internal_connections,
+                       [this](const std::shared_ptr<i_channel>& channel) {
+                         services_.buffers.AddUnsent(channel, {});
+                       }),
         load_exchange_(
             {},
             store_view_.Self(),
@@ -106,6 +118,9 @@
            {"bytes", static_cast<std::int64_t>(bytes)},
            {"total_bytes", static_cast<std::int64_t>(total_bytes)}});
     });
+    services_.requests.SetObserver([this](request_buffers::shed_reason reason) {
+      OnShed(reason == request_buffers::shed_reason::slow ? "slow" : "no_room");
+    });
     dependencies.loop.SetErrorReporter(
         [this](const std::string& subject, const std::string& cause) {
           metrics_.OnHandlerFailure();
@@ -131,6 +146,7 @@
         [this](const known_target& target) { OnTargetLeaving(target); });
     store_view_.SubscribeToConfiguration([this] {
       selector_.ApplyConfiguration(latest_configuration_.table());
+      CheckLargestRequest();
     });
   }
 
@@ -141,21 +157,26 @@
                                 {"version", std::string(WIST_VERSION)}});
     status_ = std::make_unique<status_listener>(
         dependencies_.loop, settings_.ready_listen, settings_.metrics_listen,
+        settings_.max_internal_connections,
         [this] { return IsReady(); }, [this] { return MetricsText(); });
-    dependencies_.loop.Listen(settings_.listen,
-                              [this](std::shared_ptr<i_channel> channel) {
-                                Accept(std::move(channel));
-                              });
+    dependencies_.loop.Listen(
+        settings_.listen,
+        [this](std::shared_ptr<i_channel> channel) {
+          Accept(std::move(channel));
+        },
+        {ReceiveBufferBytes(settings_)});
     peer_port_ = dependencies_.loop.OpenDatagramPort(
         settings_.peer_listen,
         [this](std::string_view bytes, const http_address& sender) {
           load_exchange_.OnDatagram(bytes, sender);
         });
     load_exchange_.Start(*peer_port_);
-    dependencies_.loop.Listen(settings_.peer_listen,
-                              [this](std::shared_ptr<i_channel> channel) {
-                                mirror_server_.Accept(std::move(channel));
-                              });
+    dependencies_.loop.Listen(
+        settings_.peer_listen,
+        [this](std::shared_ptr<i_channel> channel) {
+          mirror_server_.Accept(std::move(channel));
+        },
+        {kInternalReceiveBufferBytes});
     dependencies_.loop.AddSignalHandler(SIGHUP, [this] { Reload(); });
     dependencies_.loop.AddSignalHandler(SIGTERM, [this] { StartStopping(); });
     dependencies_.loop.AddSignalHandler(SIGINT, [this] { StartStopping(); });
@@ -228,8 +249,11 @@
     settings_.key_validity = changed->key_validity;
     settings_.stop_limit = changed->stop_limit;
     settings_.memory_limit_bytes = changed->memory_limit_bytes;
+    settings_.caller_memory_bytes = changed->caller_memory_bytes;
     services_.buffers.SetLimit(settings_.memory_limit_bytes /
                                kResponseMemoryDivisor);
+    services_.requests.SetLimit(CallerMemoryBytes(settings_));
+    CheckLargestRequest();
     settings_.retry_ratio = changed->retry_ratio;
     settings_.retry_slack = changed->retry_slack;
     settings_.retry_window = changed->retry_window;
@@ -259,8 +283,8 @@
   }
 
   void Accept(std::shared_ptr<i_channel> channel) {
-    if (connections_.size() >= settings_.max_connections) {
-      dependencies_.logger.Write(log_level::warning, "too_many_channels", {});
+    if (caller_channels_.size() >= settings_.max_connections && !MakeRoom()) {
+      OnShed("no_descriptor");
       return channel->Abort();
     }
     caller_channels_.push_back(channel);
@@ -273,6 +297,88 @@
     connection->Start();
   }
 
+  // Closes a connection if all descriptors for callers are in use. Returns
+  // whether there is room for another one.
+  bool MakeRoom() {
+    ForgetEndedChannels();
+    if (caller_channels_.size() < settings_.max_connections)
+      return true;
+    // Channels that their connections have closed wait for their callers.
+    std::vector<std::shared_ptr<i_channel>> channels;
+    std::vector<std::shared_ptr<caller_connection>> owners;
+    std::vector<connection_progress> progress;
+    std::map<const i_channel*, std::shared_ptr<caller_connection>> open;
+    for (const auto& connection : connections_)
+      open.emplace(connection->channel(), connection);
+    for (const auto& weak_channel : caller_channels_) {
+      const auto channel = weak_channel.lock();
+      if (!channel)
+        continue;
+      const auto owner = open.find(channel.get());
+      channels.push_back(channel);
+      owners.push_back(owner == open.end() ? nullptr : owner->second);
+      progress.push_back(
+          owners.back()
+              ? owners.back()->Progress()
+              : connection_progress{connection_phase::closing, {}});
+    }
+    const auto chosen =
+        ChooseConnectionToClose(progress, dependencies_.loop.Now());
+    if (!chosen)
+      return false;
+    OnShed("no_descriptor");
+    if (owners[*chosen])
+      owners[*chosen]->MakeRoom();
+    else
+      channels[*chosen]->Abort();
+    std::erase_if(caller_channels_, [&](const auto& weak_channel) {
+      return weak_channel.lock() == channels[*chosen];
+    });
+    return true;
+  }
+
+  void OnShed(const std::string& reason) {
+    metrics_.OnShed(reason);
+    ++shed_[reason];
+  }
+
+  // One line for all requests and connections that were refused or closed since
+  // the last one, so that a crowd can't flood the log.
+  void LogShed() {
+    if (shed_.empty())
+      return;
+    log_fields fields;
+    for (const auto& [reason, count] : shed_)
+      fields.push_back({reason, count});
+    fields.push_back(
+        {"request_bytes",
+         static_cast<std::int64_t>(services_.requests.total_bytes())});
+    fields.push_back(
+        {"limit_bytes",
+         static_cast<std::int64_t>(services_.requests.limit_bytes())});
+    dependencies_.logger.Write(log_level::warning, "requests_shed", fields);
+    shed_.clear();
+  }
+
+  // The limit of bodies may change with the configuration, while the budget is
+  // a setting of this instance: the operators have to change one of them.
+  void CheckLargestRequest() {
+    const auto table = latest_configuration_.table();
+    if (!table)
+      return;
+    const std::size_t needed = RequestMemoryBytes(static_cast<std::size_t>(
+        table->configuration().limits.max_body_bytes));
+    const std::size_t available =
+        LargeRequestBytes(services_.requests.limit_bytes());
+    if (std::exchange(largest_request_fits_, needed <= available) &&
+        !largest_request_fits_) {
+      dependencies_.logger.Write(
+          log_level::error, "largest_request_does_not_fit",
+          {{"needed_bytes", static_cast<std::int64_t>(needed)},
+           {"available_bytes", static_cast<std::int64_t>(available)}});
+    }
+  }
+
   void Remove(caller_connection* ended) {
     std::erase_if(connections_, [&](const auto& connection) {
       return connection.get() == ended;
@@ -339,6 +445,10 @@
       store_call_log_due_ = now + kStoreCallLogInterval;
       LogStoreCalls();
     }
+    if (now >= shed_log_due_) {
+      shed_log_due_ = now + kShedLogInterval;
+      LogShed();
+    }
     const bool ready = IsReady();
     if (ready != was_ready_) {
       was_ready_ = ready;
@@ -440,6 +550,10 @@
   timestamp store_call_log_due_{};
   // Calls to the store since the last log line, by cause.
   std::map<std::string, std::int64_t> store_calls_;
+  timestamp shed_log_due_{};
+  // Refused and closed callers since the last log line, by reason.
+  std::map<std::string, std::int64_t> shed_;
+  bool largest_request_fits_ = true;
   std::unique_ptr<status_listener> status_;
   std::set<std::shared_ptr<caller_connection>> connections_;
   // All channels of callers, also those that their connections have closed.
--- a/src/gateway/internal/gateway_metrics.cc
+++ b/src/gateway/internal/gateway_metrics.cc
@@ -39,6 +39,12 @@
               .Help(
                   "Responses given up since this instance held too many bytes")
               .Register(*registry_)),
+      shed_requests_(
+          prometheus::BuildCounter()
+              .Name("wist_gateway_requests_shed_total")
+              .Help("Requests refused or connections closed for want of memory "
+                    "or descriptors, by reason")
+              .Register(*registry_)),
       handler_failures_(
           prometheus::BuildCounter()
               .Name("wist_gateway_handler_failures_total")
@@ -89,6 +95,10 @@
   given_up_responses_.Add({}).Increment();
 }
 
+void gateway_metrics::OnShed(const std::string& reason) {
+  shed_requests_.Add({{"reason", reason}}).Increment();
+}
+
 void gateway_metrics::OnHandlerFailure() {
   handler_failures_.Add({}).Increment();
 }
--- a/src/gateway/internal/gateway_metrics.h
+++ b/src/gateway/internal/gateway_metrics.h
@@ -27,6 +27,8 @@
   // A stream ended without its last event; not counted if its caller left.
   void OnStreamBroken(const std::string& reason);
   void OnResponseGivenUp();
+  // A request was refused, or a connection closed, for want of `reason`.
+  void OnShed(const std::string& reason);
   void OnHandlerFailure();
   void OnStoreCall(const std::string& cause);
   void OnStoreLost();
@@ -42,6 +44,7 @@
   prometheus::Family<prometheus::Counter>& moves_;
   prometheus::Family<prometheus::Counter>& broken_streams_;
   prometheus::Family<prometheus::Counter>& given_up_responses_;
+  prometheus::Family<prometheus::Counter>& shed_requests_;
   prometheus::Family<prometheus::Counter>& handler_failures_;
   prometheus::Family<prometheus::Counter>& store_calls_;
   prometheus::Family<prometheus::Histogram>& first_byte_time_;
--- a/src/gateway/internal/gateway_services.cc
+++ b/src/gateway/internal/gateway_services.cc
@@ -1,5 +1,7 @@
 #include "gateway/internal/gateway_services.h"
 
+#include <algorithm>
+
 namespace wist {
 namespace {
 
@@ -7,8 +9,32 @@
 // the target may still be used.
 constexpr int kNoticeAgeDivisor = 2;
 
+constexpr std::size_t kCallerMemoryDivisor = 2;
+
+// The kernel's receive buffers may take the memory limit divided by this
+// number. A connection with less than the minimum could not make use of its
+// link; one with more than the maximum would gain nothing, since bytes are read
+// as they arrive.
+constexpr std::size_t kReceiveMemoryDivisor = 4;
+constexpr std::size_t kMinReceiveBufferBytes = 16'384;
+constexpr std::size_t kMaxReceiveBufferBytes = 65'536;
+
 }  // namespace
 
+std::size_t CallerMemoryBytes(const gateway_settings& settings) {
+  return settings.caller_memory_bytes > 0
+             ? settings.caller_memory_bytes
+             : settings.memory_limit_bytes / kCallerMemoryDivisor;
+}
+
+int ReceiveBufferBytes(const gateway_settings& settings) {
+  const std::size_t share = settings.memory_limit_bytes /
+                            kReceiveMemoryDivisor /
+                            std::max<std::size_t>(settings.max_connections, 1);
+  return static_cast<int>(
+      std::clamp(share, kMinReceiveBufferBytes, kMaxReceiveBufferBytes));
+}
+
 void gateway_services::OnTargetSignals(const target_entry& target,
                                        const target_signals& signals,
                                        const std::string& request_id) {
--- a/src/gateway/internal/gateway_services.h
+++ b/src/gateway/internal/gateway_services.h
@@ -12,6 +12,7 @@
 #include "framework/net/i_scheduler.h"
 #include "gateway/i_dialect.h"
 #include "gateway/internal/gateway_metrics.h"
+#include "gateway/internal/request_buffers.h"
 #include "gateway/internal/response_buffers.h"
 #include "limits/crash_ledger.h"
 #include "limits/window_retry_budget.h"
@@ -62,6 +63,8 @@
           };
   response_buffers buffers{settings.memory_limit_bytes /
                            kResponseMemoryDivisor};
+  // Both share this budget.
+  request_buffers requests{CallerMemoryBytes(settings), buffers, scheduler};
   // Set by a graceful stop: new requests are refused after `accept_deadline`,
   // and requests in progress are aborted at `stop_deadline`.
   std::optional<timestamp> accept_deadline;
--- a/src/gateway/internal/response_buffers.h
+++ b/src/gateway/internal/response_buffers.h
@@ -42,6 +42,8 @@
   void AddUnsent(const std::shared_ptr<i_channel>& channel,
                  std::function<void()> on_give_up);
 
+  std::size_t total_bytes() const { return memory_.total_bytes(); }
+
   // Stops counting the channels whose bytes have been sent.
   void RemoveSentChannels() { UpdateUnsentBytes(); }
 
--- a/src/limits/internal/connection_limit.cc
+++ b/src/limits/internal/connection_limit.cc
@@ -6,7 +6,7 @@
 namespace {
 
 // A request that has been arriving for less than this time is not interrupted.
-constexpr milliseconds kMinReceiveTime{1000};
+constexpr milliseconds kMinReceiveTime{3000};
 
 }  // namespace
 
--- a/src/peers/internal/mirror_server.cc
+++ b/src/peers/internal/mirror_server.cc
@@ -24,25 +24,21 @@
 
 }  // namespace
 
-mirror_server::mirror_server(store_mirror& mirror, i_scheduler& scheduler)
-    : mirror_(mirror), scheduler_(scheduler) {
+mirror_server::mirror_server(store_mirror& mirror,
+                             i_scheduler& scheduler,
+                             std::size_t max_connections,
+                             write_observer on_write)
+    : mirror_(mirror),
+      scheduler_(scheduler),
+      on_write_(std::move(on_write)),
+      server_(max_connections,
+              [this](const std::shared_ptr<i_channel>& channel,
+                     const http_request_message& request) {
+                HandleRequest(channel, request);
+              }) {
   mirror_.SetUpdateHandler([this] { OnConfirmed(); });
 }
 
-void mirror_server::Accept(std::shared_ptr<i_channel> channel) {
-  const std::shared_ptr<i_http_request_reader> reader =
-      MakeHttpRequestReader({});
-  // The callbacks own the channel until the caller closes it.
-  channel->SetCallbacks({[this, channel, reader](std::string_view bytes) {
-                           reader->Feed(bytes);
-                           while (const auto request = reader->Next())
-                             HandleRequest(channel, *request);
-                           if (reader->read_error())
-                             channel->Abort();
-                         },
-                         [](channel_end) {}});
-}
-
 void mirror_server::HandleRequest(const std::shared_ptr<i_channel>& channel,
                                   const http_request_message& request) {
   Poco::URI uri;
@@ -67,6 +63,14 @@
     read.since_revision = ParseNumber(parameters["since"]);
   if (const auto page = Page(read))
     return SendPage(channel, *page);
+  // An instance sends one read at a time on a connection.
+  const bool is_waiting = std::any_of(
+      pending_reads_.begin(), pending_reads_.end(),
+      [&](const pending_read& entry) {
+        return entry.channel.lock() == channel;
+      });
+  if (is_waiting)
+    return channel->Abort();
   Hold(std::move(read),
        milliseconds(std::clamp<std::int64_t>(ParseNumber(parameters["wait_ms"]),
                                              0, kMaxWaitMs)));
@@ -129,9 +133,12 @@
 }
 
 void mirror_server::SendPage(const std::weak_ptr<i_channel>& channel,
-                             const std::string& page) {
-  if (const auto open_channel = channel.lock())
-    open_channel->Write(EncodeHttpResponse(200, {}, page));
+                             const std::string& page) const {
+  const auto open_channel = channel.lock();
+  if (!open_channel)
+    return;
+  open_channel->Write(EncodeHttpResponse(200, {}, page));
+  on_write_(open_channel);
 }
 
 }  // namespace wist
--- a/src/peers/mirror_server.h
+++ b/src/peers/mirror_server.h
@@ -1,6 +1,7 @@
 #ifndef PEERS_MIRROR_SERVER_H_
 #define PEERS_MIRROR_SERVER_H_
 
+#include <functional>
 #include <list>
 #include <memory>
 #include <optional>
@@ -10,6 +11,7 @@
 #include "framework/net/http_codec.h"
 #include "framework/net/i_channel.h"
 #include "framework/net/i_scheduler.h"
+#include "framework/net/short_request_server.h"
 
 namespace wist {
 
@@ -17,9 +19,18 @@
 // Not thread-safe.
 class mirror_server {
  public:
-  mirror_server(store_mirror& mirror, i_scheduler& scheduler);
+  using write_observer = std::function<void(const std::shared_ptr<i_channel>&)>;
 
-  void Accept(std::shared_ptr<i_channel> channel);
+  // `on_write` is called after each response, whose bytes may be unsent.
+  mirror_server(
+      store_mirror& mirror,
+      i_scheduler& scheduler,
+      std::size_t max_connections,
+      write_observer on_write = [](const std::shared_ptr<i_channel>&) {});
+
+  void Accept(const std::shared_ptr<i_channel>& channel) {
+    server_.Accept(channel);
+  }
 
   // Handles the loss of the mirror's source: all callers receive
   // store_error::unavailable until the mirror is confirmed again, so that they
@@ -47,11 +58,13 @@
   std::string WatchPage(const pending_read& read, watch_result result) const;
   void Hold(pending_read read, milliseconds wait);
   void OnConfirmed();
-  static void SendPage(const std::weak_ptr<i_channel>& channel,
-                       const std::string& page);
+  void SendPage(const std::weak_ptr<i_channel>& channel,
+                const std::string& page) const;
 
   store_mirror& mirror_;
   i_scheduler& scheduler_;
+  const write_observer on_write_;
+  short_request_server server_;
   std::list<pending_read> pending_reads_;
   bool source_lost_ = false;
 };
