--- a/scenarios/process_usage.cc
+++ b/scenarios/process_usage.cc
@@ -53,8 +53,8 @@
            "/proc/" + std::to_string(process) + "/fd", error)) {
     const std::string target = fs::read_symlink(entry.path(), error).string();
     if (target.starts_with(kSocket))
-      inodes.insert(target.substr(kSocket.size(),
-                                  target.size() - kSocket.size() - 1));
+      inodes.insert(
+          target.substr(kSocket.size(), target.size() - kSocket.size() - 1));
   }
   return inodes;
 }
--- a/scenarios/raw_connections.cc
+++ b/scenarios/raw_connections.cc
@@ -119,8 +119,7 @@
 void raw_connections::Receive(connection& current) {
   std::array<char, 16'384> buffer{};
   while (current.socket >= 0) {
-    const ssize_t size =
-        recv(current.socket, buffer.data(), buffer.size(), 0);
+    const ssize_t size = recv(current.socket, buffer.data(), buffer.size(), 0);
     if (size == 0)
       return End(current, "closed");
     if (size < 0) {
--- a/scenarios/runner.cc
+++ b/scenarios/runner.cc
@@ -207,9 +207,9 @@
 // arrives if `unread` is set
 int RawOpen(lua_State* lua) {
   return WithLuaErrors(lua, [&] {
-    lua_pushinteger(lua, static_cast<lua_Integer>(ScriptState(lua).raw.Open(
-                             ReadAddress(lua, 1).port,
-                             lua_toboolean(lua, 2) == 0)));
+    lua_pushinteger(lua,
+                    static_cast<lua_Integer>(ScriptState(lua).raw.Open(
+                        ReadAddress(lua, 1).port, lua_toboolean(lua, 2) == 0)));
     return 1;
   });
 }
--- a/src/framework/net/internal/short_request_server.cc
+++ b/src/framework/net/internal/short_request_server.cc
@@ -26,9 +26,7 @@
   // The callbacks own the channel until either side closes it. They are removed
   // when it is aborted, so the position stays valid for them.
   channel->SetCallbacks(
-      {[this, channel, added](std::string_view bytes) {
-         OnData(added, bytes);
-       },
+      {[this, channel, added](std::string_view bytes) { OnData(added, bytes); },
        [](channel_end) {}});
 }
 
--- a/src/framework/net/internal/tcp_channel.cc
+++ b/src/framework/net/internal/tcp_channel.cc
@@ -249,15 +249,15 @@
 
 void tcp_channel::WaitForLingerEnd(int timeouts_left) {
   timer_.expires_after(kLingerTimeout);
-  timer_.async_wait([self = shared_from_this(), timeouts_left,
-                     bytes_before = linger_bytes_](
-                        const boost::system::error_code& cancelled) {
-    if (cancelled)
-      return;
-    if (self->linger_bytes_ == bytes_before || timeouts_left <= 1)
-      return self->CloseSocket();
-    self->WaitForLingerEnd(timeouts_left - 1);
-  });
+  timer_.async_wait(
+      [self = shared_from_this(), timeouts_left, bytes_before = linger_bytes_](
+          const boost::system::error_code& cancelled) {
+        if (cancelled)
+          return;
+        if (self->linger_bytes_ == bytes_before || timeouts_left <= 1)
+          return self->CloseSocket();
+        self->WaitForLingerEnd(timeouts_left - 1);
+      });
 }
 
 void tcp_channel::Abort() {
--- a/src/gateway/internal/caller_connection.cc
+++ b/src/gateway/internal/caller_connection.cc
@@ -147,21 +147,19 @@
   }
   if (!buffer_) {
     receiving_since_ = services_.scheduler.Now();
-    buffer_ =
-        services_.requests.Add([weak = weak_from_this()] {
-          if (const auto self = weak.lock(); self && self->channel_)
-            self->RefuseUnheld(self->PartialRequestId());
-        });
+    buffer_ = services_.requests.Add([weak = weak_from_this()] {
+      if (const auto self = weak.lock(); self && self->channel_)
+        self->RefuseUnheld(self->PartialRequestId());
+    });
   }
   buffer_->OnReceived(held_bytes);
   // A stated length is at most max_body_bytes, otherwise reading has failed.
   const auto stated_bytes = reader_->StatedBodyBytes();
   const std::size_t needed =
-      stated_bytes
-          ? RequestMemoryBytes(static_cast<std::size_t>(*stated_bytes))
-          : (reader_->IsHeadComplete()
-                 ? RequestMemoryBytes(RoundUpToStep(held_bytes))
-                 : RoundUpToStep(held_bytes));
+      stated_bytes ? RequestMemoryBytes(static_cast<std::size_t>(*stated_bytes))
+                   : (reader_->IsHeadComplete()
+                          ? RequestMemoryBytes(RoundUpToStep(held_bytes))
+                          : RoundUpToStep(held_bytes));
   if (needed > request_bytes_) {
     if (!buffer_->Claim(needed)) {
       RefuseUnheld(PartialRequestId());
@@ -208,11 +206,11 @@
 }
 
 connection_progress caller_connection::Progress() const {
-  const connection_phase phase =
-      exchange_                       ? connection_phase::responding
-      : !has_received_                ? connection_phase::silent
-      : reader_->HasPartialRequest() ? connection_phase::receiving
-                                      : connection_phase::idle;
+  const connection_phase phase = exchange_        ? connection_phase::responding
+                                 : !has_received_ ? connection_phase::silent
+                                 : reader_->HasPartialRequest()
+                                     ? connection_phase::receiving
+                                     : connection_phase::idle;
   return {phase, phase == connection_phase::receiving ? receiving_since_
                                                       : waiting_since_};
 }
--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -36,6 +36,9 @@
 
 constexpr milliseconds kStopCheckInterval{50};
 
+// Reason for which connections are closed at their limit.
+constexpr char kNoDescriptor[] = "no_descriptor";
+
 // Interval of the log lines that count refused and closed callers.
 constexpr milliseconds kShedLogInterval{1000};
 
@@ -157,26 +160,24 @@
                                 {"version", std::string(WIST_VERSION)}});
     status_ = std::make_unique<status_listener>(
         dependencies_.loop, settings_.ready_listen, settings_.metrics_listen,
-        settings_.max_internal_connections,
-        [this] { return IsReady(); }, [this] { return MetricsText(); });
-    dependencies_.loop.Listen(
-        settings_.listen,
-        [this](std::shared_ptr<i_channel> channel) {
-          Accept(std::move(channel));
-        },
-        {ReceiveBufferBytes(settings_)});
+        settings_.max_internal_connections, [this] { return IsReady(); },
+        [this] { return MetricsText(); });
+    dependencies_.loop.Listen(settings_.listen,
+                              [this](std::shared_ptr<i_channel> channel) {
+                                Accept(std::move(channel));
+                              },
+                              {ReceiveBufferBytes(settings_)});
     peer_port_ = dependencies_.loop.OpenDatagramPort(
         settings_.peer_listen,
         [this](std::string_view bytes, const http_address& sender) {
           load_exchange_.OnDatagram(bytes, sender);
         });
     load_exchange_.Start(*peer_port_);
-    dependencies_.loop.Listen(
-        settings_.peer_listen,
-        [this](std::shared_ptr<i_channel> channel) {
-          mirror_server_.Accept(std::move(channel));
-        },
-        {kInternalReceiveBufferBytes});
+    dependencies_.loop.Listen(settings_.peer_listen,
+                              [this](std::shared_ptr<i_channel> channel) {
+                                mirror_server_.Accept(std::move(channel));
+                              },
+                              {kInternalReceiveBufferBytes});
     dependencies_.loop.AddSignalHandler(SIGHUP, [this] { Reload(); });
     dependencies_.loop.AddSignalHandler(SIGTERM, [this] { StartStopping(); });
     dependencies_.loop.AddSignalHandler(SIGINT, [this] { StartStopping(); });
@@ -284,7 +285,7 @@
 
   void Accept(std::shared_ptr<i_channel> channel) {
     if (caller_channels_.size() >= settings_.max_connections && !MakeRoom()) {
-      OnShed("no_descriptor");
+      OnShed(kNoDescriptor);
       return channel->Abort();
     }
     caller_channels_.push_back(channel);
@@ -318,15 +319,14 @@
       channels.push_back(channel);
       owners.push_back(owner == open.end() ? nullptr : owner->second);
       progress.push_back(
-          owners.back()
-              ? owners.back()->Progress()
-              : connection_progress{connection_phase::closing, {}});
+          owners.back() ? owners.back()->Progress()
+                        : connection_progress{connection_phase::closing, {}});
     }
     const auto chosen =
         ChooseConnectionToClose(progress, dependencies_.loop.Now());
     if (!chosen)
       return false;
-    OnShed("no_descriptor");
+    OnShed(kNoDescriptor);
     if (owners[*chosen])
       owners[*chosen]->MakeRoom();
     else
@@ -345,17 +345,21 @@
   // One line for all requests and connections that were refused or closed since
   // the last one, so that a crowd can't flood the log.
   void LogShed() {
+    if (shed_.empty())
+      return;
+    if (const auto closed = shed_.extract(kNoDescriptor)) {
+      dependencies_.logger.Write(log_level::warning, "too_many_channels",
+                                 {{"closed", closed.mapped()}});
+    }
     if (shed_.empty())
       return;
     log_fields fields;
     for (const auto& [reason, count] : shed_)
       fields.push_back({reason, count});
-    fields.push_back(
-        {"request_bytes",
-         static_cast<std::int64_t>(services_.requests.total_bytes())});
-    fields.push_back(
-        {"limit_bytes",
-         static_cast<std::int64_t>(services_.requests.limit_bytes())});
+    fields.push_back({"request_bytes", static_cast<std::int64_t>(
+                                           services_.requests.total_bytes())});
+    fields.push_back({"limit_bytes", static_cast<std::int64_t>(
+                                         services_.requests.limit_bytes())});
     dependencies_.logger.Write(log_level::warning, "requests_shed", fields);
     shed_.clear();
   }
@@ -366,8 +370,8 @@
     const auto table = latest_configuration_.table();
     if (!table)
       return;
-    const std::size_t needed = RequestMemoryBytes(static_cast<std::size_t>(
-        table->configuration().limits.max_body_bytes));
+    const std::size_t needed = RequestMemoryBytes(
+        static_cast<std::size_t>(table->configuration().limits.max_body_bytes));
     const std::size_t available =
         LargeRequestBytes(services_.requests.limit_bytes());
     if (std::exchange(largest_request_fits_, needed <= available) &&
--- a/src/gateway/internal/request_buffers.cc
+++ b/src/gateway/internal/request_buffers.cc
@@ -10,8 +10,8 @@
 }
 
 bool request_buffers::Claim(request_number number, std::size_t bytes) {
-  const memory_decision decision = memory_.Claim(
-      number, bytes, responses_.total_bytes(), scheduler_.Now());
+  const memory_decision decision =
+      memory_.Claim(number, bytes, responses_.total_bytes(), scheduler_.Now());
   if (!decision.is_admitted) {
     if (observer_)
       observer_(shed_reason::no_room);
--- a/src/gateway/internal/status_listener.cc
+++ b/src/gateway/internal/status_listener.cc
@@ -42,12 +42,11 @@
       [build_response = std::move(build_response)](
           const std::shared_ptr<i_channel>& channel,
           const http_request_message&) { channel->Write(build_response()); });
-  loop.Listen(
-      address,
-      [&server](const std::shared_ptr<i_channel>& channel) {
-        server.Accept(channel);
-      },
-      {kReceiveBufferBytes});
+  loop.Listen(address,
+              [&server](const std::shared_ptr<i_channel>& channel) {
+                server.Accept(channel);
+              },
+              {kReceiveBufferBytes});
 }
 
 }  // namespace wist
--- a/src/limits/request_memory.h
+++ b/src/limits/request_memory.h
@@ -36,9 +36,9 @@
 // Decides which requests an instance may hold: those that are received, and
 // complete ones until they end. Does no I/O; not thread-safe.
 //
-// A claim that fits costs no other request anything. If it doesn't fit, requests
-// whose senders are slow make room, those first that hold most for the longest
-// time; if that is not enough, the claim is refused.
+// A claim that fits costs no other request anything. If it doesn't fit,
+// requests whose senders are slow make room, those first that hold most for the
+// longest time; if that is not enough, the claim is refused.
 class request_memory {
  public:
   explicit request_memory(std::size_t limit_bytes)
--- a/src/limits/tests/request_memory_test.cc
+++ b/src/limits/tests/request_memory_test.cc
@@ -33,7 +33,8 @@
 }  // namespace
 
 // Load: sixty clients that state 8 MB at once.
-TEST_CASE("large requests at once are held up to the budget without its reserve") {
+TEST_CASE(
+    "large requests at once are held up to the budget without its reserve") {
   request_memory memory(kLimit);
   int admitted = 0;
   for (int i = 0; i < 60; ++i)
@@ -57,7 +58,8 @@
 }
 
 // Load: four clients that have sent all but the last byte, then a fifth.
-TEST_CASE("a stalled sender makes room for the next request, the largest first") {
+TEST_CASE(
+    "a stalled sender makes room for the next request, the largest first") {
   request_memory memory(kLimit);
   const auto small = *Admit(memory, 2 * kMegabyte, kStart);
   const auto large = *Admit(memory, 20 * kMegabyte, kStart);
@@ -72,7 +74,8 @@
         memory_decision{true, {large}});
 }
 
-// Load: a client on a slow link (100 kB/s) beside one that sends a byte a second.
+// Load: a client on a slow link (100 kB/s) beside one that sends a byte a
+// second.
 TEST_CASE("a slow sender that goes on keeps its place") {
   request_memory memory(kLimit);
   const auto slow = *Admit(memory, 17 * kMegabyte, kStart);
--- a/src/peers/internal/mirror_server.cc
+++ b/src/peers/internal/mirror_server.cc
@@ -64,11 +64,11 @@
   if (const auto page = Page(read))
     return SendPage(channel, *page);
   // An instance sends one read at a time on a connection.
-  const bool is_waiting = std::any_of(
-      pending_reads_.begin(), pending_reads_.end(),
-      [&](const pending_read& entry) {
-        return entry.channel.lock() == channel;
-      });
+  const bool is_waiting =
+      std::any_of(pending_reads_.begin(), pending_reads_.end(),
+                  [&](const pending_read& entry) {
+                    return entry.channel.lock() == channel;
+                  });
   if (is_waiting)
     return channel->Abort();
   Hold(std::move(read),
