Bound the memory of bodies at the entry instance

The server on POCO claims the memory of each body from a budget that decides as the gateway's: a stated length before "100 Continue", chunks as they grow. Accepted sockets have receive buffers of 64 KiB.

--- a/src/apps/wisteriatally/main.cc
+++ b/src/apps/wisteriatally/main.cc
@@ -1,4 +1,5 @@
 #include <fmt/format.h>
+#include <malloc.h>
 #include <signal.h>
 
 #include <atomic>
@@ -13,6 +14,7 @@
 #include "framework/keys/keys_module.h"
 #include "framework/logging/logging_module.h"
 #include "gateway_command.h"
+#include "limits/body_budget.h"
 #include "metrics/metrics_module.h"
 #include "node/node_module.h"
 #include "settings/settings_module.h"
@@ -29,6 +31,11 @@
 // while all streams are in use.
 constexpr int kExtraThreads = 8;
 
+// Blocks of this size and above are returned to the system when they are freed.
+// Without the setting the threshold grows with the largest block that was
+// freed, and the memory of many bodies would stay with the allocator.
+constexpr int kReturnedBlockBytes = 256 * 1024;
+
 std::string AddressText(const http_address& address) {
   return fmt::format("{}:{}", address.host, address.port);
 }
@@ -44,13 +51,16 @@
   return node;
 }
 
-http_server_settings ToServerSettings(const entry_settings& settings) {
+http_server_settings ToServerSettings(const entry_settings& settings,
+                                      std::shared_ptr<const i_clock> clock) {
   http_server_settings server;
   server.host = settings.listen.host;
   server.port = settings.listen.port;
   server.max_threads = settings.max_streams + kExtraThreads;
   server.max_queued = settings.max_streams;
   server.max_body_bytes = settings.max_body_bytes;
+  server.body_budget =
+      MakeBodyBudget(settings.caller_memory_bytes, std::move(clock));
   return server;
 }
 
@@ -108,7 +118,7 @@
        settings.test_hooks},
       {clock, http, keys, logger, MakePrometheusMetrics(), claims, node});
   const auto server = MakeHttpServer(
-      ToServerSettings(settings),
+      ToServerSettings(settings, clock),
       [&](const http_server_request& request, i_http_responder& responder) {
         entry->Handle(request, responder);
       });
@@ -150,6 +160,7 @@
 }  // namespace wist
 
 int main(int argc, char** argv) {
+  mallopt(M_MMAP_THRESHOLD, wist::kReturnedBlockBytes);
   try {
     if (argc == 2 && std::string_view(argv[1]) == "gateway")
       return wist::RunGateway();
--- a/src/entry/internal/entry_service.cc
+++ b/src/entry/internal/entry_service.cc
@@ -14,6 +14,11 @@
 namespace {
 
 constexpr std::size_t kRequestIdBytes = 8;
+
+// Another instance may have room at once, and here a slow request ends within
+// about this time.
+constexpr milliseconds kNoRoomRetryAfter{500};
+
 constexpr std::string_view kPlainServicePathPrefix = "/v1/services/";
 constexpr char kJsonContentType[] = "application/json";
 
@@ -68,6 +73,11 @@
     metric_labels labels{"", request.Header("X-Workspace"), settings_.domain};
     try {
       RequireServing();
+      if (request.no_room) {
+        throw request_error(error_code::overloaded, run_verdict::not_run,
+                            "no memory for the request body",
+                            services_.clock->CalendarNow() + kNoRoomRetryAfter);
+      }
       RouteRequest(request, responder, record, labels);
     } catch (const request_error& error) {
       RejectRequest(error, labels, record, responder);
--- a/src/framework/http/i_http_server.h
+++ b/src/framework/http/i_http_server.h
@@ -3,11 +3,13 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "framework/http/http_types.h"
+#include "framework/http/i_body_budget.h"
 
 namespace wist {
 
@@ -20,6 +22,8 @@
   std::string body;
   bool body_too_large = false;
   bool body_incomplete = false;
+  // The body was not read, since there was no memory for it.
+  bool no_room = false;
 
   // Returns the first value of `name`, or an empty string.
   std::string Header(const std::string& name) const;
@@ -67,6 +71,8 @@
   int max_threads = 64;
   int max_queued = 64;
   std::size_t max_body_bytes = 1 << 20;
+  // Null if bodies are limited only one by one.
+  std::shared_ptr<i_body_budget> body_budget;
   milliseconds receive_timeout{10'000};
   milliseconds send_timeout{10'000};
 };
--- a/src/framework/http/internal/poco_http_server.cc
+++ b/src/framework/http/internal/poco_http_server.cc
@@ -11,6 +11,7 @@
 #include <Poco/URI.h>
 
 #include <array>
+#include <chrono>
 #include <istream>
 #include <ostream>
 
@@ -27,23 +28,35 @@
 constexpr int kStackBytes = 128 * 1024;
 constexpr int kIdleThreadSeconds = 30;
 constexpr std::size_t kMaxDiscardedBytes = 16 << 20;
+constexpr std::chrono::seconds kMaxDiscardTime{10};
+
+// The kernel's receive buffer of a connection grows to several megabytes
+// otherwise.
+constexpr int kReceiveBufferBytes = 64 * 1024;
+
+// Bodies in chunks claim memory in steps of this size.
+constexpr std::size_t kClaimStepBytes = 16 * 1024;
 
 Poco::Timespan ToTimespan(milliseconds span) {
   return Poco::Timespan(microseconds(span).count());
 }
 
-// Reads and discards the rest of a body, up to a limit. Closing a connection
+// Reads and discards the rest of a body, up to limits. Closing a connection
 // that has unread bytes resets it, and the client may lose the response.
 void DiscardBody(std::istream& in) {
   std::array<char, 4096> buffer{};
   std::size_t discarded = 0;
+  const auto deadline = std::chrono::steady_clock::now() + kMaxDiscardTime;
   while (discarded < kMaxDiscardedBytes &&
+         std::chrono::steady_clock::now() < deadline &&
          (in.read(buffer.data(), buffer.size()) || in.gcount() > 0))
     discarded += static_cast<std::size_t>(in.gcount());
 }
 
+// `memory` is null without a budget.
 void ReadBody(HTTPServerRequest& request,
               std::size_t max_bytes,
+              i_body_memory* memory,
               http_server_request& out) {
   if (request.getContentLength64() > static_cast<Poco::Int64>(max_bytes)) {
     out.body_too_large = true;
@@ -52,6 +65,8 @@
   }
   std::array<char, 4096> buffer{};
   std::istream& in = request.stream();
+  const bool is_growing = request.getContentLength64() < 0;
+  std::size_t claimed = 0;
   while (in.read(buffer.data(), buffer.size()) || in.gcount() > 0) {
     out.body.append(buffer.data(), static_cast<std::size_t>(in.gcount()));
     if (out.body.size() > max_bytes) {
@@ -59,14 +74,34 @@
       DiscardBody(in);
       return;
     }
+    if (!memory)
+      continue;
+    memory->OnReceived(out.body.size());
+    if (is_growing && out.body.size() > claimed) {
+      claimed = out.body.size() + kClaimStepBytes;
+      if (!memory->Claim(claimed)) {
+        // An assignment would keep the buffer.
+        std::string().swap(out.body);
+        out.no_room = true;
+        return;
+      }
+    }
   }
   const auto expected = request.getContentLength64();
   if (expected >= 0 && out.body.size() < static_cast<std::size_t>(expected))
     out.body_incomplete = true;
+  if (memory)
+    memory->OnComplete();
+}
+
+bool HasBody(const HTTPServerRequest& request) {
+  return request.hasContentLength() || request.getChunkedTransferEncoding();
 }
 
 http_server_request ReadRequest(HTTPServerRequest& request,
-                                std::size_t max_body_bytes) {
+                                std::size_t max_body_bytes,
+                                i_body_memory* memory,
+                                bool is_refused) {
   http_server_request out;
   out.method = request.getMethod();
   const std::string& uri = request.getURI();
@@ -76,8 +111,9 @@
     out.query = uri.substr(query_separator + 1);
   for (const auto& [name, value] : request)
     out.headers.push_back({name, value});
-  if (request.hasContentLength() || request.getChunkedTransferEncoding())
-    ReadBody(request, max_body_bytes, out);
+  out.no_room = is_refused;
+  if (!is_refused && HasBody(request))
+    ReadBody(request, max_body_bytes, memory, out);
   return out;
 }
 
@@ -146,6 +182,7 @@
   http_handler handler;
   std::size_t max_body_bytes;
   Poco::Timespan send_timeout;
+  std::shared_ptr<i_body_budget> body_budget;
 };
 
 class poco_handler final : public Poco::Net::HTTPRequestHandler {
@@ -153,18 +190,52 @@
   explicit poco_handler(std::shared_ptr<const shared_handler> shared)
       : shared_(std::move(shared)) {}
 
+  // Claims the memory of a body whose length is stated. Without room, the
+  // status of the response is set, so that no "100 Continue" is sent.
+  void Admit(const HTTPServerRequest& request) {
+    if (!shared_->body_budget || !HasBody(request))
+      return;
+    // The server passes its own request as a constant.
+    auto socket = static_cast<HTTPServerRequestImpl&>(
+                      const_cast<HTTPServerRequest&>(request))
+                      .socket();
+    memory_ = shared_->body_budget->Add([socket]() mutable {
+      try {
+        socket.shutdown();
+      } catch (const Poco::Exception&) {
+        // The connection is already closed.
+      }
+    });
+    const auto stated = request.getContentLength64();
+    if (stated < 0 ||
+        stated > static_cast<Poco::Int64>(shared_->max_body_bytes))
+      return;
+    is_refused_ = !memory_->Claim(static_cast<std::size_t>(stated));
+    if (is_refused_)
+      request.response().setStatus(
+          HTTPServerResponse::HTTP_SERVICE_UNAVAILABLE);
+  }
+
   void handleRequest(HTTPServerRequest& request,
                      HTTPServerResponse& response) override {
     static_cast<HTTPServerRequestImpl&>(request).socket().setSendTimeout(
         shared_->send_timeout);
     poco_responder responder(request, response);
     try {
-      const auto received = ReadRequest(request, shared_->max_body_bytes);
+      const auto received = ReadRequest(request, shared_->max_body_bytes,
+                                        memory_.get(), is_refused_);
+      if (received.no_room)
+        memory_.reset();
       // The rest of a body that was not read completely would be parsed as the
       // next request.
-      if (received.body_too_large || received.body_incomplete)
+      if (received.body_too_large || received.body_incomplete ||
+          received.no_room)
         response.setKeepAlive(false);
       shared_->handler(received, responder);
+      if (received.no_room) {
+        static_cast<HTTPServerRequestImpl&>(request).socket().shutdownSend();
+        DiscardBody(request.stream());
+      }
     } catch (const Poco::Exception&) {
       responder.Abort();
     } catch (const http_client_disconnected&) {
@@ -174,6 +245,8 @@
 
  private:
   const std::shared_ptr<const shared_handler> shared_;
+  std::unique_ptr<i_body_memory> memory_;
+  bool is_refused_ = false;
 };
 
 class poco_handler_factory final : public Poco::Net::HTTPRequestHandlerFactory {
@@ -182,8 +255,10 @@
       : shared_(std::move(shared)) {}
 
   Poco::Net::HTTPRequestHandler* createRequestHandler(
-      const HTTPServerRequest&) override {
-    return new poco_handler(shared_);  // Deleted by Poco.
+      const HTTPServerRequest& request) override {
+    auto handler = std::make_unique<poco_handler>(shared_);
+    handler->Admit(request);
+    return handler.release();  // Deleted by Poco.
   }
 
  private:
@@ -195,9 +270,9 @@
   poco_http_server(const http_server_settings& settings, http_handler handler)
       : pool_(2, settings.max_threads, kIdleThreadSeconds, kStackBytes),
         socket_(Bind(settings)) {
-    auto shared = std::make_shared<const shared_handler>(
-        shared_handler{std::move(handler), settings.max_body_bytes,
-                       ToTimespan(settings.send_timeout)});
+    auto shared = std::make_shared<const shared_handler>(shared_handler{
+        std::move(handler), settings.max_body_bytes,
+        ToTimespan(settings.send_timeout), settings.body_budget});
     auto* params = new Poco::Net::HTTPServerParams;  // Owned by the server.
     params->setMaxThreads(settings.max_threads);
     params->setMaxQueued(settings.max_queued);
@@ -227,9 +302,13 @@
  private:
   static Poco::Net::ServerSocket Bind(const http_server_settings& settings) {
     try {
-      return Poco::Net::ServerSocket(
-          Poco::Net::SocketAddress(settings.host, settings.port),
-          kListenBacklog);
+      Poco::Net::ServerSocket socket;
+      socket.bind(Poco::Net::SocketAddress(settings.host, settings.port),
+                  /*reuseAddress=*/true);
+      // Accepted sockets inherit the size.
+      socket.setReceiveBufferSize(kReceiveBufferBytes);
+      socket.listen(kListenBacklog);
+      return socket;
     } catch (const Poco::Exception& error) {
       throw std::runtime_error("cannot listen on " + settings.host + ":" +
                                std::to_string(settings.port) + ": " +
--- a/src/framework/net/internal/http_codec.cc
+++ b/src/framework/net/internal/http_codec.cc
@@ -170,7 +170,7 @@
  private:
   void FreeLargeBuffer() {
     if (buffer_.empty() && buffer_.capacity() > kMaxKeptBufferBytes)
-      buffer_ = std::string();
+      std::string().swap(buffer_);  // An assignment would keep the buffer.
   }
 
   void ResetParser() {
--- a/src/gateway/internal/caller_connection.cc
+++ b/src/gateway/internal/caller_connection.cc
@@ -181,7 +181,7 @@
   request_bytes_ = RequestMemoryBytes(message.body.size());
   if (buffer_->Claim(request_bytes_))
     return true;
-  message.body = {};
+  std::string().swap(message.body);
   auto decoded = services_.dialect.DecodeRequest(std::move(message));
   const auto* request = std::get_if<caller_request>(&decoded);
   RefuseUnheld(request ? request->id : "");
--- a/src/settings/internal/entry_command.cc
+++ b/src/settings/internal/entry_command.cc
@@ -11,6 +11,8 @@
 
 #include "framework/keys/keys_module.h"
 #include "framework/logging/logging_module.h"
+#include "limits/body_budget.h"
+#include "limits/request_memory.h"
 #include "settings/settings_module.h"
 
 namespace wist {
@@ -60,6 +62,9 @@
   add("max-streams", text("600"),
       "maximum number of concurrent requests, 1 to 5000");
   add("max-body-bytes", text("1048576"), "maximum size of a request body");
+  add("caller-memory-bytes", text("0"),
+      "memory for all request bodies together, at least 3.5 times "
+      "max-body-bytes; 0 selects 64 MiB or 8 times max-body-bytes");
   add("start-limit-ms", text("10000"),
       "maximum time a request may wait for a target");
   add("stop-limit-ms", text("30000"),
@@ -158,6 +163,27 @@
   return addresses;
 }
 
+// A budget below this number of the largest bodies is not chosen by default.
+constexpr std::size_t kDefaultLargestBodies = 8;
+
+std::size_t ParseCallerMemory(settings_parser& parser,
+                              std::size_t max_body_bytes) {
+  const auto stated = static_cast<std::size_t>(
+      parser.GetInteger("caller-memory-bytes", 0, std::int64_t{1} << 40));
+  if (stated == 0)
+    return std::max(entry_settings{}.caller_memory_bytes,
+                    kDefaultLargestBodies * max_body_bytes);
+  const std::size_t needed = BodyMemoryBytes(max_body_bytes);
+  if (LargeRequestBytes(stated) < needed) {
+    parser.AddError("caller-memory-bytes",
+                    std::to_string(LargeRequestBytes(stated)) +
+                        " bytes for large requests, one of max-body-bytes "
+                        "needs " +
+                        std::to_string(needed));
+  }
+  return stated;
+}
+
 entry_settings ToEntrySettings(
     const std::map<std::string, effective_setting>& values) {
   settings_parser parser(values);
@@ -178,6 +204,8 @@
       static_cast<int>(parser.GetInteger("max-streams", 1, 5000));
   settings.max_body_bytes = static_cast<std::size_t>(
       parser.GetInteger("max-body-bytes", 1024, 64 << 20));
+  settings.caller_memory_bytes =
+      ParseCallerMemory(parser, settings.max_body_bytes);
   settings.start_limit =
       milliseconds(parser.GetInteger("start-limit-ms", 1, 600'000));
   settings.stop_limit =
--- a/src/settings/settings_types.h
+++ b/src/settings/settings_types.h
@@ -24,6 +24,8 @@
   log_level min_log_level = log_level::info;
   int max_streams = 600;
   std::size_t max_body_bytes = 1 << 20;
+  // Memory for all request bodies together.
+  std::size_t caller_memory_bytes = 64 << 20;
   // Maximum time that a request may wait for a target.
   milliseconds start_limit{10'000};
   // Maximum time that a planned stop waits for requests in flight.
--- a/src/settings/tests/entry_command_test.cc
+++ b/src/settings/tests/entry_command_test.cc
@@ -48,6 +48,22 @@
         "default");
 }
 
+// Guards against an instance that starts and can't serve a permitted request.
+TEST_CASE("a memory for bodies that can't hold the largest one is an error") {
+  CHECK(ReadEntryCommand(RequiredFlagsAnd("--max-body-bytes=67108864"))
+            .settings.caller_memory_bytes == 8U * 67'108'864U);
+  CHECK_NOTHROW(
+      ReadEntryCommand(RequiredFlagsAnd("--caller-memory-bytes=4000000")));
+  try {
+    ReadEntryCommand(RequiredFlagsAnd("--caller-memory-bytes=3000000"));
+    FAIL("invalid settings were accepted");
+  } catch (const settings_error& error) {
+    REQUIRE(error.errors().size() == 1);
+    CHECK(error.errors()[0].find("2625000") != std::string::npos);
+    CHECK(error.errors()[0].find("3145728") != std::string::npos);
+  }
+}
+
 TEST_CASE("all errors are reported at once") {
   try {
     ReadEntryCommand({"--max-streams=0", "--platform=nowhere"});
