Selection: restrict a request to versions of its service

A roll-out shifts a service's traffic between versions of its targets' software. A request may name the only version that may run it, and versions that may not; this holds for first sends, retries, moves and backup copies, and outweighs sessions. The selector never falls back to another version itself.

--- a/src/directory/directory_types.h
+++ b/src/directory/directory_types.h
@@ -26,6 +26,8 @@
   // Start time of the target's process, in milliseconds of calendar time.
   // Distinguishes processes that register under the same id.
   std::int64_t started_at = 0;
+  // Version of the target's software; empty if it stated none.
+  std::string version;
 
   auto operator<=>(const target_entry&) const = default;
 };
--- a/src/selection/internal/target_selector.cc
+++ b/src/selection/internal/target_selector.cc
@@ -101,6 +101,7 @@
                                  const selection_request& request) const {
   return target.entry.service == request.service &&
          directory_.AcceptsNewWork(target) &&
+         request.versions.Allows(target.entry.version) &&
          !request.excluded.contains(target.entry.id);
 }
 
@@ -293,7 +294,8 @@
   double engine_count = 0;
   for (const auto& [id, target] : directory_.targets()) {
     if (target.entry.service != request.service ||
-        !directory_.AcceptsNewWork(target))
+        !directory_.AcceptsNewWork(target) ||
+        !request.versions.Allows(target.entry.version))
       continue;
     const auto tokens = static_cast<double>(TotalLoad(id).tokens);
     used_tokens += tokens;
--- a/src/selection/selection_types.h
+++ b/src/selection/selection_types.h
@@ -24,6 +24,19 @@
   std::int64_t Total() const { return prompt_tokens + expected_output_tokens; }
 };
 
+// The versions of a service's software that may run a request.
+struct version_constraint {
+  // The only version that may run it; any if not set.
+  std::optional<std::string> required;
+  std::set<std::string> forbidden;
+
+  auto operator<=>(const version_constraint&) const = default;
+
+  bool Allows(const std::string& version) const {
+    return (!required || *required == version) && !forbidden.contains(version);
+  }
+};
+
 struct selection_request {
   service_id service;
   std::optional<generation_size> size;  // Set for generations.
@@ -31,6 +44,7 @@
   // already holds its prompt. Empty for none.
   std::string session;
   std::set<target_id> excluded;
+  version_constraint versions;
   // Time within which the first output is due; no bound if not set.
   std::optional<milliseconds> first_output_objective;
   // Whether the run continues one that started on another engine.
