Store: durable writes under conditions on several keys

The status of a roll-out has to outlive all instances, so it is written without a lease, and it depends on its own revision and on that of the request. A call without a response is unknown: it may have been executed. Tested: platform, gateway, peers passed.

--- a/src/follower/i_async_store.h
+++ b/src/follower/i_async_store.h
@@ -86,10 +86,18 @@
 
 enum class put_result {
   written,
-  changed,  // The key has another revision than expected.
+  changed,  // A key has another revision than expected.
   unknown,  // No response, or the store currently rejects this instance.
 };
 
+// The revision that a key is expected to have; 0 means that it does not exist.
+struct key_condition {
+  std::string key;
+  std::int64_t revision = 0;
+
+  auto operator<=>(const key_condition&) const = default;
+};
+
 // Non-blocking access to the platform's key-value service. Not thread-safe.
 class i_async_store : public i_store_reader {
  public:
@@ -119,6 +127,14 @@
                               const std::string& value,
                               store_lease lease,
                               std::function<void(put_result)> done) = 0;
+
+  // Writes a key that no lease removes, only if all `conditions` hold. After
+  // `unknown` the write may have been executed, or may still be, for as long as
+  // the conditions hold.
+  virtual void PutDurably(const std::vector<key_condition>& conditions,
+                          const std::string& key,
+                          const std::string& value,
+                          std::function<void(put_result)> done) = 0;
 };
 
 }  // namespace wist
--- a/src/gateway/tests/mocks/simulated_store.h
+++ b/src/gateway/tests/mocks/simulated_store.h
@@ -91,20 +91,25 @@
                       const std::string& value,
                       store_lease lease,
                       std::function<void(put_result)> done) override {
-    Respond([this, key, expected_revision, value, lease, done] {
-      if (!is_available)
-        return done(put_result::unknown);
-      ++puts;
-      const auto held = items_.find(key);
-      const std::int64_t revision =
-          held == items_.end() ? 0 : held->second.change.revision;
-      if (revision != expected_revision)
-        return done(put_result::changed);
-      const store_change change{key, value, ++revision_};
-      items_[key] = {change, lease};
-      Report(change);
-      done(put_result::written);
-    });
+    Put({{key, expected_revision}}, key, value, lease, std::move(done));
+  }
+
+  void PutDurably(const std::vector<key_condition>& conditions,
+                  const std::string& key,
+                  const std::string& value,
+                  std::function<void(put_result)> done) override {
+    Put(conditions, key, value, 0, std::move(done));
+  }
+
+  // Writes a key as an operator does.
+  void Set(const std::string& key, const std::string& value) {
+    const store_change change{key, value, ++revision_};
+    items_[key] = {change, 0};
+    Report(change);
+  }
+  void Remove(const std::string& key) {
+    if (items_.erase(key) > 0)
+      Report({key, std::nullopt, ++revision_});
   }
 
   std::vector<store_change> Items() const {
@@ -115,6 +120,8 @@
   }
 
   bool is_available = true;
+  // Executes writes without a response.
+  bool loses_responses = false;
   int puts = 0;
   int renewals = 0;
   // Time until the mirrors of all instances have a change.
@@ -128,6 +135,29 @@
     store_lease lease = 0;
   };
 
+  void Put(const std::vector<key_condition>& conditions,
+           const std::string& key,
+           const std::string& value,
+           store_lease lease,
+           std::function<void(put_result)> done) {
+    Respond([this, conditions, key, value, lease, done] {
+      if (!is_available)
+        return done(put_result::unknown);
+      ++puts;
+      for (const auto& condition : conditions) {
+        const auto held = items_.find(condition.key);
+        const std::int64_t revision =
+            held == items_.end() ? 0 : held->second.change.revision;
+        if (revision != condition.revision)
+          return done(put_result::changed);
+      }
+      const store_change change{key, value, ++revision_};
+      items_[key] = {change, lease};
+      Report(change);
+      done(loses_responses ? put_result::unknown : put_result::written);
+    });
+  }
+
   void Respond(std::function<void()> step) {
     RunAt(scheduler_.Now() + kResponseDelay, std::move(step));
   }
--- a/src/gateway/tests/store_view_test.cc
+++ b/src/gateway/tests/store_view_test.cc
@@ -83,6 +83,10 @@
                       const std::string&,
                       store_lease,
                       std::function<void(put_result)>) override {}
+  void PutDurably(const std::vector<key_condition>&,
+                  const std::string&,
+                  const std::string&,
+                  std::function<void(put_result)>) override {}
 
   std::function<void(range_result)> range_done;
   std::function<void(watch_result)> watch_done;
--- a/src/peers/tests/instance_announcer_test.cc
+++ b/src/peers/tests/instance_announcer_test.cc
@@ -48,6 +48,10 @@
                       const std::string&,
                       store_lease,
                       std::function<void(put_result)>) override {}
+  void PutDurably(const std::vector<key_condition>&,
+                  const std::string&,
+                  const std::string&,
+                  std::function<void(put_result)>) override {}
 
   range_result list = range_page{{}, false, 1};
   bool is_available = true;
