--- a/src/gateway/gateway_types.h
+++ b/src/gateway/gateway_types.h
@@ -138,6 +138,18 @@
   std::int64_t link_mbps = 0;
   // Whether no instance of the system has run before.
   bool is_first_start = false;
+  // Whether roll-outs are enabled. The settings below have no effect otherwise.
+  bool rollouts_enabled = false;
+  // Share of a service's requests that a new version may receive before it is
+  // accepted, and the number of requests beyond that share.
+  double canary_share = 0.1;
+  double canary_slack = 50;
+  // Time from a version's 50th bad response to the last request sent to it.
+  milliseconds rollback_timeout{5000};
+  // Time for which instances may lack contact with each other.
+  milliseconds contact_time{4000};
+  // Time by which an impaired store may delay a roll-back.
+  milliseconds outer_time{6000};
 
   auto operator<=>(const gateway_settings&) const = default;
 };
