Judge versions by sequential tests; decide roll-outs

The judge accumulates likelihood ratios per route and failure domain against the old version's responses of the same period, so that repeated looks do not raise the rate of false alarms. Not tested yet.

--- a/src/rollout/internal/version_samples.cc
+++ b/src/rollout/internal/version_samples.cc
@@ -53,6 +53,13 @@
   return since;
 }
 
+void response_counts::RaiseTo(const response_counts& other) {
+  responses = std::max(responses, other.responses);
+  bad = std::max(bad, other.bad);
+  for (std::size_t i = 0; i < kBuckets; ++i)
+    latencies[i] = std::max(latencies[i], other.latencies[i]);
+}
+
 std::uint32_t response_counts::timed() const {
   return std::accumulate(latencies.begin(), latencies.end(), 0U);
 }
--- a/src/rollout/rollout_judge.h
+++ b/src/rollout/rollout_judge.h
@@ -1,13 +1,14 @@
 #ifndef ROLLOUT_ROLLOUT_JUDGE_H_
 #define ROLLOUT_ROLLOUT_JUDGE_H_
 
-#include <array>
 #include <cstdint>
 #include <map>
-#include <string>
+#include <optional>
 #include <variant>
+#include <vector>
 
 #include "framework/base/time_types.h"
+#include "rollout/sequential_test.h"
 #include "rollout/version_samples.h"
 
 namespace wist {
@@ -21,7 +22,12 @@
   auto operator<=>(const good_verdict&) const = default;
 };
 
-enum class bad_reason { failures, slowness, too_few_samples };
+enum class bad_reason {
+  failures,
+  slowness,
+  too_few_samples,  // At the deadline.
+  found_by_peer,    // Another instance has found the version bad.
+};
 
 struct bad_verdict {
   bad_reason reason = bad_reason::failures;
@@ -41,12 +47,12 @@
   double false_alarm_rate = 1e-4;
   // Responses of the new version from which it can be good.
   std::uint32_t min_responses = 8;
-  // Bad responses of the new version below which it is not found bad.
-  std::uint32_t min_bad = 5;
+  // Bad or slow responses of the new version from which it can be bad.
+  std::uint32_t min_events = 5;
   // The samples are compared in periods of at least this length.
-  milliseconds period{500};
-  // Number of periods over which the false alarms are divided.
-  std::uint32_t expected_periods = 100;
+  milliseconds period{250};
+
+  auto operator<=>(const judge_settings&) const = default;
 };
 
 // Compares the responses of the old and the new version over the same period on
@@ -63,9 +69,35 @@
   const version_samples& sums() const { return sums_; }
 
  private:
+  struct stratum_state {
+    // Largest counts that were compared.
+    stratum_counts compared;
+    timestamp compared_at;
+    // Since when the sums are below the compared ones.
+    std::optional<timestamp> reduced_since;
+  };
+  struct test_id {
+    bad_reason reason = bad_reason::failures;
+    std::uint32_t route = 0;  // 0 for all routes together.
+
+    auto operator<=>(const test_id&) const = default;
+  };
+
+  using period_counts = std::map<test_id, std::vector<event_counts>>;
+
+  void CompareStratum(const sample_stratum& stratum,
+                      const stratum_counts& counts,
+                      const response_counts& old_of_route,
+                      timestamp now,
+                      period_counts& period);
+  void Decide();
+
   const judge_settings settings_;
   rollout_verdict verdict_;
   version_samples sums_;
+  std::optional<timestamp> updated_at_;
+  std::map<sample_stratum, stratum_state> strata_;
+  std::map<test_id, sequential_test> tests_;
 };
 
 }  // namespace wist
--- a/src/rollout/rollout_types.h
+++ b/src/rollout/rollout_types.h
@@ -54,6 +54,7 @@
   std::int64_t request_revision = 0;
   // When the roll-out request was first seen, by the wall clock of the decider.
   calendar_time started_at{};
+  double duration_s = 0;  // From the roll-out request.
   rollout_stage stage = rollout_stage::canary;
   // Share of the requests for the new version in the canary stage, in [0, 1].
   double share = 0;
--- a/src/rollout/version_samples.h
+++ b/src/rollout/version_samples.h
@@ -44,6 +44,8 @@
   // Counts since `earlier`; a counter that has become smaller (an instance
   // ended or its report is missing) counts as unchanged.
   response_counts Since(const response_counts& earlier) const;
+  // Raises each counter to that of `other` if it is larger.
+  void RaiseTo(const response_counts& other);
   std::uint32_t timed() const;  // Responses with a latency.
 
   auto operator<=>(const response_counts&) const = default;
