--- a/src/rollout/internal/rollout_decision.cc
+++ b/src/rollout/internal/rollout_decision.cc
@@ -15,8 +15,9 @@
 // Part of `canary_slack` that may be planned with, for the same reason.
 constexpr double kShareOfSlack = 0.5;
 
-// A raised share leaves this part of the permitted exposure to the shift.
-constexpr double kShareOfBudget = 0.5;
+// A raised share uses this part of the exposure that is left. Little is kept
+// for the shift, in which it would be used up before any report arrives.
+constexpr double kShareOfBudget = 0.9;
 constexpr double kMaxRaisedShare = 0.5;
 
 // A raised share is written if it is larger than the one in effect by this
--- a/src/rollout/internal/sequential_test.cc
+++ b/src/rollout/internal/sequential_test.cc
@@ -14,6 +14,10 @@
 // dominates would be found late.
 constexpr double kMinShareOfOthers = 1.0 / 3;
 
+// Interval of the times at which a version may have turned bad. More of them
+// would need more evidence in each.
+constexpr milliseconds kStartInterval{1000};
+
 double LogAdd(double a, double b) {
   const double larger = std::max(a, b);
   return larger + std::log1p(std::exp(std::min(a, b) - larger));
@@ -54,11 +58,16 @@
 }
 
 void sequential_test::AddPeriod(const std::vector<event_counts>& strata,
-                                double tolerance) {
+                                double tolerance,
+                                timestamp now) {
   // Probability that the version turned bad at the beginning of this period.
   // The sum over all periods is 1.
-  const double log_start = -std::log((periods_ + 1) * (periods_ + 2));
-  ++periods_;
+  double log_start = kLogZero;
+  if (!last_start_at_ || now >= *last_start_at_ + kStartInterval) {
+    last_start_at_ = now;
+    log_start = -std::log((starts_ + 1) * (starts_ + 2));
+    ++starts_;
+  }
   for (const event_counts& counts : strata) {
     domains_.try_emplace(counts.domain, domain_state{all_, 0})
         .first->second.new_responses += counts.new_responses;
@@ -87,7 +96,11 @@
 }
 
 double sequential_test::LogEvidence() const {
-  double smallest = LogMean(all_);
+  return LogMean(all_);
+}
+
+double sequential_test::LogEvidenceWithoutAnyDomain() const {
+  double smallest = LogEvidence();
   for (const auto& [domain, state] : domains_) {
     if (new_responses_ - state.new_responses >=
         kMinShareOfOthers * new_responses_)
--- a/src/rollout/rollout_judge.h
+++ b/src/rollout/rollout_judge.h
@@ -2,6 +2,7 @@
 #define ROLLOUT_ROLLOUT_JUDGE_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <variant>
@@ -70,32 +71,61 @@
 
  private:
   struct stratum_state {
-    // Largest counts that were compared.
-    stratum_counts compared;
-    timestamp compared_at;
+    // Largest counts that were compared, by each kind of comparison.
+    stratum_counts by_shares;
+    timestamp shares_compared_at;
+    stratum_counts by_rates;
     // Since when the sums are below the compared ones.
     std::optional<timestamp> reduced_since;
   };
+  // How the responses of both versions are compared.
+  enum class comparison {
+    // The new version's share of the events with its share of the responses in
+    // the same period.
+    shares,
+    // The new version's rate of events with that of the old one, the larger of
+    // the recent rate and the one since the beginning.
+    rates
+  };
   struct test_id {
     bad_reason reason = bad_reason::failures;
     std::uint32_t route = 0;  // 0 for all routes together.
+    comparison compared = comparison::shares;
 
     auto operator<=>(const test_id&) const = default;
   };
-
+  // Responses of the old version with which new ones are compared.
+  struct baseline {
+    response_counts all;
+    response_counts recent;
+  };
+  struct dated_samples {
+    timestamp at;
+    version_samples samples;
+  };
   using period_counts = std::map<test_id, std::vector<event_counts>>;
 
-  void CompareStratum(const sample_stratum& stratum,
-                      const stratum_counts& counts,
-                      const response_counts& old_of_route,
-                      timestamp now,
-                      period_counts& period);
+  void HandleReduction(const stratum_counts& counts,
+                       stratum_state& state,
+                       timestamp now);
+  void CompareShares(const sample_stratum& stratum,
+                     const stratum_counts& counts,
+                     const response_counts& all_old,
+                     stratum_state& state,
+                     timestamp now,
+                     period_counts& period);
+  void CompareRates(const sample_stratum& stratum,
+                    const stratum_counts& counts,
+                    const baseline& old_version,
+                    stratum_state& state,
+                    period_counts& period);
   void Decide();
 
   const judge_settings settings_;
   rollout_verdict verdict_;
   version_samples sums_;
   std::optional<timestamp> updated_at_;
+  std::deque<dated_samples> recent_;
   std::map<sample_stratum, stratum_state> strata_;
   std::map<test_id, sequential_test> tests_;
 };
--- a/src/rollout/sequential_test.h
+++ b/src/rollout/sequential_test.h
@@ -4,8 +4,11 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
+#include "framework/base/time_types.h"
+
 namespace wist {
 
 // Number of events (bad or slow responses) among the responses of the new
@@ -30,12 +33,18 @@
 // or failing by itself does not count alone if the others can be compared.
 class sequential_test {
  public:
-  // Adds the counts of all strata in one period.
-  void AddPeriod(const std::vector<event_counts>& strata, double tolerance);
+  // Adds the counts of all strata in one period, which ends at `now`.
+  void AddPeriod(const std::vector<event_counts>& strata,
+                 double tolerance,
+                 timestamp now);
 
   // Logarithm of the evidence.
   double LogEvidence() const;
 
+  // The smallest evidence that remains without the counts of one domain, if the
+  // other domains hold enough of the new version's responses.
+  double LogEvidenceWithoutAnyDomain() const;
+
   double new_events() const { return new_events_; }
 
  private:
@@ -52,7 +61,8 @@
 
   log_evidence all_ = NoEvidence();
   std::map<std::uint32_t, domain_state> domains_;
-  double periods_ = 0;
+  double starts_ = 0;
+  std::optional<timestamp> last_start_at_;
   double new_events_ = 0;
   double new_responses_ = 0;
 };
