--- a/src/rollout/internal/rollout_decision.cc
+++ b/src/rollout/internal/rollout_decision.cc
@@ -20,6 +20,9 @@
 constexpr double kShareOfBudget = 0.9;
 constexpr double kMaxRaisedShare = 0.5;
 
+// Tenths of the duration that the shift may last.
+constexpr int kMaxShiftPart = 4;
+
 // A raised share is written if it is larger than the one in effect by this
 // factor.
 constexpr double kMinRaise = 1.3;
@@ -56,7 +59,8 @@
             (now - running_->fleet.as_of),
         settings_.min_shift_lead, settings_.max_shift_lead);
   }
-  return Deadline() - std::min(lead, DurationOf(running_->request) / 3);
+  return Deadline() -
+         std::min(lead, kMaxShiftPart * DurationOf(running_->request) / 10);
 }
 
 double service_rollout::BaseShare() const {
@@ -162,6 +166,12 @@
   if (!status_ || !IsAboutRunning(*status_))
     return status;
   status = *status_;
+  // Without a good verdict at the deadline the old version is the safe choice.
+  if (!IsGood() && now >= Deadline() &&
+      now >= running_->observed_since + settings_.min_observation) {
+    return decide(rollout_state::rolled_back,
+                  Describe(bad_verdict{bad_reason::too_few_samples, 0}));
+  }
   if (status_->stage == rollout_stage::shift) {
     if (MaySucceed(now))
       return decide(rollout_state::succeeded, "");
@@ -171,11 +181,6 @@
     status.stage = rollout_stage::shift;
     return status;
   }
-  if (!IsGood() && now >= Deadline() &&
-      now >= running_->observed_since + settings_.min_observation) {
-    return decide(rollout_state::rolled_back,
-                  Describe(bad_verdict{bad_reason::too_few_samples, 0}));
-  }
   const double share = RaisedShare(now);
   if (share < kMinRaise * std::max(status_->share, BaseShare()))
     return std::nullopt;
--- a/src/rollout/internal/rollout_judge.cc
+++ b/src/rollout/internal/rollout_judge.cc
@@ -26,7 +26,8 @@
 // are on different machines. Rates are compared over different periods.
 constexpr double kFailureTolerance = 1.3;
 constexpr double kSlownessTolerance = 2;
-constexpr double kRateTolerance = 1.5;
+constexpr double kFailureRateTolerance = 1.15;
+constexpr double kSlownessRateTolerance = 1.5;
 
 // Bounds of what is expected of a version, and what is expected if there were
 // no comparable responses.
@@ -42,7 +43,7 @@
 
 // Evidence, as logarithm, by which a version has to stay below the bound for a
 // bad one to be found good.
-constexpr double kGoodMargin = 4;
+constexpr double kGoodMargin = 3;
 
 // Part of the evidence that has to remain without any one domain.
 constexpr double kPartWithoutDomain = 1.0 / 3;
@@ -71,14 +72,15 @@
                     std::uint32_t recent_events,
                     std::uint32_t recent_responses,
                     double min_rate,
-                    double unknown_rate) {
+                    double unknown_rate,
+                    double tolerance) {
   if (responses < kMinCompared)
     return unknown_rate;
   double rate = (events + 1.0) / (responses + 2.0);
   if (recent_responses >= kMinCompared)
     rate = std::max(rate, (recent_events + 0.5) / (recent_responses + 1.0));
   rate = std::clamp(rate, min_rate, kMaxRate);
-  return kRateTolerance * rate / (1 - rate + kRateTolerance * rate);
+  return tolerance * rate / (1 - rate + tolerance * rate);
 }
 
 std::uint32_t Responses(const stratum_counts& counts) {
@@ -223,7 +225,8 @@
   add(bad_reason::failures, new_version.bad, new_version.responses,
       ExpectedRate(old_version.all.bad, old_version.all.responses,
                    old_version.recent.bad, old_version.recent.responses,
-                   kMinFailureRate, kUnknownFailureRate));
+                   kMinFailureRate, kUnknownFailureRate,
+                   kFailureRateTolerance));
   if (const std::optional<std::size_t> slow = SlowBucket(old_version.all)) {
     add(bad_reason::slowness, CountFrom(new_version, *slow),
         new_version.timed(),
--- a/src/rollout/rollout_view.h
+++ b/src/rollout/rollout_view.h
@@ -16,9 +16,9 @@
   // Bounds of the time before the deadline at which the shift begins. Within
   // them it is `min_shift`, the age of the reports and `shift_margin`.
   milliseconds min_shift_lead{2500};
-  milliseconds max_shift_lead{4000};
+  milliseconds max_shift_lead{5000};
   // Time for the status writes and for the moves of runs.
-  milliseconds shift_margin{1500};
+  milliseconds shift_margin{2000};
   // Time before the shift during which the share is raised.
   milliseconds ramp_lead{2000};
   // Time for which the version has to keep its behaviour under full traffic, as
--- a/src/rollout/tests/fleet_simulation.cc
+++ b/src/rollout/tests/fleet_simulation.cc
@@ -23,6 +23,7 @@
 constexpr std::uint32_t kNoisyRoute = 3;
 constexpr double kStreamS = 8;
 constexpr double kMoveS = 0.4;
+constexpr std::int64_t kRequestRevision = 1;
 const service_id kService("s");
 
 struct run {
@@ -324,13 +325,14 @@
       if (request_seen_s_[i] > 0 && request_seen_s_[i] <= now_s_) {
         request_seen_s_[i] = 0;
         groups_[i].tracker.OnRequest(
-            kService, rollout_request{kService, "v2", scenario_.duration_s}, 1,
-            Time());
+            kService, rollout_request{kService, "v2", scenario_.duration_s},
+            kRequestRevision, Time());
         groups_[i].tracker.Advance(Time());
       }
     }
     for (const auto& [at_s, write] : pending_writes_) {
-      if (at_s <= now_s_ && write.status_revision == status_revision_)
+      if (at_s <= now_s_ && write.status_revision == status_revision_ &&
+          write.request_revision == kRequestRevision)
         Execute(write);
     }
     std::erase_if(pending_writes_,
@@ -346,6 +348,12 @@
 
   void Execute(const status_write& write) {
     status_revision_ = next_revision_++;
+    if (std::getenv("WIST_DEBUG") &&
+        write.status.state != rollout_state::running)
+      std::fprintf(stderr, "%s %d: %.2f %s %s %.3f %s\n",
+                   scenario_.name.c_str(), scenario_.instances, now_s_,
+                   ToString(write.status.state), ToString(write.status.stage),
+                   write.status.share, write.status.reason.c_str());
     for (std::size_t i = 0; i < groups_.size(); ++i) {
       deliveries_.push_back({now_s_ + Uniform(0.02, i < kDeciders ? 0.3 : 1.0),
                              static_cast<int>(i), write.status,
