--- a/src/rollout/internal/rollout_judge.cc
+++ b/src/rollout/internal/rollout_judge.cc
@@ -233,7 +233,7 @@
         ExpectedRate(CountFrom(old_version.all, *slow), old_version.all.timed(),
                      CountFrom(old_version.recent, *slow),
                      old_version.recent.timed(), kMinSlownessRate,
-                     kUnknownSlownessRate));
+                     kUnknownSlownessRate, kSlownessRateTolerance));
   }
   state.by_rates.old_version.RaiseTo(counts.old_version);
   state.by_rates.new_version.RaiseTo(counts.new_version);
