Raise the canary's share only with recent reports of all instances

A decider that had just started, or an instance cut off from the others, knew too few requests and took the service for idle.

--- a/src/rollout/internal/rollout_decision.cc
+++ b/src/rollout/internal/rollout_decision.cc
@@ -77,7 +77,7 @@
 
 double service_rollout::CurrentShare() const {
   if (!status_ || !IsAboutRunning(*status_) || status_->share <= BaseShare() ||
-      !HasBudget())
+      !running_->is_fleet_known || !HasBudget())
     return BaseShare();
   return std::min(status_->share, kMaxRaisedShare);
 }
@@ -89,7 +89,9 @@
 double service_rollout::RaisedShare(timestamp now) const {
   const double elapsed_s = ToSeconds(now - running_->started_at);
   const double share = CurrentShare();
-  if (now < running_->started_at + kMinRateTime)
+  // Without the reports of all instances the rate of requests is not known.
+  if (!running_->is_fleet_known || now < running_->started_at + kMinRateTime ||
+      now < running_->observed_since + settings_.min_observation)
     return share;
   const stratum_counts total = running_->judge.sums().Total();
   const double new_responses = total.new_version.responses;
--- a/src/rollout/internal/service_rollout.cc
+++ b/src/rollout/internal/service_rollout.cc
@@ -9,6 +9,9 @@
 namespace wist {
 namespace {
 
+// Age up to which the reports show how many requests the fleet receives.
+constexpr milliseconds kMaxReportAge{3000};
+
 std::set<version_name> VersionsOf(const std::vector<rollout_target>& targets) {
   std::set<version_name> versions;
   for (const rollout_target& target : targets)
@@ -226,6 +229,8 @@
 void service_rollout::Judge(timestamp now, std::vector<service_event>& events) {
   if (!running_)
     return;
+  running_->is_fleet_known = running_->fleet.unfinished &&
+                             now <= running_->fleet.as_of + kMaxReportAge;
   version_samples sums = running_->own;
   sums.Merge(running_->fleet.samples);
   running_->judge.Update(sums, now);
--- a/src/rollout/rollout_view.h
+++ b/src/rollout/rollout_view.h
@@ -18,7 +18,7 @@
   milliseconds min_shift_lead{2500};
   milliseconds max_shift_lead{5000};
   // Time for the status writes and for the moves of runs.
-  milliseconds shift_margin{2000};
+  milliseconds shift_margin{1700};
   // Time before the shift during which the share is raised.
   milliseconds ramp_lead{2000};
   // Time for which the version has to keep its behaviour under full traffic, as
--- a/src/rollout/service_rollout.h
+++ b/src/rollout/service_rollout.h
@@ -72,6 +72,8 @@
     rollout_judge judge;
     version_samples own;
     fleet_report fleet;
+    // The reports of all other instances are there and recent.
+    bool is_fleet_known = false;
     std::optional<bad_verdict> bad;
   };
 
--- a/src/rollout/tests/fleet_simulation.cc
+++ b/src/rollout/tests/fleet_simulation.cc
@@ -348,12 +348,6 @@
 
   void Execute(const status_write& write) {
     status_revision_ = next_revision_++;
-    if (std::getenv("WIST_DEBUG") &&
-        write.status.state != rollout_state::running)
-      std::fprintf(stderr, "%s %d: %.2f %s %s %.3f %s\n",
-                   scenario_.name.c_str(), scenario_.instances, now_s_,
-                   ToString(write.status.state), ToString(write.status.stage),
-                   write.status.share, write.status.reason.c_str());
     for (std::size_t i = 0; i < groups_.size(); ++i) {
       deliveries_.push_back({now_s_ + Uniform(0.02, i < kDeciders ? 0.3 : 1.0),
                              static_cast<int>(i), write.status,
