--- a/src/rollout/tests/rollout_fleet_test.cc
+++ b/src/rollout/tests/rollout_fleet_test.cc
@@ -133,6 +133,40 @@
 
 }  // namespace
 
+// Guards against good versions that are rolled back, or late, because of what
+// happens to both versions.
+TEST_CASE("good versions succeed in time") {
+  for (const fleet_case& scenario : GoodCases()) {
+    const summary sum = RunCase(scenario, 3);
+    INFO(scenario.name << ", " << scenario.instances << " instances");
+    CHECK(sum.succeeded == sum.runs);
+    CHECK(sum.succeeded_late == 0);
+    CHECK(sum.several_decisions == 0);
+    CHECK(sum.interrupted == 0);
+    CHECK(sum.over_exposed_before_shift == 0);
+  }
+}
+
+// Guards against bad versions that get more than their share, or requests after
+// the time for a rollback. A version that turns bad under load gets the full
+// traffic until it is found.
+TEST_CASE("bad versions are rolled back within the permitted exposure") {
+  for (const fleet_case& scenario : BadCases()) {
+    const bool is_clear = scenario.failing >= 0.5 || scenario.slowdown >= 3;
+    if (scenario.instances == 1 || !is_clear)
+      continue;
+    const summary sum = RunCase(scenario, 2);
+    INFO(scenario.name << ", " << scenario.instances << " instances");
+    CHECK(sum.rolled_back == sum.runs);
+    CHECK(sum.rolled_back_late == 0);
+    CHECK(sum.several_decisions == 0);
+    CHECK(sum.late == 0);
+    CHECK(sum.over_exposed_before_shift == 0);
+    if (scenario.when != bad_when::above_load)
+      CHECK(sum.over_exposed == 0);
+  }
+}
+
 // Prints the whole decision table: WIST_ROLLOUT_SEEDS runs of each case, of the
 // cases whose number is WIST_ROLLOUT_PART modulo WIST_ROLLOUT_PARTS.
 TEST_CASE("decision table", "[.table]") {
