--- a/src/rollout/internal/rollout_decision.cc
+++ b/src/rollout/internal/rollout_decision.cc
@@ -119,7 +119,7 @@
 }
 
 bool service_rollout::IsGood() const {
-  return !running_->bad &&
+  return !running_->bad && running_->has_target &&
          std::holds_alternative<good_verdict>(running_->judge.verdict());
 }
 
--- a/src/rollout/internal/service_rollout.cc
+++ b/src/rollout/internal/service_rollout.cc
@@ -76,7 +76,7 @@
   SettleStatus(time);
   SettleRequest(is_configured, targets, time, events);
   SetEstablished(targets, time.now);
-  Judge(time.now, events);
+  Judge(targets, time.now, events);
   UpdateView(targets, events);
 }
 
@@ -226,9 +226,16 @@
   established_ = {first->version};
 }
 
-void service_rollout::Judge(timestamp now, std::vector<service_event>& events) {
+void service_rollout::Judge(const std::vector<rollout_target>& targets,
+                            timestamp now,
+                            std::vector<service_event>& events) {
   if (!running_)
     return;
+  running_->has_target = std::any_of(
+      targets.begin(), targets.end(), [this](const rollout_target& target) {
+        return target.version == running_->request.target &&
+               target.accepts_work;
+      });
   running_->is_fleet_known = running_->fleet.unfinished &&
                              now <= running_->fleet.as_of + kMaxReportAge;
   version_samples sums = running_->own;
@@ -250,7 +257,9 @@
   version_rule rule;
   if (running_) {
     rule.target = running_->request.target;
-    if (running_->bad) {
+    // Requests without a target produce no samples, so a version that has lost
+    // its targets is not found bad.
+    if (running_->bad || (running_->shifted_at && !running_->has_target)) {
       rule.phase = rollout_phase::only_old;
     } else if (running_->shifted_at) {
       rule.phase = rollout_phase::only_new;
--- a/src/rollout/rollout_judge.h
+++ b/src/rollout/rollout_judge.h
@@ -45,7 +45,7 @@
 struct judge_settings {
   // Upper limit of the probability that a version without a difference is ever
   // found bad, however often the judge looks.
-  double false_alarm_rate = 1e-3;
+  double false_alarm_rate = 3e-4;
   // Responses of the new version from which it can be good.
   std::uint32_t min_responses = 8;
   // Bad or slow responses of the new version from which it can be bad.
--- a/src/rollout/service_rollout.h
+++ b/src/rollout/service_rollout.h
@@ -74,6 +74,8 @@
     fleet_report fleet;
     // The reports of all other instances are there and recent.
     bool is_fleet_known = false;
+    // A target of the new version accepts requests.
+    bool has_target = false;
     std::optional<bad_verdict> bad;
   };
 
@@ -88,7 +90,9 @@
   void Resume(const rollout_time& time);
   void SetEstablished(const std::vector<rollout_target>& targets,
                       timestamp now);
-  void Judge(timestamp now, std::vector<service_event>& events);
+  void Judge(const std::vector<rollout_target>& targets,
+             timestamp now,
+             std::vector<service_event>& events);
   version_rule CurrentRule() const;
   void UpdateView(const std::vector<rollout_target>& targets,
                   std::vector<service_event>& events);
--- a/src/rollout/tests/rollout_tracker_test.cc
+++ b/src/rollout/tests/rollout_tracker_test.cc
@@ -137,11 +137,13 @@
   CHECK(Only<request_accepted>(decider.Advance(0)).size() == 1);
   CHECK(decider.Rule().phase == rollout_phase::canary);
   CHECK(decider.Rule().share == Approx(0.08));
-  const auto status = decider.Run(0, 8000);
+  // It may still send requests to old targets.
+  CHECK(decider.tracker.ViewOf(kService).unfinished_here == 1);
+  const auto status = decider.Run(0, 7000);
   REQUIRE(status);
   CHECK(status->stage == rollout_stage::canary);
   CHECK(status->started_at == At(0).calendar);
-  const auto decided = decider.Run(8100, 11900);
+  const auto decided = decider.Run(7100, 11900);
   REQUIRE(decided);
   CHECK(decided->state == rollout_state::succeeded);
   CHECK(decided->target == "v2");
@@ -179,6 +181,24 @@
   CHECK(has_write_at(16000));
 }
 
+// Guards against a shift to a version that has no targets left.
+TEST_CASE("a version without targets gets no traffic and does not succeed") {
+  instance decider;
+  decider.Request(0, 1);
+  decider.Run(0, 9500);
+  REQUIRE(decider.Rule().phase == rollout_phase::only_new);
+  std::vector<rollout_target> targets = {Target(kService, "v1"),
+                                         Target(kService, "v2")};
+  targets[1].accepts_work = false;
+  decider.tracker.SetTargets(targets);
+  decider.Advance(9600);
+  CHECK(decider.Rule().phase == rollout_phase::only_old);
+  CHECK(decider.tracker.ViewOf(kService).unfinished_here == 1);
+  const auto decided = decider.Run(9700, 12100);
+  REQUIRE(decided);
+  CHECK(decided->state == rollout_state::rolled_back);
+}
+
 // Guards against instances that go on with a version that they found bad.
 TEST_CASE("a bad verdict takes effect without the store and is final") {
   instance observed;
