--- a/src/rollout/internal/rollout_types.cc
+++ b/src/rollout/internal/rollout_types.cc
@@ -38,23 +38,23 @@
   return "unknown";
 }
 
-const char* ToString(request_error error) {
+const char* ToString(rollout_request_error error) {
   switch (error) {
-    case request_error::malformed:
+    case rollout_request_error::malformed:
       return "malformed";
-    case request_error::wrong_service:
+    case rollout_request_error::wrong_service:
       return "wrong_service";
-    case request_error::unknown_service:
+    case rollout_request_error::unknown_service:
       return "unknown_service";
-    case request_error::duration_not_positive:
+    case rollout_request_error::duration_not_positive:
       return "duration_not_positive";
-    case request_error::duration_too_long:
+    case rollout_request_error::duration_too_long:
       return "duration_too_long";
-    case request_error::no_target_of_version:
+    case rollout_request_error::no_target_of_version:
       return "no_target_of_version";
-    case request_error::only_version:
+    case rollout_request_error::only_version:
       return "only_version";
-    case request_error::all_domains_evacuated:
+    case rollout_request_error::all_domains_evacuated:
       return "all_domains_evacuated";
   }
   return "unknown";
--- a/src/rollout/request_validation.h
+++ b/src/rollout/request_validation.h
@@ -25,7 +25,7 @@
 
 // Whether the request may become valid without being written again, by changes
 // of the registered targets, the evacuations or the configuration.
-bool MayBecomeValid(request_error error);
+bool MayBecomeValid(rollout_request_error error);
 
 }  // namespace wist
 
--- a/src/rollout/rollout_types.h
+++ b/src/rollout/rollout_types.h
@@ -79,7 +79,7 @@
 };
 
 // Why a roll-out request is invalid.
-enum class request_error {
+enum class rollout_request_error {
   malformed,
   wrong_service,  // The body names another service than the key.
   unknown_service,
@@ -91,7 +91,7 @@
 };
 
 struct invalid_request {
-  request_error error = request_error::malformed;
+  rollout_request_error error = rollout_request_error::malformed;
   std::string item;   // Field or key.
   std::string value;  // As received.
   std::string bound;  // What is allowed.
@@ -102,7 +102,7 @@
 const char* ToString(rollout_state state);
 const char* ToString(rollout_stage stage);
 const char* ToString(rollout_phase phase);
-const char* ToString(request_error error);
+const char* ToString(rollout_request_error error);
 
 }  // namespace wist
 
--- a/src/rollout/tests/rollout_tracker_test.cc
+++ b/src/rollout/tests/rollout_tracker_test.cc
@@ -306,33 +306,34 @@
     observed.Advance(6100);
     return reason->error;
   };
-  CHECK(reject(malformed_rollout_request{"{"}) == request_error::malformed);
+  CHECK(reject(malformed_rollout_request{"{"}) ==
+        rollout_request_error::malformed);
   CHECK(reject(rollout_request{kOther, "v2", 12}) ==
-        request_error::wrong_service);
+        rollout_request_error::wrong_service);
   const service_id unknown("u");
   CHECK(reject(rollout_request{unknown, "v2", 12}, unknown) ==
-        request_error::unknown_service);
+        rollout_request_error::unknown_service);
   for (const double duration_s :
        {0.0, -1.0, std::numeric_limits<double>::quiet_NaN()}) {
     CHECK(reject(rollout_request{kService, "v2", duration_s}) ==
-          request_error::duration_not_positive);
+          rollout_request_error::duration_not_positive);
   }
   CHECK(reject(rollout_request{kService, "v2", 86401}) ==
-        request_error::duration_too_long);
+        rollout_request_error::duration_too_long);
   CHECK(reject(rollout_request{kService, "v3", 12}) ==
-        request_error::no_target_of_version);
+        rollout_request_error::no_target_of_version);
   CHECK(reject(rollout_request{kService, "v1", 12}) ==
-        request_error::only_version);
+        rollout_request_error::only_version);
   std::vector<rollout_target> targets = {Target(kService, "v1"),
                                          Target(kService, "v2")};
   for (rollout_target& target : targets)
     target.evacuated = true;
   observed.tracker.SetTargets(targets);
   CHECK(reject(rollout_request{kService, "v2", 12}) ==
-        request_error::all_domains_evacuated);
+        rollout_request_error::all_domains_evacuated);
   observed.tracker.SetTargets({Target(kService, "v1")});
   CHECK(reject(rollout_request{kService, "v1", 12}) ==
-        request_error::only_version);
+        rollout_request_error::only_version);
 }
 
 // Guards against a roll-out that never starts because its request arrived
