--- a/src/gateway/i_dialect.h
+++ b/src/gateway/i_dialect.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "gateway/gateway_types.h"
+#include "rollout/rollout_types.h"
 #include "routing/routing_types.h"
 
 namespace wist {
@@ -70,6 +71,23 @@
       const std::string& key,
       const std::string& value) const = 0;
   virtual target_id TargetIdFromKey(const std::string& key) const = 0;
+
+  // Returns the service whose roll-out request or status the key holds, if it
+  // is such a key.
+  virtual std::optional<service_id> RolloutRequestService(
+      const std::string& key) const = 0;
+  virtual std::optional<service_id> RolloutStatusService(
+      const std::string& key) const = 0;
+  virtual std::string RolloutRequestKey(const service_id& service) const = 0;
+  virtual std::string RolloutStatusKey(const service_id& service) const = 0;
+  virtual decoded_rollout_request DecodeRolloutRequest(
+      const std::string& value) const = 0;
+  virtual std::string EncodeRolloutStatus(
+      const rollout_status& status) const = 0;
+
+  // Returns nullopt if the value is no status.
+  virtual std::optional<rollout_status> DecodeRolloutStatus(
+      const std::string& value) const = 0;
 };
 
 }  // namespace wist
--- a/src/gateway/internal/store_view.cc
+++ b/src/gateway/internal/store_view.cc
@@ -74,6 +74,11 @@
   quarantine_handler_ = std::move(handler);
 }
 
+void store_view::SubscribeToRollouts(
+    std::function<void(const store_change&)> handler) {
+  rollout_handler_ = std::move(handler);
+}
+
 void store_view::SubscribeToLoss(std::function<void()> handler) {
   loss_handler_ = std::move(handler);
 }
@@ -152,9 +157,11 @@
   services_.latest_configuration.Confirm(
       services_.latest_configuration.version(), confirmed_at);
   mirror_.Confirm(revision, confirmed_at);
+  is_reachable_ = true;
 }
 
 void store_view::OnStoreLost(store_error error) {
+  is_reachable_ = false;
   services_.metrics.OnStoreLost();
   services_.logger.Write(log_level::warning, "store_lost",
                          {{"reason", std::string(StoreErrorName(error))}});
@@ -183,9 +190,24 @@
     ApplyInstance(change);
   } else if (change.key.starts_with(kQuarantinePrefix)) {
     ApplyQuarantine(change);
+  } else if (IsRolloutKey(change.key)) {
+    ApplyRollout(change);
   }
 }
 
+bool store_view::IsRolloutKey(const std::string& key) const {
+  return rollout_handler_ && (dialect_.RolloutRequestService(key) ||
+                              dialect_.RolloutStatusService(key));
+}
+
+void store_view::ApplyRollout(const store_change& change) {
+  if (change.value)
+    rollout_keys_.insert(change.key);
+  else
+    rollout_keys_.erase(change.key);
+  rollout_handler_(change);
+}
+
 void store_view::ApplyQuarantine(const store_change& change) {
   if (change.value)
     quarantine_keys_.insert(change.key);
@@ -227,8 +249,16 @@
                                after_outage, now);
     return;
   }
-  if (const auto entry = dialect_.DecodeTarget(change.key, *change.value))
-    return services_.directory.Upsert(*entry, now);
+  if (const auto entry = dialect_.DecodeTarget(change.key, *change.value)) {
+    const known_target* held = services_.directory.Find(entry->id);
+    const bool has_other_version =
+        !held || held->entry.version != entry->version;
+    services_.directory.Upsert(*entry, now);
+    // A new version must not receive requests before it is known to be one.
+    if (rollout_handler_ && has_other_version)
+      rollout_handler_(change);
+    return;
+  }
   services_.logger.Write(log_level::warning, "target_entry_unreadable",
                          {{"key", change.key}});
 }
@@ -264,6 +294,11 @@
     if (!items.contains(key))
       ApplyQuarantine({key, std::nullopt, 0});
   }
+  const std::set<std::string> rollout_keys = rollout_keys_;
+  for (const std::string& key : rollout_keys) {
+    if (!items.contains(key))
+      ApplyRollout({key, std::nullopt, 0});
+  }
   std::set<domain_id> domains;
   for (const auto& [key, item] : items) {
     if (const auto domain = dialect_.EvacuatedDomain(key))
--- a/src/gateway/internal/store_view.h
+++ b/src/gateway/internal/store_view.h
@@ -41,6 +41,10 @@
   // Calls `handler` for each change of an entry of the quarantine registry.
   void SubscribeToQuarantines(std::function<void(const store_change&)> handler);
 
+  // Calls `handler` for each change of a roll-out request or status, and for
+  // each target whose version is new to this instance.
+  void SubscribeToRollouts(std::function<void(const store_change&)> handler);
+
   // Calls `handler` when the store becomes unreadable.
   void SubscribeToLoss(std::function<void()> handler);
 
@@ -49,6 +53,9 @@
   // Whether the store has been read completely at least once.
   bool HasSnapshot() const { return has_snapshot_; }
 
+  // Whether the latest read of the store or of a mirror succeeded.
+  bool IsReachable() const { return is_reachable_; }
+
   // Returns the registered instances except this one.
   std::vector<known_instance> OtherInstances() const;
   known_instance Self() const;
@@ -71,6 +78,8 @@
   void ApplyTarget(const store_change& change, bool after_outage);
   void ApplyInstance(const store_change& change);
   void ApplyQuarantine(const store_change& change);
+  bool IsRolloutKey(const std::string& key) const;
+  void ApplyRollout(const store_change& change);
   void RemoveMissing(const std::map<std::string, store_change>& items,
                      bool after_outage);
   void SetEvacuated(std::set<domain_id> domains);
@@ -84,12 +93,15 @@
   std::function<void()> configuration_handler_;
   std::function<void()> instances_handler_;
   std::function<void(const store_change&)> quarantine_handler_;
+  std::function<void(const store_change&)> rollout_handler_;
   std::function<void()> loss_handler_;
   store_mirror mirror_;
   bool has_snapshot_ = false;
+  bool is_reachable_ = false;
   std::set<domain_id> evacuated_;
   std::map<std::string, known_instance> instances_;
   std::set<std::string> quarantine_keys_;
+  std::set<std::string> rollout_keys_;
   instance_announcer announcer_;
   prefix_follower follower_;
 };
--- a/src/gateway/tests/mocks/plain_dialect.h
+++ b/src/gateway/tests/mocks/plain_dialect.h
@@ -136,6 +136,58 @@
   target_id TargetIdFromKey(const std::string& key) const override {
     return target_id(key);
   }
+
+  // A request is "SERVICE VERSION SECONDS"; a status is its state, version,
+  // revision, stage, share and duration.
+  std::optional<service_id> RolloutRequestService(
+      const std::string& key) const override {
+    if (!key.starts_with("operator/rollout/"))
+      return std::nullopt;
+    return service_id(key.substr(17));
+  }
+  std::optional<service_id> RolloutStatusService(
+      const std::string& key) const override {
+    if (!key.starts_with("status/"))
+      return std::nullopt;
+    return service_id(key.substr(7));
+  }
+  std::string RolloutRequestKey(const service_id& service) const override {
+    return "operator/rollout/" + service.text();
+  }
+  std::string RolloutStatusKey(const service_id& service) const override {
+    return "status/" + service.text();
+  }
+  decoded_rollout_request DecodeRolloutRequest(
+      const std::string& value) const override {
+    std::istringstream fields(value);
+    rollout_request request;
+    std::string service;
+    if (fields >> service >> request.target >> request.duration_s) {
+      request.service = service_id(service);
+      return request;
+    }
+    return malformed_rollout_request{"unreadable"};
+  }
+  std::string EncodeRolloutStatus(const rollout_status& status) const override {
+    return std::to_string(static_cast<int>(status.state)) + " " +
+           status.target + " " + std::to_string(status.request_revision) + " " +
+           std::to_string(static_cast<int>(status.stage)) + " " +
+           std::to_string(status.share) + " " +
+           std::to_string(status.duration_s);
+  }
+  std::optional<rollout_status> DecodeRolloutStatus(
+      const std::string& value) const override {
+    std::istringstream fields(value);
+    rollout_status status;
+    int state = 0;
+    int stage = 0;
+    if (!(fields >> state >> status.target >> status.request_revision >>
+          stage >> status.share >> status.duration_s))
+      return std::nullopt;
+    status.state = static_cast<rollout_state>(state);
+    status.stage = static_cast<rollout_stage>(stage);
+    return status;
+  }
 };
 
 }  // namespace wist
--- a/src/gateway/tests/store_view_test.cc
+++ b/src/gateway/tests/store_view_test.cc
@@ -270,3 +270,31 @@
   CHECK(changes == expected);
   CHECK(std::get<watch_page>(*page).at_revision == 90);
 }
+
+// Guards against a roll-out that is missed, or goes on after its request was
+// removed, because the history of the store was lost.
+TEST_CASE("roll-out keys are passed on from changes and from snapshots") {
+  store_view_fixture f;
+  std::vector<store_change> seen;
+  f.view.SubscribeToRollouts(
+      [&](const store_change& change) { seen.push_back(change); });
+  const store_change request{"operator/rollout/desk", "desk v2 12", 3};
+  const store_change status{"status/desk", "0 v2 3", 4};
+  f.DeliverSnapshot({request, status, {"status", "x", 5}});
+  CHECK(seen == std::vector<store_change>{request, status});
+  seen.clear();
+  const store_change removal{"status/desk", std::nullopt, 11};
+  f.DeliverChange(removal);
+  CHECK(seen == std::vector<store_change>{removal});
+  seen.clear();
+  std::exchange(f.store.watch_done, nullptr)(store_error::history_gone);
+  f.scheduler.Advance(milliseconds(10));
+  f.DeliverSnapshot({{"targets/a", "d1", 12}}, 20);
+  REQUIRE(seen.size() == 2);
+  CHECK(seen[0].key == "targets/a");
+  CHECK(seen[1].key == request.key);
+  CHECK_FALSE(seen[1].value);
+  // The version of that target is known now.
+  f.DeliverChange({"targets/a", "d1", 21});
+  CHECK(seen.size() == 2);
+}
