Peers: exchange the sums of active roll-outs

They are a further field at the end of a report, which earlier versions ignore; without an active roll-out the encoding is unchanged.

--- a/src/peers/internal/load_exchange.cc
+++ b/src/peers/internal/load_exchange.cc
@@ -82,11 +82,40 @@
   HandleDropped();
   ForgetFormerNeighbors();
   SendReports(/*keepalives_due=*/true);
+  SendRollouts();
+}
+
+void load_exchange::EnableRollouts(
+    std::function<std::vector<rollout_sums>()> collect) {
+  collect_rollouts_ = std::move(collect);
+}
+
+// Each roll-out has its own datagram, which keeps all of them below the maximum
+// size of one.
+void load_exchange::SendRollouts() {
+  const timestamp now = scheduler_.Now();
+  if (!port_ || !collect_rollouts_ || now < rollouts_due_)
+    return;
+  rollouts_due_ = now + settings_.rollout_interval;
+  rollouts_.Expire(now);
+  rollouts_.SetOwn(collect_rollouts_());
+  for (const tree_neighbor& neighbor : neighbors_.Current()) {
+    for (rollout_sums& sums :
+         rollouts_.SumsFor(neighbor.name, neighbor.role, now)) {
+      neighbor_state& state = states_[neighbor.name];
+      peer_report report{instance_, started_at_, state.next_sequence_number++,
+                         neighbor.role};
+      report.rollouts.push_back(std::move(sums));
+      state.last_sent_at = now;
+      port_->Send(neighbor.address, EncodePeerReport(report));
+    }
+  }
 }
 
 void load_exchange::HandleDropped() {
   for (const tree_neighbor& dropped : neighbors_.TakeDropped()) {
     table_.RemoveNeighbor(dropped.name);
+    rollouts_.RemoveNeighbor(dropped.name);
     states_.erase(dropped.name);
     notices_.ForgetNeighbor(dropped.name);
     if (dropped.role == neighbor_role::parent)
@@ -252,10 +281,13 @@
   if (report->started_at != state.newest_received.first) {
     // The neighbor has restarted, or is new: it needs all loads.
     table_.RemoveNeighbor(report->instance);
+    rollouts_.RemoveNeighbor(report->instance);
     state.refresh_due = now;
   }
   state.newest_received = order;
   table_.SetReported(report->instance, *role, report->loads, now);
+  if (collect_rollouts_)
+    rollouts_.SetReported(report->instance, *role, report->rollouts, now);
   const bool has_changes = DistributeChanges(report->instance);
   const bool is_urgent = table_.TakePrefillAdded() || is_new;
   if (has_changes || is_new)
--- a/src/peers/internal/peer_report.cc
+++ b/src/peers/internal/peer_report.cc
@@ -1,7 +1,9 @@
 #include "peers/peer_report.h"
 
 #include <algorithm>
+#include <limits>
 #include <nlohmann/json.hpp>
+#include <stdexcept>
 
 namespace wist {
 namespace {
@@ -11,6 +13,14 @@
 // Reports in other formats are ignored, since their loads have another meaning.
 constexpr int kFormat = 2;
 
+// Position of the roll-outs in a report.
+constexpr std::size_t kRolloutsField = 8;
+
+// Older reports are of no use to anyone.
+constexpr std::uint64_t kMaxAgeUs = 3'600'000'000;
+
+constexpr std::uint64_t kMaxRevision = std::numeric_limits<std::int64_t>::max();
+
 crash_notice DecodeCrash(const json& fields) {
   crash_notice notice;
   notice.subject = fields.at(0).get<suspect_digest>();
@@ -25,6 +35,75 @@
   return notice;
 }
 
+// Counts are sparse: the numbers of responses and of bad ones, followed by each
+// bucket in use and its count.
+json EncodeCounts(const response_counts& counts) {
+  json fields = json::array({counts.responses, counts.bad});
+  for (std::size_t i = 0; i < counts.latencies.size(); ++i) {
+    if (counts.latencies[i] == 0)
+      continue;
+    fields.push_back(i);
+    fields.push_back(counts.latencies[i]);
+  }
+  return fields;
+}
+
+// Throws std::invalid_argument if the field is not a number in the range.
+template <typename Unsigned>
+Unsigned UnsignedField(const json& fields, std::size_t index) {
+  const json& field = fields.at(index);
+  if (!field.is_number_unsigned() ||
+      field.get<std::uint64_t>() > std::numeric_limits<Unsigned>::max())
+    throw std::invalid_argument("not an unsigned number");
+  return field.get<Unsigned>();
+}
+
+response_counts DecodeCounts(const json& fields) {
+  response_counts counts;
+  counts.responses = UnsignedField<std::uint32_t>(fields, 0);
+  counts.bad = UnsignedField<std::uint32_t>(fields, 1);
+  for (std::size_t i = 2; i < fields.size(); i += 2) {
+    const auto bucket = UnsignedField<std::uint8_t>(fields, i);
+    // A later version may have more buckets.
+    counts.latencies[std::min<std::size_t>(bucket,
+                                           response_counts::kBuckets - 1)] +=
+        UnsignedField<std::uint32_t>(fields, i + 1);
+  }
+  return counts;
+}
+
+json EncodeRollout(const rollout_sums& sums) {
+  json strata = json::array();
+  for (const auto& [stratum, counts] : sums.samples.strata()) {
+    strata.push_back(json::array({stratum.route, stratum.domain,
+                                  EncodeCounts(counts.old_version),
+                                  EncodeCounts(counts.new_version)}));
+  }
+  return json::array({sums.id.service.text(), sums.id.request_revision,
+                      sums.instances, sums.unfinished, sums.age.count(),
+                      std::move(strata), sums.found_bad});
+}
+
+rollout_sums DecodeRollout(const json& fields) {
+  rollout_sums sums;
+  sums.id = {service_id(fields.at(0).get<std::string>()),
+             static_cast<std::int64_t>(UnsignedField<std::uint64_t>(fields, 1) &
+                                       kMaxRevision)};
+  sums.instances = UnsignedField<std::uint32_t>(fields, 2);
+  sums.unfinished = UnsignedField<std::uint64_t>(fields, 3);
+  sums.age = microseconds(static_cast<std::int64_t>(
+      std::min(UnsignedField<std::uint64_t>(fields, 4), kMaxAgeUs)));
+  sums.found_bad = fields.at(6).get<bool>();
+  // Strata beyond version_samples::kMaxStrata are merged.
+  for (const json& stratum : fields.at(5)) {
+    sums.samples.Add(
+        {UnsignedField<std::uint32_t>(stratum, 0),
+         UnsignedField<std::uint32_t>(stratum, 1)},
+        {DecodeCounts(stratum.at(2)), DecodeCounts(stratum.at(3))});
+  }
+  return sums;
+}
+
 std::optional<neighbor_role> DecodeRole(int number) {
   switch (number) {
     case static_cast<int>(neighbor_role::parent):
@@ -56,10 +135,17 @@
       fields.push_back(notice.prompt_parts);
     crashes.push_back(std::move(fields));
   }
-  const auto bytes = json::to_msgpack(json::array(
-      {kFormat, report.instance, report.started_at, report.sequence_number,
-       static_cast<int>(report.receiver_role), report.detaches, loads,
-       crashes}));
+  json fields = json::array({kFormat, report.instance, report.started_at,
+                             report.sequence_number,
+                             static_cast<int>(report.receiver_role),
+                             report.detaches, loads, crashes});
+  if (!report.rollouts.empty()) {
+    json rollouts = json::array();
+    for (const rollout_sums& sums : report.rollouts)
+      rollouts.push_back(EncodeRollout(sums));
+    fields.push_back(std::move(rollouts));
+  }
+  const auto bytes = json::to_msgpack(fields);
   return {bytes.begin(), bytes.end()};
 }
 
@@ -85,9 +171,18 @@
     }
     for (const json& crash_fields : fields.at(7))
       report.crashes.push_back(DecodeCrash(crash_fields));
+    // Instances of earlier versions ignore this field.
+    if (fields.size() > kRolloutsField) {
+      for (const json& rollout : fields.at(kRolloutsField)) {
+        if (report.rollouts.size() < kMaxReportedRollouts)
+          report.rollouts.push_back(DecodeRollout(rollout));
+      }
+    }
     return report;
   } catch (const json::exception&) {
     return std::nullopt;
+  } catch (const std::invalid_argument&) {
+    return std::nullopt;
   }
 }
 
--- a/src/peers/load_exchange.h
+++ b/src/peers/load_exchange.h
@@ -16,6 +16,7 @@
 #include "peers/load_table.h"
 #include "peers/notice_outbox.h"
 #include "peers/peer_report.h"
+#include "peers/rollout_table.h"
 #include "peers/tree_neighbors.h"
 
 namespace wist {
@@ -33,6 +34,8 @@
   milliseconds keepalive_interval{250};
   // All loads are sent again after this time, because datagrams may be lost.
   milliseconds refresh_interval{1000};
+  // Interval of the sums of active roll-outs.
+  milliseconds rollout_interval{250};
   // Interval of the checks for silent neighbors and due keepalives.
   milliseconds check_interval{125};
 };
@@ -62,6 +65,15 @@
                 load_handler on_load,
                 crash_handler on_crash);
 
+  // Enables the exchange of the sums of roll-outs. `collect` returns those of
+  // this instance for the active ones.
+  void EnableRollouts(std::function<std::vector<rollout_sums>()> collect);
+
+  // Returns the sums over all other instances.
+  std::vector<rollout_sums> OthersRollouts() const {
+    return rollouts_.Others(scheduler_.Now());
+  }
+
   // `port` has to outlive the exchange.
   void Start(i_datagram_port& port);
 
@@ -100,6 +112,7 @@
                   neighbor_state& state,
                   const std::vector<target_load>& loads,
                   const std::vector<crash_notice>& crashes);
+  void SendRollouts();
   void SendDetachment(const tree_neighbor& neighbor);
   void HandleDropped();
   void ForgetFormerNeighbors();
@@ -117,6 +130,9 @@
   tree_neighbors neighbors_;
   load_table table_;
   notice_outbox notices_;
+  std::function<std::vector<rollout_sums>()> collect_rollouts_;
+  rollout_table rollouts_;
+  timestamp rollouts_due_{};
   std::map<std::string, neighbor_state> states_;
   timestamp last_sent_at_{};
   timestamp send_due_{};
--- a/src/peers/peer_report.h
+++ b/src/peers/peer_report.h
@@ -2,6 +2,7 @@
 #define PEERS_PEER_REPORT_H_
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -9,6 +10,7 @@
 #include <vector>
 
 #include "limits/crash_types.h"
+#include "rollout/rollout_tracker.h"
 #include "selection/selection_types.h"
 
 namespace wist {
@@ -17,6 +19,25 @@
 // neighbors of each other.
 enum class neighbor_role { parent, child, root };
 
+// Roll-outs whose sums an instance passes on at most.
+inline constexpr std::size_t kMaxReportedRollouts = 16;
+
+// What one or more instances have observed of one roll-out.
+struct rollout_sums {
+  rollout_id id;
+  version_samples samples;
+  // Sum of rollout_view::unfinished_here.
+  std::uint64_t unfinished = 0;
+  // Number of instances in the sums.
+  std::uint32_t instances = 0;
+  // Age of the oldest of their reports.
+  microseconds age{0};
+  // At least one of them has found the new version bad.
+  bool found_bad = false;
+
+  bool operator==(const rollout_sums&) const = default;
+};
+
 // Message of one instance to a neighbor in the watch tree. Messages of one
 // instance to one neighbor are ordered by (started_at, sequence_number).
 struct peer_report {
@@ -31,8 +52,11 @@
   // for which it changed and, from time to time, for all.
   std::vector<target_load> loads;
   std::vector<crash_notice> crashes;
+  // Sums of all instances on the sender's side of the link. Empty, and not part
+  // of the encoding, unless a roll-out is active.
+  std::vector<rollout_sums> rollouts;
 
-  auto operator<=>(const peer_report&) const = default;
+  bool operator==(const peer_report&) const = default;
 };
 
 std::string EncodePeerReport(const peer_report& report);
