Gateway: serve roll-outs

The controller connects the tracker with the store, the exchanges and the reports of other instances. Exchanges choose targets under the version constraints of their request's id, report the responses of their targets, and move their runs off old targets in the shift. A run counts as open on its target until it has produced an event elsewhere, since its copy is read from there. Nothing of this is active unless the contract is listed.

--- a/src/gateway/internal/caller_connection.cc
+++ b/src/gateway/internal/caller_connection.cc
@@ -60,6 +60,12 @@
     current->OnTargetLeaving(target);
 }
 
+void caller_connection::OnVersionsChanged() {
+  const auto current = exchange_;
+  if (current)
+    current->OnVersionsChanged();
+}
+
 void caller_connection::OnCrashesChanged() {
   const auto current = exchange_;
   if (current)
--- a/src/gateway/internal/caller_connection.h
+++ b/src/gateway/internal/caller_connection.h
@@ -38,6 +38,7 @@
 
   void OnTargetLeaving(const target_id& target);
   void OnCrashesChanged();
+  void OnVersionsChanged();
 
   // i_response_writer:
   void Send(std::string bytes) override;
--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -99,19 +99,21 @@
   request.size = ExpectedGenerationSize(request_);
   if (request_.generation)
     request.session = request_.generation->session;
+  // Dispatch and moves try all constraints; the last one applies elsewhere.
+  request.versions = VersionConstraints().back();
   if (Route().first_byte_objective > milliseconds(0))
     request.first_output_objective = Route().first_byte_objective;
   return request;
 }
 
 void exchange::Dispatch() {
-  const timestamp now = services_.scheduler.Now();
   if (!MayBeDispatched()) {
     return Refuse(error_code::quarantined, may_have_run_
                                                ? run_verdict::may_have_run
                                                : run_verdict::not_run);
   }
-  const selection chosen = services_.selector.Choose(SelectionRequest(), now);
+  const selection chosen =
+      services_.Choose(SelectionRequest(), VersionConstraints());
   if (const auto* error = std::get_if<selection_error>(&chosen))
     return WaitForCapacity(*error);
   const known_target* target =
@@ -145,6 +147,10 @@
   ++dispatch_count_;
   attempt_.emplace();
   attempt_->target = target;
+  attempt_->sent_at = now;
+  attempt_->is_timed = !kv_cache && IsTimed(target, now);
+  if (services_.versions)
+    attempt_->open_run = services_.versions->BeginRun(target);
   load_at_dispatch_ = services_.selector.TotalLoad(target.id);
   selection_request request = SelectionRequest();
   request.continues_run = kv_cache.has_value();
@@ -162,7 +168,8 @@
     dispatch.last_event_id = splitter_.last_id().value_or("");
   AssignBackup(dispatch);
   const known_target* known = services_.directory.Find(target.id);
-  move_pending_ = known && known->leaving && CanMove();
+  move_pending_ =
+      ((known && known->leaving) || services_.IsBeingLeft(target)) && CanMove();
 
   const auto self = shared_from_this();
   const run_number run = attempt_->run;
@@ -298,11 +305,14 @@
 void exchange::OnFailure(run_end end) {
   // The stop of the run was requested; its outcome or a timer follows.
   if (IsWaitingForStop()) {
+    attempt_->counts = false;
     EndAttempt(end);
     return ArmStopTimer();
   }
   // The end of a target that announced its shutdown is not a crash.
   const known_target* target = services_.directory.Find(attempt_->target.id);
+  if (!target || target->leaving)
+    attempt_->counts = false;
   if (target && !target->leaving)
     services_.on_run_broken(SuspectsOfBrokenRun(), splitter_.event_count(),
                             attempt_->target);
@@ -364,8 +374,10 @@
       attempt_ && attempt_->call && attempt_->call->MayHaveBeenSent();
   if (attempt_ && attempt_->call)
     attempt_->call->Cancel();
-  if (attempt_)
+  if (attempt_) {
+    attempt_->counts = attempt_->counts && code != error_code::stopping;
     EndAttempt(run_end::timed_out);
+  }
   if (stream_started_)
     return AbortStream(stream_reason);
   Refuse(code, sent || may_have_run_ ? run_verdict::may_have_run
@@ -376,6 +388,7 @@
   if (!attempt_)
     return;
   attempt_timer_.reset();
+  RecordEnd(end);
   excluded_targets_.insert(attempt_->target.id);
   // Other pooled connections to a target that stopped responding may be dead as
   // well. A new connection fails before anything is sent.
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "gateway/internal/gateway_services.h"
 #include "gateway/internal/i_response_writer.h"
@@ -34,6 +35,16 @@
   // Target that holds a backup copy of the run's KV cache.
   std::optional<target_entry> backup_target;
   run_number backup_run = 0;
+  // Counts the run as open on its target's version.
+  std::shared_ptr<void> open_run;
+  timestamp sent_at;
+  // Whether the time to its first event or end tells something about its
+  // target: not for a run that continues from a copy.
+  bool is_timed = false;
+  // The response was counted as one of its target's version.
+  bool is_sampled = false;
+  // Cleared if the attempt ends for a reason that is not its target's.
+  bool counts = true;
 };
 
 // A run on its way from one target to another: from the request to stop it
@@ -44,6 +55,8 @@
 
   int number = 0;
   run_continuation continuation;
+  // The source holds the run's copy until it continues elsewhere.
+  std::shared_ptr<void> open_run;
   std::shared_ptr<run_stopper> stopper;
   // Targets chosen before are asked again from this time on.
   timestamp decision_deadline;
@@ -91,6 +104,9 @@
   // Ends a run that is about to crash its target.
   void OnCrashesChanged();
 
+  // Moves a run whose target's version is being left.
+  void OnVersionsChanged();
+
  private:
   const route_spec& Route() const;
   selection_request SelectionRequest() const;
@@ -109,6 +125,12 @@
   run_fingerprint SuspectsOfBrokenRun() const;
   void RetryOnAnotherTarget(run_end end);
 
+  std::vector<version_constraint> VersionConstraints() const;
+  bool MayUseVersion(const std::string& version) const;
+  bool IsTimed(const target_entry& target, timestamp now) const;
+  void RecordResponse();
+  void RecordEnd(run_end end);
+
   void OnHead(const http_response_head& head);
   void OnBody(std::string bytes);
   bool HoldBytes(std::size_t bytes);
@@ -176,6 +198,8 @@
   // A target in another failure domain could not be reached.
   bool failed_abroad_ = false;
   bool may_have_run_ = false;
+  // The request failed on a target. It is not sent to the new version again.
+  bool avoids_new_version_ = false;
   // Let through a quarantine, to see whether it still crashes targets.
   bool is_trial_ = false;
   // A target has produced output for long enough to show that the prompt does
--- a/src/gateway/internal/exchange_continuation.cc
+++ b/src/gateway/internal/exchange_continuation.cc
@@ -90,6 +90,8 @@
   EndHandover();
   const int number = ++handover_count_;
   handover_.emplace(number, run_continuation(source, copy));
+  if (services_.versions)
+    handover_->open_run = services_.versions->BeginRun(source);
   handover_->decision_deadline = services_.scheduler.Now() + kMaxDecisionAge;
   handover_->stopper = std::make_shared<run_stopper>(
       services_, request_.id, source, copy.holder.address,
@@ -195,6 +197,9 @@
 bool exchange::MayUse(const run_copy& copy) const {
   if (handover_->broken_targets.contains(copy.holder.id))
     return false;
+  // A run that no other target takes goes on at its source in any version.
+  if (copy.place != copy_place::source && !MayUseVersion(copy.holder.version))
+    return false;
   switch (copy.place) {
     case copy_place::receiver:
       return services_.scheduler.Now() < handover_->decision_deadline ||
@@ -312,7 +317,8 @@
   if (!attempt_->backup_target || backup_resume_count_ >= kMaxBackupResumes ||
       IsQuarantined())
     return false;
-  if (!services_.AcceptsRun(attempt_->backup_target->id))
+  if (!services_.AcceptsRun(attempt_->backup_target->id) ||
+      !MayUseVersion(attempt_->backup_target->version))
     return false;
   const known_target* holder =
       services_.directory.Find(attempt_->backup_target->id);
--- a/src/gateway/internal/exchange_response.cc
+++ b/src/gateway/internal/exchange_response.cc
@@ -58,6 +58,7 @@
     return;
   services_.selector.OnFirstOutput(attempt_->run, services_.scheduler.Now());
   RecordEventTimes();
+  RecordResponse();
   RecordOutput();
   if (handover_ && handover_->was_sent)
     EndHandover();
@@ -96,6 +97,7 @@
 
 // The instance holds more than it has memory for.
 void exchange::OnResponseGivenUp() {
+  attempt_->counts = false;
   attempt_->call->Cancel();
   OnFailure(run_end::broken);
 }
--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -9,6 +9,7 @@
 #include "gateway/internal/caller_connection.h"
 #include "gateway/internal/crash_detector.h"
 #include "gateway/internal/quarantine_registry.h"
+#include "gateway/internal/rollout_controller.h"
 #include "gateway/internal/status_listener.h"
 #include "gateway/internal/stop_schedule.h"
 #include "gateway/internal/store_view.h"
@@ -132,6 +133,8 @@
     store_view_.SubscribeToConfiguration([this] {
       selector_.ApplyConfiguration(latest_configuration_.table());
     });
+    if (settings.rollouts_enabled)
+      EnableRollouts();
   }
 
   void Run() override {
@@ -162,6 +165,8 @@
     store_view_.Start();
     FlushLog();
     RunPeriodicChecks();
+    if (rollouts_)
+      rollouts_->Start();
     dependencies_.loop.Run();
     load_exchange_.Detach();
     dependencies_.logger.Write(
@@ -172,6 +177,39 @@
   }
 
  private:
+  void EnableRollouts() {
+    rollout_environment environment;
+    environment.is_decider = [this] {
+      return load_exchange_.neighbors().IsRoot();
+    };
+    environment.is_store_reachable = [this] {
+      return store_view_.IsReachable();
+    };
+    environment.other_instance_count = [this] {
+      return store_view_.OtherInstances().size();
+    };
+    environment.others_sums = [this] {
+      return load_exchange_.OthersRollouts();
+    };
+    environment.on_store_call = [this](const std::string& cause) {
+      OnStoreCall(cause);
+    };
+    environment.on_runs_to_move = [this] {
+      // Iterates over a copy, since connections may be removed meanwhile.
+      const auto connections = connections_;
+      for (const auto& connection : connections)
+        connection->OnVersionsChanged();
+    };
+    rollouts_ = std::make_unique<rollout_controller>(
+        services_, dependencies_.store, dependencies_.clock,
+        std::move(environment));
+    services_.versions = rollouts_.get();
+    store_view_.SubscribeToRollouts([this](const store_change& change) {
+      rollouts_->OnStoreChange(change);
+    });
+    load_exchange_.EnableRollouts([this] { return rollouts_->OwnSums(); });
+  }
+
   std::uint32_t Seed() const {
     return static_cast<std::uint32_t>(StableHash(settings_.instance));
   }
@@ -254,6 +292,8 @@
     metrics_.SetConfigurationAge(
         age ? std::chrono::duration<double>(*age).count() : -1);
     metrics_.SetQuarantines(services_.crashes.Quarantines().size());
+    if (rollouts_)
+      rollouts_->UpdateMetrics();
     metrics_.SetDroppedLogLines(dependencies_.logger.DroppedLineCount());
     return metrics_.Text();
   }
@@ -433,6 +473,8 @@
   load_exchange load_exchange_;
   crash_detector crash_detector_;
   quarantine_registry quarantines_;
+  // Null unless roll-outs are enabled.
+  std::unique_ptr<rollout_controller> rollouts_;
   std::unique_ptr<i_datagram_port> peer_port_;
   // Number of the last crash notice that was passed on.
   std::uint64_t last_notice_number_ = 0;
--- a/src/gateway/internal/gateway_metrics.cc
+++ b/src/gateway/internal/gateway_metrics.cc
@@ -2,6 +2,8 @@
 
 #include <prometheus/text_serializer.h>
 
+#include <utility>
+
 namespace wist {
 namespace {
 
@@ -61,7 +63,17 @@
       state_(prometheus::BuildGauge()
                  .Name("wist_gateway_state")
                  .Help("State of this instance")
-                 .Register(*registry_)) {}
+                 .Register(*registry_)),
+      rollout_share_(prometheus::BuildGauge()
+                         .Name("wist_gateway_rollout_share")
+                         .Help("Share of the requests for the new version of "
+                               "an active roll-out")
+                         .Register(*registry_)),
+      rollout_responses_(prometheus::BuildGauge()
+                             .Name("wist_gateway_rollout_responses")
+                             .Help("Responses of all instances' targets during "
+                                   "an active roll-out")
+                             .Register(*registry_)) {}
 
 void gateway_metrics::OnRequestEnd(const std::string& kind,
                                    const std::string& outcome,
@@ -113,6 +125,34 @@
   state_.Add({{"value", "dropped_log_lines"}}).Set(static_cast<double>(lines));
 }
 
+// Families without gauges are not part of the text.
+void gateway_metrics::ClearRollouts() {
+  for (prometheus::Gauge* gauge : std::exchange(shown_shares_, {}))
+    rollout_share_.Remove(gauge);
+  for (prometheus::Gauge* gauge : std::exchange(shown_responses_, {}))
+    rollout_responses_.Remove(gauge);
+}
+
+void gateway_metrics::AddRollout(const rollout_metrics& shown) {
+  prometheus::Gauge& share = rollout_share_.Add({{"service", shown.service},
+                                                 {"target", shown.target},
+                                                 {"phase", shown.phase},
+                                                 {"reason", shown.reason}});
+  share.Set(shown.share);
+  shown_shares_.push_back(&share);
+  const auto add = [&](const char* version, const char* kind,
+                       std::uint32_t count) {
+    prometheus::Gauge& gauge = rollout_responses_.Add(
+        {{"service", shown.service}, {"version", version}, {"kind", kind}});
+    gauge.Set(count);
+    shown_responses_.push_back(&gauge);
+  };
+  add("old", "all", shown.samples.old_version.responses);
+  add("old", "bad", shown.samples.old_version.bad);
+  add("new", "all", shown.samples.new_version.responses);
+  add("new", "bad", shown.samples.new_version.bad);
+}
+
 std::string gateway_metrics::Text() const {
   return prometheus::TextSerializer().Serialize(registry_->Collect());
 }
--- a/src/gateway/internal/gateway_metrics.h
+++ b/src/gateway/internal/gateway_metrics.h
@@ -9,11 +9,23 @@
 #include <cstddef>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "framework/base/time_types.h"
+#include "rollout/version_samples.h"
 
 namespace wist {
 
+// What is shown of an active roll-out. The samples are those of all instances.
+struct rollout_metrics {
+  std::string service;
+  std::string target;  // Version.
+  std::string phase;
+  std::string reason;  // Of a bad verdict; empty if there is none.
+  double share = 0;
+  stratum_counts samples;
+};
+
 // Metrics of a gateway, exported in the Prometheus text format.
 class gateway_metrics {
  public:
@@ -34,6 +46,9 @@
   void SetQuarantines(std::size_t count);
   void SetDroppedLogLines(std::uint64_t lines);
 
+  void ClearRollouts();
+  void AddRollout(const rollout_metrics& shown);
+
   std::string Text() const;
 
  private:
@@ -47,6 +62,10 @@
   prometheus::Family<prometheus::Histogram>& first_byte_time_;
   prometheus::Family<prometheus::Histogram>& response_time_;
   prometheus::Family<prometheus::Gauge>& state_;
+  prometheus::Family<prometheus::Gauge>& rollout_share_;
+  prometheus::Family<prometheus::Gauge>& rollout_responses_;
+  std::vector<prometheus::Gauge*> shown_shares_;
+  std::vector<prometheus::Gauge*> shown_responses_;
 };
 
 }  // namespace wist
--- a/src/gateway/internal/gateway_services.cc
+++ b/src/gateway/internal/gateway_services.cc
@@ -28,6 +28,34 @@
   directory.OnLeavingStated(target, now);
 }
 
+std::vector<version_constraint> gateway_services::VersionConstraints(
+    const service_id& service,
+    const std::string& request_id,
+    bool avoids_new) const {
+  if (!versions)
+    return {{}};
+  return versions->ConstraintsFor(service, request_id, avoids_new);
+}
+
+selection gateway_services::Choose(
+    selection_request request,
+    const std::vector<version_constraint>& constraints,
+    const target_id* from) {
+  const timestamp now = scheduler.Now();
+  std::optional<selection_error> first_error;
+  for (const version_constraint& constraint : constraints) {
+    request.versions = constraint;
+    const selection chosen = from ? selector.ChooseReceiver(*from, request, now)
+                                  : selector.Choose(request, now);
+    const auto* error = std::get_if<selection_error>(&chosen);
+    if (!error)
+      return chosen;
+    if (!first_error || error->targets_at_capacity)
+      first_error = *error;
+  }
+  return *first_error;
+}
+
 bool gateway_services::AcceptsRun(const target_id& target) const {
   const known_target* known = directory.Find(target);
   return known && directory.AcceptsNewWork(*known) &&
--- a/src/gateway/internal/gateway_services.h
+++ b/src/gateway/internal/gateway_services.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "directory/target_directory.h"
 #include "framework/logging/i_logger.h"
@@ -12,6 +13,7 @@
 #include "framework/net/i_scheduler.h"
 #include "gateway/i_dialect.h"
 #include "gateway/internal/gateway_metrics.h"
+#include "gateway/internal/i_version_policy.h"
 #include "gateway/internal/response_buffers.h"
 #include "limits/crash_ledger.h"
 #include "limits/window_retry_budget.h"
@@ -60,6 +62,8 @@
           [](const quarantine&, const std::function<void(bool)>&) {
             return false;
           };
+  // Null unless roll-outs are enabled.
+  i_version_policy* versions = nullptr;
   response_buffers buffers{settings.memory_limit_bytes /
                            kResponseMemoryDivisor};
   // Set by a graceful stop: new requests are refused after `accept_deadline`,
@@ -72,6 +76,24 @@
                        const target_signals& signals,
                        const std::string& request_id);
 
+  // Returns the constraints on the versions that may run a request, to be tried
+  // one after another.
+  std::vector<version_constraint> VersionConstraints(
+      const service_id& service,
+      const std::string& request_id,
+      bool avoids_new = false) const;
+
+  // Whether a roll-out moves the runs on the target to another version.
+  bool IsBeingLeft(const target_entry& target) const {
+    return versions && versions->IsBeingLeft(target);
+  }
+
+  // Chooses a target under the first constraint that leaves one; the receiver
+  // of a run on `from` if it is not null.
+  selection Choose(selection_request request,
+                   const std::vector<version_constraint>& constraints,
+                   const target_id* from = nullptr);
+
   // Whether a run that another target worked on may be sent to this one now. To
   // be asked right before the send.
   bool AcceptsRun(const target_id& target) const;
--- a/src/gateway/internal/run_mover.cc
+++ b/src/gateway/internal/run_mover.cc
@@ -53,11 +53,11 @@
 }
 
 void run_mover::ChooseReceiver() {
-  const timestamp now = services_.scheduler.Now();
   selection_request request = request_;
   request.excluded.insert(full_receivers_.begin(), full_receivers_.end());
-  const selection chosen =
-      services_.selector.ChooseReceiver(source_.id, request, now);
+  const selection chosen = services_.Choose(
+      std::move(request),
+      services_.VersionConstraints(request_.service, request_id_), &source_.id);
   const auto* id = std::get_if<target_id>(&chosen);
   const known_target* target = id ? services_.directory.Find(*id) : nullptr;
   if (!target) {
--- a/src/gateway/tests/mocks/recorded_logger.h
+++ b/src/gateway/tests/mocks/recorded_logger.h
@@ -17,6 +17,7 @@
              const log_fields& fields) override {
     auto& last = last_[std::string(event)];
     last.clear();
+    ++counts_[std::string(event)];
     for (const log_field& field : fields) {
       if (const auto* text = std::get_if<std::string>(&field.value))
         last[field.name] = *text;
@@ -27,7 +28,10 @@
     return last_[event][field];
   }
 
+  int Count(const std::string& event) { return counts_[event]; }
+
  private:
+  std::map<std::string, int> counts_;
   std::map<std::string, std::map<std::string, std::string>> last_;
 };
 
--- a/src/selection/target_selector.h
+++ b/src/selection/target_selector.h
@@ -79,6 +79,10 @@
   // Sets the load that all other instances together have placed on a target.
   void SetOthersLoad(const target_load& load);
 
+  // Whether several targets in other failure domains could not be reached
+  // recently, as when the domain is cut off.
+  bool IsBorderSuspect(timestamp now) const;
+
   // Discards the state of idle targets that are no longer in the directory.
   void PruneRemovedTargets();
 
@@ -115,9 +119,6 @@
                               timestamp now) const;
   bool IsEligible(const known_target& target,
                   const selection_request& request) const;
-  // Whether several targets in other failure domains could not be reached
-  // recently, as when the domain is cut off.
-  bool IsBorderSuspect(timestamp now) const;
   bool IsReportedFailing(const target_id& target) const;
   double MaxCostJitter() const;
   std::optional<double> Cost(const known_target& target,
