--- a/src/rollout/internal/rollout_decision.cc
+++ b/src/rollout/internal/rollout_decision.cc
@@ -21,7 +21,7 @@
 constexpr double kMaxRaisedShare = 0.5;
 
 // Tenths of the duration that the shift may last.
-constexpr int kMaxShiftPart = 4;
+constexpr int kMaxShiftPart = 6;
 
 // A raised share is written if it is larger than the one in effect by this
 // factor.
