--- a/src/gateway/tests/rollout_controller_test.cc
+++ b/src/gateway/tests/rollout_controller_test.cc
@@ -367,3 +367,61 @@
   f.target_channel().Receive(f.StreamHead() + f.Event(2));
   CHECK(unfinished() == 0);
 }
+
+TEST_CASE("roll-outs of two services do not affect each other") {
+  rollout_fixture f;
+  for (const char* id : {"e1", "e2", "e3"})
+    f.SetVersion(id, id == std::string("e1") ? "v1" : "v2",
+                 id == std::string("e1") ? 1 : 2, "engines");
+  f.scheduler.Advance(milliseconds(500));
+  f.store.Set("operator/rollout/desk", "desk v2 12");
+  f.store.Set("operator/rollout/engines", "engines v2 12");
+  f.scheduler.Advance(milliseconds(700));
+  CHECK(f.controller->OwnSums().size() == 2);
+  f.store.Remove("operator/rollout/engines");
+  f.scheduler.Advance(milliseconds(1500));
+  REQUIRE(f.controller->OwnSums().size() == 1);
+  CHECK(f.controller->OwnSums()[0].id.service == service_id("desk"));
+  CHECK(f.CountNew() > 0);
+  // Its old version only.
+  for (const version_constraint& constraint :
+       f.controller->ConstraintsFor(service_id("engines"), "r", false))
+    CHECK_FALSE(constraint.Allows("v2"));
+}
+
+// Guards against a final decision that is taken again, or against exposure, on
+// an instance that starts after it or has lost the store's history.
+TEST_CASE("a decided roll-out that arrives in a snapshot stays decided") {
+  rollout_fixture f;
+  f.store.Set("operator/rollout/desk", "desk v2 12");
+  rollout_status status;
+  status.state = rollout_state::rolled_back;
+  status.target = "v2";
+  status.request_revision = 1;
+  status.duration_s = 12;
+  f.store.Set("status/desk", f.dialect.EncodeRolloutStatus(status));
+  f.scheduler.Advance(milliseconds(3000));
+  CHECK(f.CountNew() == 0);
+  CHECK(f.controller->OwnSums().empty());
+  CHECK(f.store.puts == 0);
+}
+
+// Guards against a backup or a move that uses a version which the run must not
+// use any more: the version was rolled back while the copy was made.
+TEST_CASE("a run does not continue on a version that was rolled back") {
+  shifted_stream f;
+  f.StartShift();
+  f.scheduler.Advance(milliseconds(700));
+  REQUIRE(f.connector.channels.size() == 2);
+  f.target_channel(1).Receive(f.Response("200 OK", "handle9"));
+  rollout_status status;
+  status.state = rollout_state::rolled_back;
+  status.target = "v2";
+  status.request_revision = 1;
+  status.duration_s = 30;
+  f.store.Set("status/engines", f.dialect.EncodeRolloutStatus(status));
+  f.scheduler.Advance(milliseconds(30));
+  f.ConfirmStop();
+  for (std::size_t i = 0; i < f.connector.channels.size(); ++i)
+    CHECK(f.TargetName(i) == "e1");
+}
