--- a/src/gateway/tests/rollout_controller_test.cc
+++ b/src/gateway/tests/rollout_controller_test.cc
@@ -66,7 +66,7 @@
   void Confirm() {
     confirm_timer = scheduler.RunAt(scheduler.Now() + milliseconds(100),
                                     [this] { Confirm(); });
-    if (is_reachable)
+    if (is_reachable && is_confirmed)
       latest_configuration.Confirm(4, scheduler.Now());
   }
 
@@ -103,6 +103,7 @@
 
   bool is_decider = true;
   bool is_reachable = true;
+  bool is_confirmed = true;  // The latest content of the store is known.
   std::size_t other_count = 0;
   std::vector<rollout_sums> others;
   int move_calls = 0;
@@ -179,6 +180,15 @@
     CHECK(f.store.puts == 1);
     CHECK(f.Status().starts_with("0 v2 1"));
   }
+  SECTION("nor while the content of the store after it is not known") {
+    f.store.loses_responses = true;
+    f.store.Set("operator/rollout/desk", "desk v2 12");
+    f.scheduler.Advance(milliseconds(20));
+    f.is_confirmed = false;
+    f.store.mirror_delay = seconds(60);
+    f.scheduler.Advance(milliseconds(3000));
+    CHECK(f.store.puts == 1);
+  }
   SECTION("a write is repeated after the store was read again") {
     f.store.Set("operator/rollout/desk", "desk v2 12");
     f.scheduler.Advance(milliseconds(21));
