--- a/src/framework/http/internal/poco_http_server.cc
+++ b/src/framework/http/internal/poco_http_server.cc
@@ -35,7 +35,7 @@
 constexpr int kReceiveBufferBytes = 64 * 1024;
 
 // Bodies in chunks claim memory in steps of this size.
-constexpr std::size_t kClaimStepBytes = 16 * 1024;
+constexpr std::size_t kClaimStepBytes = 16'384;
 
 Poco::Timespan ToTimespan(milliseconds span) {
   return Poco::Timespan(microseconds(span).count());
--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -6,7 +6,7 @@
 #include "follower/prefix_follower.h"
 #include "framework/base/hashing.h"
 #include "gateway/gateway_module.h"
-#include "gateway/internal/caller_connection.h"
+#include "gateway/internal/caller_channels.h"
 #include "gateway/internal/crash_detector.h"
 #include "gateway/internal/quarantine_registry.h"
 #include "gateway/internal/status_listener.h"
@@ -162,22 +162,22 @@
         dependencies_.loop, settings_.ready_listen, settings_.metrics_listen,
         settings_.max_internal_connections, [this] { return IsReady(); },
         [this] { return MetricsText(); });
-    dependencies_.loop.Listen(settings_.listen,
-                              [this](std::shared_ptr<i_channel> channel) {
-                                Accept(std::move(channel));
-                              },
-                              {ReceiveBufferBytes(settings_)});
+    dependencies_.loop.Listen(
+        settings_.listen,
+        [this](std::shared_ptr<i_channel> channel) { Accept(channel); },
+        {ReceiveBufferBytes(settings_)});
     peer_port_ = dependencies_.loop.OpenDatagramPort(
         settings_.peer_listen,
         [this](std::string_view bytes, const http_address& sender) {
           load_exchange_.OnDatagram(bytes, sender);
         });
     load_exchange_.Start(*peer_port_);
-    dependencies_.loop.Listen(settings_.peer_listen,
-                              [this](std::shared_ptr<i_channel> channel) {
-                                mirror_server_.Accept(std::move(channel));
-                              },
-                              {kInternalReceiveBufferBytes});
+    dependencies_.loop.Listen(
+        settings_.peer_listen,
+        [this](const std::shared_ptr<i_channel>& channel) {
+          mirror_server_.Accept(channel);
+        },
+        {kInternalReceiveBufferBytes});
     dependencies_.loop.AddSignalHandler(SIGHUP, [this] { Reload(); });
     dependencies_.loop.AddSignalHandler(SIGTERM, [this] { StartStopping(); });
     dependencies_.loop.AddSignalHandler(SIGINT, [this] { StartStopping(); });
@@ -189,7 +189,8 @@
     dependencies_.logger.Write(
         log_level::info, "stop",
         {{"cut", static_cast<std::int64_t>(BusyConnections())},
-         {"unsent_bytes", static_cast<std::int64_t>(UnsentBytes())}});
+         {"unsent_bytes",
+          static_cast<std::int64_t>(caller_channels_.UnsentBytes())}});
     dependencies_.logger.Flush();
   }
 
@@ -283,14 +284,14 @@
     return metrics_.Text();
   }
 
-  void Accept(std::shared_ptr<i_channel> channel) {
-    if (caller_channels_.size() >= settings_.max_connections && !MakeRoom()) {
+  void Accept(const std::shared_ptr<i_channel>& channel) {
+    if (caller_channels_.count() >= settings_.max_connections && !MakeRoom()) {
       OnShed(kNoDescriptor);
       return channel->Abort();
     }
-    caller_channels_.push_back(channel);
+    caller_channels_.Add(channel);
     const auto connection = std::make_shared<caller_connection>(
-        services_, std::move(channel),
+        services_, channel,
         [this](caller_connection* ended) { Remove(ended); });
     connections_.insert(connection);
     if (services_.stop_deadline)
@@ -301,39 +302,12 @@
   // Closes a connection if all descriptors for callers are in use. Returns
   // whether there is room for another one.
   bool MakeRoom() {
-    ForgetEndedChannels();
-    if (caller_channels_.size() < settings_.max_connections)
+    caller_channels_.ForgetEnded();
+    if (caller_channels_.count() < settings_.max_connections)
       return true;
-    // Channels that their connections have closed wait for their callers.
-    std::vector<std::shared_ptr<i_channel>> channels;
-    std::vector<std::shared_ptr<caller_connection>> owners;
-    std::vector<connection_progress> progress;
-    std::map<const i_channel*, std::shared_ptr<caller_connection>> open;
-    for (const auto& connection : connections_)
-      open.emplace(connection->channel(), connection);
-    for (const auto& weak_channel : caller_channels_) {
-      const auto channel = weak_channel.lock();
-      if (!channel)
-        continue;
-      const auto owner = open.find(channel.get());
-      channels.push_back(channel);
-      owners.push_back(owner == open.end() ? nullptr : owner->second);
-      progress.push_back(
-          owners.back() ? owners.back()->Progress()
-                        : connection_progress{connection_phase::closing, {}});
-    }
-    const auto chosen =
-        ChooseConnectionToClose(progress, dependencies_.loop.Now());
-    if (!chosen)
+    if (!caller_channels_.CloseOne(connections_, dependencies_.loop.Now()))
       return false;
     OnShed(kNoDescriptor);
-    if (owners[*chosen])
-      owners[*chosen]->MakeRoom();
-    else
-      channels[*chosen]->Abort();
-    std::erase_if(caller_channels_, [&](const auto& weak_channel) {
-      return weak_channel.lock() == channels[*chosen];
-    });
     return true;
   }
 
@@ -440,7 +414,7 @@
     services_.crashes.Expire(now);
     quarantines_.Check();
     services_.buffers.RemoveSentChannels();
-    ForgetEndedChannels();
+    caller_channels_.ForgetEnded();
     if (now >= reload_due_) {
       reload_due_ = now + kReloadInterval;
       Reload();
@@ -494,8 +468,8 @@
     const timestamp now = dependencies_.loop.Now();
     stop_timer_ = dependencies_.loop.RunAt(now + kStopCheckInterval,
                                            [this] { CheckStop(); });
-    ForgetEndedChannels();
-    switch (NextStopStep(*stop_, now, caller_channels_.size())) {
+    caller_channels_.ForgetEnded();
+    switch (NextStopStep(*stop_, now, caller_channels_.count())) {
       case stop_step::accept:
         return;
       case stop_step::drain:
@@ -517,22 +491,6 @@
       connection->OnStopDeadline();
   }
 
-  // A channel stays alive after its connection has closed it, until its bytes
-  // are sent.
-  void ForgetEndedChannels() {
-    std::erase_if(caller_channels_,
-                  [](const auto& channel) { return channel.expired(); });
-  }
-
-  std::size_t UnsentBytes() const {
-    std::size_t bytes = 0;
-    for (const auto& weak_channel : caller_channels_) {
-      if (const auto channel = weak_channel.lock())
-        bytes += channel->UnsentBytes();
-    }
-    return bytes;
-  }
-
   gateway_settings settings_;
   const gateway_dependencies dependencies_;
   gateway_metrics metrics_;
@@ -560,8 +518,7 @@
   bool largest_request_fits_ = true;
   std::unique_ptr<status_listener> status_;
   std::set<std::shared_ptr<caller_connection>> connections_;
-  // All channels of callers, also those that their connections have closed.
-  std::vector<std::weak_ptr<i_channel>> caller_channels_;
+  caller_channels caller_channels_;
   std::optional<stop_schedule> stop_;
   bool was_ready_ = false;
   std::unique_ptr<i_timer> flush_timer_;
--- a/src/settings/tests/entry_command_test.cc
+++ b/src/settings/tests/entry_command_test.cc
@@ -51,7 +51,7 @@
 // Guards against an instance that starts and can't serve a permitted request.
 TEST_CASE("a memory for bodies that can't hold the largest one is an error") {
   CHECK(ReadEntryCommand(RequiredFlagsAnd("--max-body-bytes=67108864"))
-            .settings.caller_memory_bytes == 8U * 67'108'864U);
+            .settings.caller_memory_bytes == 536'870'912U);
   CHECK_NOTHROW(
       ReadEntryCommand(RequiredFlagsAnd("--caller-memory-bytes=4000000")));
   try {
