--- a/src/gateway/internal/caller_connection.cc
+++ b/src/gateway/internal/caller_connection.cc
@@ -155,11 +155,10 @@
   buffer_->OnReceived(held_bytes);
   // A stated length is at most max_body_bytes, otherwise reading has failed.
   const auto stated_bytes = reader_->StatedBodyBytes();
+  // The buffers of what is still growing may be twice as large as that.
   const std::size_t needed =
-      stated_bytes ? RequestMemoryBytes(static_cast<std::size_t>(*stated_bytes))
-                   : (reader_->IsHeadComplete()
-                          ? RequestMemoryBytes(RoundUpToStep(held_bytes))
-                          : RoundUpToStep(held_bytes));
+      RequestMemoryBytes(stated_bytes ? static_cast<std::size_t>(*stated_bytes)
+                                      : RoundUpToStep(held_bytes));
   if (needed > request_bytes_) {
     if (!buffer_->Claim(needed)) {
       RefuseUnheld(PartialRequestId());
