Resume streams with a new run where their route permits it

Change: such a stream continues after its last event on another engine, and moves before its first event if half of the objective has passed and another engine is expected to be in time; within max_attempts and the retry budget. Routes without stream_resume are not affected.

--- a/src/gateway/gateway_types.h
+++ b/src/gateway/gateway_types.h
@@ -52,9 +52,10 @@
   milliseconds time_left{0};
   std::string workspace;
   std::int32_t priority = 0;
-  // Set for a run that resumes from an existing KV cache, after the event
-  // `last_event_id`.
+  // Set for a run that resumes from an existing KV cache.
   std::optional<kv_cache_location> kv_cache;
+  // Last event that the caller has received; empty if there was none. The run
+  // continues after it.
   std::string last_event_id;
   // Address of the target to which the run's KV cache is copied while it grows.
   std::optional<http_address> backup_address;
--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -46,6 +46,11 @@
 // objective is retried on another target.
 constexpr int kSlowAttemptObjectives = 2;
 
+// A stream that may be repeated and has no event after its objective divided by
+// this number waits for its engine's memory or behind other prompts. An engine
+// that is less loaded can still be in time.
+constexpr int kSlowStreamDivisor = 2;
+
 // A request waits at most its latency objective divided by this number for free
 // capacity. Waiting longer would leave the caller too little time to retry.
 constexpr int kCapacityWaitDivisor = 8;
@@ -160,8 +165,7 @@
                            ? routed_.match.workspace->id.text()
                            : std::string();
   dispatch.kv_cache = kv_cache;
-  if (kv_cache)
-    dispatch.last_event_id = splitter_.last_id().value_or("");
+  dispatch.last_event_id = splitter_.last_id().value_or("");
   AssignBackup(dispatch);
   const known_target* known = services_.directory.Find(target.id);
   move_pending_ = known && known->leaving && CanMove();
@@ -195,17 +199,24 @@
       throw;
     }
   };
-  const bool is_idempotent = Route().kind == call_kind::idempotent;
   attempt_->call = services_.caller.Call(
       target.address, services_.dialect.EncodeDispatch(request_, dispatch),
       {std::min(routed_.deadline, now + kConnectTimeout), MaxIdle(Route().kind),
        MaxBodyBytes(Route().kind)},
       std::move(callbacks));
-  if (!is_idempotent)
+  ArmAttemptTimer();
+}
+
+void exchange::ArmAttemptTimer() {
+  if (!IsRepeatable() || stream_started_)
     return;
+  const milliseconds objective = Route().first_byte_objective;
+  const timestamp due =
+      Route().kind == call_kind::streaming
+          ? received_at_ + objective / kSlowStreamDivisor
+          : services_.scheduler.Now() + objective * kSlowAttemptObjectives;
   attempt_timer_ = services_.scheduler.RunAt(
-      now + Route().first_byte_objective * kSlowAttemptObjectives,
-      [self = shared_from_this()] { self->OnSlowAttempt(); });
+      due, [self = shared_from_this()] { self->OnSlowAttempt(); });
 }
 
 // A response could not be processed. Only this request ends.
@@ -219,9 +230,12 @@
   Refuse(error_code::internal, run_verdict::may_have_run);
 }
 
+bool exchange::IsRepeatable() const {
+  return Route().kind == call_kind::idempotent || Route().may_resume_stream;
+}
+
 bool exchange::MayRetry() const {
-  return Route().kind == call_kind::idempotent &&
-         run_count_ + 1 < Route().max_attempts &&
+  return IsRepeatable() && run_count_ + 1 < Route().max_attempts &&
          dispatch_count_ < kMaxDispatches && !IsQuarantined();
 }
 
@@ -233,7 +247,7 @@
     failed_abroad_ =
         failed_abroad_ || attempt_->target.domain != services_.settings.domain;
     EndAttempt(run_end::unreachable);
-    if (stream_started_)
+    if (stream_started_ && (handover_ || !IsRepeatable()))
       return OnCopyUnusable("receiver_unreachable");
     return OnRejected(/*reached_target=*/false);
   }
@@ -250,7 +264,7 @@
     if (classification.is_misdirected)
       services_.caller.CloseIdleChannels(attempt_->target.address);
     EndAttempt(run_end::rejected);
-    if (stream_started_)
+    if (stream_started_ && (handover_ || !IsRepeatable()))
       return OnCopyUnusable("receiver_refused");
     return OnRejected(/*reached_target=*/true);
   }
@@ -275,7 +289,7 @@
 // requests that reached a target count against the retry budget.
 void exchange::OnRejected(bool reached_target) {
   const timestamp now = services_.scheduler.Now();
-  if (may_have_run_ && Route().kind != call_kind::idempotent)
+  if (may_have_run_ && !IsRepeatable())
     return Refuse(error_code::target_failed, run_verdict::may_have_run);
   if (!reached_target)
     ++connect_failure_count_;
@@ -309,7 +323,7 @@
     services_.on_run_broken(SuspectsOfBrokenRun(), splitter_.event_count(),
                             attempt_->target);
   if (stream_started_) {
-    if (ResumeFromOtherCopy() || ResumeFromBackup())
+    if (ResumeFromOtherCopy() || ResumeFromBackup() || ResumeWithNewRun())
       return;
     EndAttempt(end);
     return AbortStream("target_ended_stream");
@@ -343,10 +357,26 @@
 }
 
 void exchange::OnSlowAttempt() {
-  if (!attempt_ || !attempt_->body.empty() || !TryConsumeRetry())
+  if (!attempt_ || !attempt_->body.empty() || stream_started_)
+    return;
+  const bool is_stream = Route().kind == call_kind::streaming;
+  if ((is_stream && !HasFasterTarget(services_.scheduler.Now())) ||
+      !TryConsumeRetry())
     return;
   attempt_->call->Cancel();
-  RetryOnAnotherTarget(run_end::timed_out);
+  // A stream that waits for its prompt to be read is no sign of a bad engine.
+  RetryOnAnotherTarget(is_stream ? run_end::cancelled : run_end::timed_out);
+}
+
+// Whether another engine is expected to produce the first event within the
+// objective.
+bool exchange::HasFasterTarget(timestamp now) const {
+  selection_request request = SelectionRequest();
+  request.excluded.insert(attempt_->target.id);
+  request.first_output_objective = std::chrono::duration_cast<milliseconds>(
+      received_at_ + Route().first_byte_objective - now);
+  return std::holds_alternative<target_id>(
+      services_.selector.Choose(request, now));
 }
 
 void exchange::OnDeadline() {
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -99,6 +99,8 @@
   void Send(const target_entry& target,
             const std::optional<kv_cache_location>& kv_cache);
   milliseconds TimeLeft(timestamp now) const;
+  // Whether the request may run on more than one target.
+  bool IsRepeatable() const;
   bool MayRetry() const;
   bool TryConsumeRetry();
   std::optional<quarantine> FindQuarantine() const;
@@ -123,7 +125,9 @@
   void OnFailure(run_end end);
   void AbortStream(const std::string& reason);
   void OnInternalError();
+  void ArmAttemptTimer();
   void OnSlowAttempt();
+  bool HasFasterTarget(timestamp now) const;
   void OnDeadline();
   void EndUnfinished(error_code code, const std::string& stream_reason);
   void EndAttempt(run_end end);
@@ -148,6 +152,7 @@
   void AssignBackup(target_dispatch& dispatch);
   bool ResumeFromBackup();
   bool ResumeFromOtherCopy();
+  bool ResumeWithNewRun();
 
   void ForwardResponse();
   void Refuse(error_code code, run_verdict verdict);
--- a/src/gateway/internal/exchange_continuation.cc
+++ b/src/gateway/internal/exchange_continuation.cc
@@ -333,4 +333,21 @@
   return true;
 }
 
+// Returns whether the stream continues with a new run after its last event.
+bool exchange::ResumeWithNewRun() {
+  if (handover_ || !Route().may_resume_stream || !splitter_.last_id() ||
+      !TryConsumeRetry())
+    return false;
+  services_.logger.Write(log_level::info, "resume_with_new_run",
+                         {{"request_id", request_.id},
+                          {"from", attempt_->target.id.text()},
+                          {"events", splitter_.event_count()}});
+  if (mover_)
+    std::exchange(mover_, nullptr)->Cancel();
+  splitter_.DropPartial();
+  ++resume_count_;
+  RetryOnAnotherTarget(run_end::broken);
+  return true;
+}
+
 }  // namespace wist
--- a/src/gateway/tests/mocks/exchange_fixture.h
+++ b/src/gateway/tests/mocks/exchange_fixture.h
@@ -25,9 +25,12 @@
     configuration.routes = {Route("/once/", call_kind::non_idempotent, "desk"),
                             Route("/again/", call_kind::idempotent, "desk"),
                             Route("/stream/", call_kind::streaming, "engines"),
-                            Route("/open/", call_kind::non_idempotent, "desk")};
+                            Route("/open/", call_kind::non_idempotent, "desk"),
+                            Route("/resume/", call_kind::streaming, "engines")};
     configuration.routes[1].max_attempts = 2;
     configuration.routes[3].requires_api_key = false;
+    configuration.routes[4].may_resume_stream = true;
+    configuration.routes[4].max_attempts = 2;
     routed_service engines;
     engines.id = service_id("engines");
     engines.engine = engine_spec{8, 10'000, true, true, 4};
--- a/src/gateway/tests/mocks/plain_dialect.h
+++ b/src/gateway/tests/mocks/plain_dialect.h
@@ -56,8 +56,9 @@
                     {"Left", std::to_string(dispatch.time_left.count())}};
     if (dispatch.kv_cache) {
       sent.headers.push_back({"Memory", dispatch.kv_cache->handle});
-      sent.headers.push_back({"After", dispatch.last_event_id});
     }
+    if (dispatch.kv_cache || !dispatch.last_event_id.empty())
+      sent.headers.push_back({"After", dispatch.last_event_id});
     if (dispatch.backup_address)
       sent.headers.push_back({"Backup", dispatch.backup_address->host});
     return EncodeHttpRequest(sent);
--- /dev/null
+++ b/src/gateway/tests/stream_resume_test.cc
@@ -0,0 +1,87 @@
+#include <catch2/catch.hpp>
+
+#include "gateway/tests/mocks/exchange_fixture.h"
+
+// Guards against streams that are lost or late although their route permits a
+// new run on another engine.
+
+using namespace wist;
+
+namespace {
+
+struct resumable_stream : exchange_fixture {
+  resumable_stream() {
+    settings.retry_slack = 100;
+    SendRequest("/resume/x", "Tokens: 1000\r\n");
+  }
+
+  bool WasSentAgain() const { return connector.channels.size() == 2; }
+};
+
+}  // namespace
+
+TEST_CASE("a resumable stream that breaks off continues with a new run") {
+  resumable_stream f;
+  f.target_channel(0).Receive(f.StreamHead() + f.Event(1) +
+                              EncodeChunk("id: 2\nda"));
+  f.target_channel(0).End(channel_end::reset);
+  REQUIRE(f.WasSentAgain());
+  CHECK(f.TargetName(1) != f.TargetName(0));
+  CHECK(f.target_channel(1).written.find("After: 1\r\n") != std::string::npos);
+  f.target_channel(1).Receive(f.StreamHead() + f.Event(2) +
+                              std::string(LastChunk()));
+  CHECK(f.response().ends_with("0\r\n\r\n"));
+  CHECK(f.response().find("id: 2") == f.response().rfind("id: 2"));
+  CHECK(f.response().find("HTTP/1.1") == f.response().rfind("HTTP/1.1"));
+}
+
+TEST_CASE("a resumable stream is sent to no more targets than its route says") {
+  resumable_stream f;
+  f.target_channel(0).Receive(f.StreamHead() + f.Event(1));
+  f.target_channel(0).End(channel_end::reset);
+  REQUIRE(f.WasSentAgain());
+  f.target_channel(1).Receive(f.StreamHead() + f.Event(2));
+  f.target_channel(1).End(channel_end::reset);
+  CHECK(f.WasSentAgain());
+  CHECK(f.caller_channel->aborted);
+}
+
+TEST_CASE("a resumed stream that no target accepts is aborted") {
+  resumable_stream f;
+  f.target_channel(0).Receive(f.StreamHead() + f.Event(1));
+  f.target_channel(0).End(channel_end::reset);
+  for (std::size_t i = 1; i < f.connector.channels.size(); ++i)
+    f.target_channel(i).Receive(f.Response("503 Full", "", "Not-Run: 1\r\n"));
+  CHECK(f.caller_channel->aborted);
+  CHECK(f.response().find("HTTP/1.1") == f.response().rfind("HTTP/1.1"));
+}
+
+// Load: an engine whose memory is full keeps a short urgent generation in its
+// queue for longer than its objective of 400 ms, while another one is idle.
+TEST_CASE("a resumable stream without an event moves to an idle engine") {
+  resumable_stream f;
+  f.scheduler.Advance(milliseconds(199));
+  CHECK_FALSE(f.WasSentAgain());
+  f.scheduler.Advance(milliseconds(2));
+  REQUIRE(f.WasSentAgain());
+  CHECK(f.TargetName(1) != f.TargetName(0));
+  CHECK(f.target_channel(0).aborted);
+  f.target_channel(1).Receive(f.StreamHead() + f.Event(1) +
+                              std::string(LastChunk()));
+  CHECK(f.response().ends_with("0\r\n\r\n"));
+}
+
+TEST_CASE("a resumable stream with an event stays where it is") {
+  resumable_stream f;
+  f.target_channel(0).Receive(f.StreamHead() + f.Event(1));
+  f.scheduler.Advance(milliseconds(1000));
+  CHECK_FALSE(f.WasSentAgain());
+}
+
+TEST_CASE("a slow stream that may not be repeated stays where it is") {
+  exchange_fixture f;
+  f.settings.retry_slack = 100;
+  f.SendStreamRequest();
+  f.scheduler.Advance(milliseconds(1000));
+  CHECK(f.connector.channels.size() == 1);
+}
--- a/src/routing/routing_types.h
+++ b/src/routing/routing_types.h
@@ -37,6 +37,9 @@
   // Lower values are more urgent.
   std::int32_t priority = 0;
   bool requires_api_key = true;
+  // Whether a stream may continue with another run of the request on another
+  // target after any of its events, and so may be run more than once.
+  bool may_resume_stream = false;
 
   auto operator<=>(const route_spec&) const = default;
 };
