Choose targets by the requests that other instances are expected to send

Many instances with the same old loads all preferred the least loaded engine; a random cost that grew with the number of instances spread them too little. The selector now estimates how many requests the others have started since the loads were reported, assumes that these level the costs of the cheapest targets, and chooses each target in proportion to what it receives then. With few instances and recent reports this is the cheapest target, as before. The part of other domains is added to their targets first, so that an engine abroad that looks idle is not chosen by all domains.

--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -77,7 +77,9 @@
             StartedAt(),
             dependencies.loop,
             [this] { return CollectLocalReport(); },
-            [this](const target_load& load) { selector_.SetOthersLoad(load); },
+            [this](const target_load& load) {
+              selector_.SetOthersLoad(load, dependencies_.loop.Now());
+            },
             [this](const crash_notice& notice) {
               services_.crashes.OnNotice(notice, dependencies_.loop.Now());
               ScheduleCrashCheck();
--- a/src/selection/internal/target_costs.cc
+++ b/src/selection/internal/target_costs.cc
@@ -108,7 +108,16 @@
     cost += kOtherDomainMemoryCost;
   if (candidate.served_session)
     cost -= kSessionAffinityDiscount;
-  return cost + FailureRate(candidate) * kFailureMemoryCost + context.jitter;
+  return cost + FailureRate(candidate) * kFailureMemoryCost;
+}
+
+double EngineCostPerRun(const engine_spec& engine,
+                        const selection_request& request) {
+  return static_cast<double>(request.size->Total()) /
+             static_cast<double>(engine.memory_tokens) +
+         kFullBatchCost / std::max(engine.slots, 1) +
+         static_cast<double>(request.size->prompt_tokens) *
+             kPendingPrefillTokenCost;
 }
 
 double SuspectCost(const target_candidate& candidate,
@@ -119,11 +128,11 @@
     loss += kColdEngineLoss;
   if (candidate.is_last_of_domain)
     loss += kLastOfDomainLoss;
-  return loss + context.jitter;
+  return loss;
 }
 
-double PlainCost(const target_candidate& candidate,
-                 const placement_context& context) {
+double PlainCostPerRun(const target_candidate& candidate,
+                       const placement_context& context) {
   const double latency =
       candidate.health
           ? candidate.health->latency_ms().value_or(kAssumedLatencyMs)
@@ -132,9 +141,13 @@
       candidate.target.entry.domain == context.settings.own_domain
           ? 1
           : kOtherDomainLatencyFactor;
-  return (candidate.load.runs + 1) * latency * domain_factor *
-             (1 + FailureRate(candidate) * kFailureLatencyFactor) *
-             (1 + context.jitter) +
+  return latency * domain_factor *
+         (1 + FailureRate(candidate) * kFailureLatencyFactor);
+}
+
+double PlainCost(const target_candidate& candidate,
+                 const placement_context& context) {
+  return (candidate.load.runs + 1) * PlainCostPerRun(candidate, context) +
          (IsCoolingDown(candidate, context.now)
               ? kCooldownCost * kAssumedLatencyMs
               : 0);
--- a/src/selection/internal/target_costs.h
+++ b/src/selection/internal/target_costs.h
@@ -28,8 +28,6 @@
   const selection_settings& settings;
   // Null if no engine of the service has produced output yet.
   const prefill_estimator* estimator = nullptr;
-  // Random cost that spreads the choices of instances that see the same loads.
-  double jitter = 0;
   timestamp now;
 };
 
@@ -45,6 +43,10 @@
                   const selection_request& request,
                   const placement_context& context);
 
+// By how much the cost rises with each generation like `request`.
+double EngineCostPerRun(const engine_spec& engine,
+                        const selection_request& request);
+
 // Cost of placing a generation that may crash the engine on it: what would be
 // lost.
 double SuspectCost(const target_candidate& candidate,
@@ -54,6 +56,10 @@
 double PlainCost(const target_candidate& candidate,
                  const placement_context& context);
 
+// By how much the cost rises with each plain call.
+double PlainCostPerRun(const target_candidate& candidate,
+                       const placement_context& context);
+
 }  // namespace wist
 
 #endif  // SELECTION_INTERNAL_TARGET_COSTS_H_
--- a/src/selection/internal/target_selector.cc
+++ b/src/selection/internal/target_selector.cc
@@ -22,12 +22,6 @@
 // Number of peers that must report a target as failing before it is avoided.
 constexpr int kMinPeerReports = 2;
 
-// Range of the random cost that spreads the choices of instances that see the
-// same loads. It grows with the number of instances because more of them choose
-// before they receive each other's load reports.
-constexpr double kCostJitterPerInstance = 0.002;
-constexpr double kCostJitterLimit = 0.25;
-
 constexpr std::size_t kMaxSessions = 20'000;
 
 // Window over which the request rate to a cold target is limited.
@@ -40,8 +34,12 @@
 
 target_selector::target_selector(const selection_settings& settings,
                                  const target_directory& directory,
-                                 std::uint32_t seed)
-    : settings_(settings), directory_(directory), random_generator_(seed) {}
+                                 std::uint32_t seed,
+                                 target_chooser chooser)
+    : settings_(settings),
+      directory_(directory),
+      chooser_(std::move(chooser)),
+      random_generator_(seed) {}
 
 void target_selector::ApplyConfiguration(
     std::shared_ptr<const route_table> table) {
@@ -58,12 +56,12 @@
       table_ ? table_->FindService(request.service) : nullptr;
   if (!service)
     return selection_error{false, kNoTargetRetryAfter};
-  const known_target* best = FindCheapestTarget(*service, request, true, now);
+  const known_target* chosen = FindTarget(*service, request, true, now);
   // The failures that peers report may not affect this instance.
-  if (!best)
-    best = FindCheapestTarget(*service, request, false, now);
-  if (best)
-    return best->entry.id;
+  if (!chosen)
+    chosen = FindTarget(*service, request, false, now);
+  if (chosen)
+    return chosen->entry.id;
   return Unavailable(request, now);
 }
 
@@ -104,30 +102,58 @@
          !request.excluded.contains(target.entry.id);
 }
 
-const known_target* target_selector::FindCheapestTarget(
+const known_target* target_selector::FindTarget(
     const routed_service& service,
     const selection_request& request,
     bool use_peer_reports,
-    timestamp now) const {
-  const known_target* best = nullptr;
-  double best_cost = 0;
+    timestamp now) {
+  std::vector<choice_candidate> candidates;
   const bool avoids_other_domains =
       !request.continues_run &&
       (request.avoids_other_domains || IsBorderSuspect(now));
+  const domain_id& preferred = request.preferred_domain.empty()
+                                   ? settings_.own_domain
+                                   : request.preferred_domain;
+  double near_targets = 0;
+  double targets = 0;
   for (const auto& [id, target] : directory_.targets()) {
     if (!IsEligible(target, request) ||
         (use_peer_reports && IsReportedFailing(id)))
       continue;
-    auto cost = Cost(target, service, request, now);
-    if (cost && avoids_other_domains &&
-        target.entry.domain != settings_.own_domain)
-      *cost += kSuspectBorderCost;
-    if (!cost || (best && *cost >= best_cost))
+    const bool is_near = target.entry.domain == preferred;
+    targets += 1;
+    near_targets += is_near ? 1 : 0;
+    auto candidate = MakeCandidate(target, service, request, now);
+    if (!candidate)
       continue;
-    best = &target;
-    best_cost = *cost;
+    candidate->is_near = is_near;
+    if (avoids_other_domains && target.entry.domain != settings_.own_domain)
+      candidate->cost += kSuspectBorderCost;
+    candidates.push_back(*candidate);
   }
-  return best;
+  if (candidates.empty())
+    return nullptr;
+  // Instances of other domains prefer the targets there, so each domain's part
+  // of the requests is estimated by its part of the targets.
+  const double near_share = near_targets > 0 ? near_targets / targets : 1;
+  const double starts = UnseenStarts(request, now);
+  const std::size_t index =
+      chooser_(candidates, {starts * near_share, starts * (1 - near_share)},
+               random_generator_);
+  return candidates[index].target;
+}
+
+// A suspect generation is placed where least is lost, at any load.
+double target_selector::UnseenStarts(const selection_request& request,
+                                     timestamp now) const {
+  if (request.is_suspect)
+    return 0;
+  const auto found = unseen_starts_.find(request.service);
+  const unseen_starts_estimator none;
+  const unseen_starts_estimator& estimator =
+      found == unseen_starts_.end() ? none : found->second;
+  return estimator.Estimate(instance_count_,
+                            report_age_.Age(instance_count_, now), now);
 }
 
 bool target_selector::IsBorderSuspect(timestamp now) const {
@@ -160,10 +186,11 @@
   return Choose(other, now);
 }
 
-std::optional<double> target_selector::Cost(const known_target& target,
-                                            const routed_service& service,
-                                            const selection_request& request,
-                                            timestamp now) const {
+std::optional<choice_candidate> target_selector::MakeCandidate(
+    const known_target& target,
+    const routed_service& service,
+    const selection_request& request,
+    timestamp now) const {
   if (!IsWithinColdLimit(target, service, now))
     return std::nullopt;
   const target_id& id = target.entry.id;
@@ -176,22 +203,23 @@
   const placement_context context{
       settings_,
       estimator == prefill_estimators_.end() ? nullptr : &estimator->second,
-      std::uniform_real_distribution<double>(
-          0, MaxCostJitter())(random_generator_),
       now};
   if (!service.engine || !request.size)
-    return PlainCost(candidate, context);
+    return choice_candidate{&target, PlainCost(candidate, context),
+                            PlainCostPerRun(candidate, context)};
   if (!CanTakeGeneration(candidate, *service.engine, request, context))
     return std::nullopt;
   if (request.is_suspect) {
     candidate.is_last_of_domain = IsLastOfDomain(target);
-    return SuspectCost(candidate, context);
+    return choice_candidate{&target, SuspectCost(candidate, context), 1};
   }
   const auto session = session_targets_.find(request.session);
   candidate.served_session = !request.session.empty() &&
                              session != session_targets_.end() &&
                              session->second == id;
-  return EngineCost(candidate, *service.engine, request, context);
+  return choice_candidate{
+      &target, EngineCost(candidate, *service.engine, request, context),
+      EngineCostPerRun(*service.engine, request)};
 }
 
 // Whether no other target of the service in its domain accepts new work.
@@ -227,11 +255,6 @@
   return static_cast<double>(recent) < share;
 }
 
-double target_selector::MaxCostJitter() const {
-  return std::min(kCostJitterPerInstance * static_cast<double>(instance_count_),
-                  kCostJitterLimit);
-}
-
 run_number target_selector::AddRun(const target_id& target,
                                    const selection_request& request,
                                    bool is_backup,
@@ -263,6 +286,7 @@
       backlog_before + new_run.pending_prefill_tokens;
   target_state& state = states_[target];
   state.own_load.runs += 1;
+  unseen_starts_[request.service].OnOwnStart(now);
   state.health.OnStart();
   state.own_load.pending_prefill_tokens += new_run.pending_prefill_tokens;
   while (!state.recent_starts.empty() &&
@@ -372,7 +396,14 @@
   return loads;
 }
 
-void target_selector::SetOthersLoad(const target_load& load) {
+void target_selector::SetOthersLoad(const target_load& load, timestamp now) {
+  report_age_.OnReport(now);
+  const auto former = others_loads_.find(load.target);
+  const std::int32_t added_runs =
+      load.runs - (former == others_loads_.end() ? 0 : former->second.runs);
+  const known_target* target = directory_.Find(load.target);
+  if (target && added_runs > 0)
+    unseen_starts_[target->entry.service].OnReportedStarts(added_runs, now);
   const target_load none{load.target};
   if (load == none)
     others_loads_.erase(load.target);
--- a/src/selection/target_selector.h
+++ b/src/selection/target_selector.h
@@ -10,7 +10,9 @@
 #include "routing/route_table.h"
 #include "selection/prefill_estimator.h"
 #include "selection/selection_types.h"
+#include "selection/target_choice.h"
 #include "selection/target_health.h"
+#include "selection/unseen_starts_estimator.h"
 
 namespace wist {
 
@@ -20,7 +22,8 @@
  public:
   target_selector(const selection_settings& settings,
                   const target_directory& directory,
-                  std::uint32_t seed);
+                  std::uint32_t seed,
+                  target_chooser chooser = ChooseByExpectedStarts);
 
   void ApplyConfiguration(std::shared_ptr<const route_table> table);
 
@@ -77,7 +80,8 @@
   std::vector<target_load> OwnLoads(timestamp now) const;
 
   // Sets the load that all other instances together have placed on a target.
-  void SetOthersLoad(const target_load& load);
+  // `now` is when it was reported.
+  void SetOthersLoad(const target_load& load, timestamp now);
 
   // Discards the state of idle targets that are no longer in the directory.
   void PruneRemovedTargets();
@@ -107,10 +111,13 @@
                     const selection_request& request,
                     bool is_backup,
                     timestamp now);
-  const known_target* FindCheapestTarget(const routed_service& service,
-                                         const selection_request& request,
-                                         bool use_peer_reports,
-                                         timestamp now) const;
+  const known_target* FindTarget(const routed_service& service,
+                                 const selection_request& request,
+                                 bool use_peer_reports,
+                                 timestamp now);
+  // Returns how many requests other instances are expected to have sent to the
+  // service since the loads were reported.
+  double UnseenStarts(const selection_request& request, timestamp now) const;
   selection_error Unavailable(const selection_request& request,
                               timestamp now) const;
   bool IsEligible(const known_target& target,
@@ -119,11 +126,12 @@
   // recently, as when the domain is cut off.
   bool IsBorderSuspect(timestamp now) const;
   bool IsReportedFailing(const target_id& target) const;
-  double MaxCostJitter() const;
-  std::optional<double> Cost(const known_target& target,
-                             const routed_service& service,
-                             const selection_request& request,
-                             timestamp now) const;
+  // Returns nothing if the target can't take the request.
+  std::optional<choice_candidate> MakeCandidate(
+      const known_target& target,
+      const routed_service& service,
+      const selection_request& request,
+      timestamp now) const;
   bool IsLastOfDomain(const known_target& target) const;
   bool IsWithinColdLimit(const known_target& target,
                          const routed_service& service,
@@ -132,17 +140,20 @@
 
   const selection_settings settings_;
   const target_directory& directory_;
+  const target_chooser chooser_;
   std::shared_ptr<const route_table> table_;
   std::unordered_map<target_id, target_state> states_;
   std::unordered_map<target_id, target_load> others_loads_;
   std::unordered_map<run_number, run> runs_;
   std::unordered_map<std::string, target_id> session_targets_;
   std::unordered_map<service_id, prefill_estimator> prefill_estimators_;
+  std::unordered_map<service_id, unseen_starts_estimator> unseen_starts_;
+  report_age_estimator report_age_;
   run_number next_run_number_ = 1;
   std::size_t instance_count_ = 1;
   // When targets in other failure domains could not be reached last.
   std::unordered_map<target_id, timestamp> unreachable_abroad_;
-  mutable std::minstd_rand random_generator_;
+  std::minstd_rand random_generator_;
 };
 
 }  // namespace wist
--- a/src/selection/tests/target_selector_test.cc
+++ b/src/selection/tests/target_selector_test.cc
@@ -83,11 +83,11 @@
   fixture f;
   f.AddTarget("a");
   f.AddTarget("b");
-  f.selector.SetOthersLoad({target_id("a"), 2, 8000, 0});
+  f.selector.SetOthersLoad({target_id("a"), 2, 8000, 0}, At(0));
   CHECK(f.Choose(f.Generation(3000), At(100)) == "b");
   f.selector.BeginRun(target_id("b"), f.Generation(7500), At(100));
   CHECK(f.Choose(f.Generation(3000), At(200)).empty());
-  f.selector.SetOthersLoad({target_id("a"), 0, 0, 0});
+  f.selector.SetOthersLoad({target_id("a"), 0, 0, 0}, At(0));
   CHECK(f.Choose(f.Generation(3000), At(300)) == "a");
 }
 
@@ -225,7 +225,7 @@
       entry.sequence = 1;
       directory.Upsert(entry, At(0));
       // Loads differ a little, as they do between any two engines.
-      selector.SetOthersLoad({entry.id, 1, 1000 + 60 * engine, 0});
+      selector.SetOthersLoad({entry.id, 1, 1000 + 60 * engine, 0}, At(0));
     }
     const selection result = selector.Choose(fixture::Generation(500), At(1));
     ++chosen[std::get<target_id>(result).text()];
@@ -323,18 +323,18 @@
   f.AddTarget("a");
   f.AddTarget("b");
   f.selector.BeginRun(target_id("b"), f.Generation(5000), At(0));
-  f.selector.SetOthersLoad({target_id("a"), 0, 0, 0, 1});
+  f.selector.SetOthersLoad({target_id("a"), 0, 0, 0, 1}, At(0));
   CHECK(f.Choose(f.Generation(1000), At(10)) == "a");
-  f.selector.SetOthersLoad({target_id("a"), 0, 0, 0, 2});
+  f.selector.SetOthersLoad({target_id("a"), 0, 0, 0, 2}, At(0));
   CHECK(f.Choose(f.Generation(1000), At(20)) == "b");
-  f.selector.SetOthersLoad({target_id("a"), 0, 0, 0, 1});
+  f.selector.SetOthersLoad({target_id("a"), 0, 0, 0, 1}, At(0));
   CHECK(f.Choose(f.Generation(1000), At(40)) == "a");
 }
 
 TEST_CASE("failing reports from peers never leave a request without a target") {
   fixture f;
   f.AddTarget("a");
-  f.selector.SetOthersLoad({target_id("a"), 0, 0, 0, 2});
+  f.selector.SetOthersLoad({target_id("a"), 0, 0, 0, 2}, At(0));
   CHECK(f.Choose(f.Generation(1000), At(10)) == "a");
 }
 
