Weigh how fast engines process prompts

Equal load is unequal time to the first event on engines of unequal speed. Each instance estimates the engines' relative speeds from how fast the pending prompt tokens in the reported sums and its own loads decrease; an engine without samples counts as average. The speed scales the costs of the backlog, the batch and the request's own prompt, and the check of the first event's objective.

--- a/bench/balance/fleet_model.cc
+++ b/bench/balance/fleet_model.cc
@@ -32,6 +32,12 @@
   std::int64_t refresh_due = 0;
 };
 
+// Times to the first event on all engines of one speed.
+struct speed_class {
+  double first_event_ms = 0;  // Sum.
+  double first_events = 0;
+};
+
 struct pending_request {
   generation run;
   int expected_output = 0;
@@ -40,7 +46,7 @@
 
 class fleet {
  public:
-  fleet(const fleet_settings& settings, const chooser_factory& make_chooser)
+  fleet(const fleet_settings& settings, const alternative& tried)
       : settings_(settings),
         end_us_(std::int64_t{settings.seconds} * 1'000'000),
         engines_(static_cast<std::size_t>(settings.engines)),
@@ -72,10 +78,12 @@
     for (int i = 0; i < settings.instances; ++i) {
       instance_model instance;
       instance.domain = i % settings.domains;
+      selection_settings selector_settings{Domain(instance.domain)};
+      selector_settings.weighs_prefill_speeds = tried.weighs_prefill_speeds;
       instance.selector = std::make_unique<target_selector>(
-          selection_settings{Domain(instance.domain)}, directory_,
+          selector_settings, directory_,
           settings.seed * 1000 + static_cast<std::uint32_t>(i),
-          make_chooser(i, settings.instances));
+          tried.make_chooser(i, settings.instances));
       instance.selector->ApplyConfiguration(table);
       instance.selector->SetInstanceCount(
           static_cast<std::size_t>(settings.instances));
@@ -221,9 +229,13 @@
     const std::int64_t end = engine.RunIteration(
         now_,
         [&](const generation& run, std::int64_t at) {
-          if (IsMeasured())
-            first_event_ms_.push_back(static_cast<double>(at - run.arrived_at) /
-                                      1000);
+          if (IsMeasured()) {
+            const double ms = static_cast<double>(at - run.arrived_at) / 1000;
+            first_event_ms_.push_back(ms);
+            speed_class& same = by_speed_[engine.speed];
+            same.first_event_ms += ms;
+            same.first_events += 1;
+          }
           At(at,
              [this, run] { SelectorOf(run).OnFirstOutput(run.run, At(now_)); });
         },
@@ -331,6 +343,11 @@
         first_event_ms_[first_event_ms_.size() * 99 / 100];
     std::int64_t busiest = 0;
     std::int64_t total = 0;
+    const auto mean_ms = [](const speed_class& same) {
+      return same.first_event_ms / same.first_events;
+    };
+    result.slow_to_fast_ratio = mean_ms(by_speed_.begin()->second) /
+                                mean_ms(by_speed_.rbegin()->second);
     for (const engine_model& engine : engines_) {
       busiest = std::max(busiest, engine.starts);
       total += engine.starts;
@@ -362,6 +379,7 @@
   std::int64_t sums_at_ = -1;
   std::vector<target_load> sums_[2];
   std::vector<double> first_event_ms_;
+  std::map<double, speed_class> by_speed_;
   std::int64_t queue_us_ = 0;
   std::int64_t samples_ = 0;
   std::int64_t overloaded_samples_ = 0;
@@ -374,8 +392,8 @@
 }  // namespace
 
 fleet_result RunFleet(const fleet_settings& settings,
-                      const chooser_factory& make_chooser) {
-  return fleet(settings, make_chooser).Run();
+                      const alternative& tried) {
+  return fleet(settings, tried).Run();
 }
 
 }  // namespace wist::bench
--- a/bench/balance/fleet_model.h
+++ b/bench/balance/fleet_model.h
@@ -39,6 +39,9 @@
   double queue_ms_per_request = 0;
   double first_event_p50_ms = 0;
   double first_event_p99_ms = 0;
+  // Mean time to the first event on the slowest engines, as a ratio to that on
+  // the fastest.
+  double slow_to_fast_ratio = 0;
   // Requests of the busiest engine, as a ratio to the mean.
   double busiest_ratio = 0;
   // Fraction of the requests sent to another failure domain.
@@ -47,12 +50,15 @@
   double choice_us = 0;
 };
 
-using chooser_factory =
-    std::function<target_chooser(int instance, int instances)>;
+// A way to choose among the engines.
+struct alternative {
+  std::string name;
+  std::function<target_chooser(int instance, int instances)> make_chooser;
+  bool weighs_prefill_speeds = true;
+};
 
 // Runs the instances' target selectors and the engines on a virtual clock.
-fleet_result RunFleet(const fleet_settings& settings,
-                      const chooser_factory& make_chooser);
+fleet_result RunFleet(const fleet_settings& settings, const alternative& tried);
 
 }  // namespace wist::bench
 
--- a/bench/balance/main.cc
+++ b/bench/balance/main.cc
@@ -1,6 +1,6 @@
 // Compares ways of choosing an engine by old loads: the selectors of all
 // instances and the engines run on a virtual clock.
-//   balance [SECONDS [SEED]]
+//   balance [SECONDS [SEED [FLEET]]]
 
 #include <fmt/format.h>
 
@@ -120,23 +120,19 @@
   };
 }
 
-struct alternative {
-  std::string name;
-  chooser_factory make;
-};
-
 std::vector<alternative> Alternatives() {
   return {
-      {"jittered",
-       [](int, int instances) { return JitteredCheapest(instances); }},
-      {"best_of_2", [](int, int) { return CheapestOf(2); }},
-      {"best_of_5", [](int, int) { return CheapestOf(5); }},
-      {"free_room", [](int, int) { return ByFreeRoom; }},
-      {"subset_8", [](int instance, int) { return Subset(instance, 8); }},
-      {"exponential", [](int, int) { return Exponential; }},
-      {"exp_x2", [](int, int) { return Scaled(2); }},
-      {"exp_x3", [](int, int) { return Scaled(3); }},
-      {"expected_starts", [](int, int) { return ChooseByExpectedStarts; }},
+      {"before", [](int, int instances) { return JitteredCheapest(instances); },
+       false},
+      {"best_of_2", [](int, int) { return CheapestOf(2); }, false},
+      {"best_of_5", [](int, int) { return CheapestOf(5); }, false},
+      {"free_room", [](int, int) { return ByFreeRoom; }, false},
+      {"subset_8", [](int instance, int) { return Subset(instance, 8); },
+       false},
+      {"exponential", [](int, int) { return Exponential; }, false},
+      {"starts", [](int, int) { return ChooseByExpectedStarts; }, false},
+      {"starts_doubled", [](int, int) { return Scaled(2); }, false},
+      {"starts_speeds", [](int, int) { return ChooseByExpectedStarts; }},
   };
 }
 
@@ -165,6 +161,8 @@
   add("64x57 0.5s", 64, 57, 3, 500);
   add("64x57 2s", 64, 57, 3, 2000);
   add("64x57 0.1s speeds", 64, 57, 3, 100).speeds = {0.7, 0.7, 1.7};
+  add("64x57 0.5s speeds", 64, 57, 3, 500).speeds = {0.7, 0.7, 1.7};
+  add("300x60 0.5s speeds", 300, 60, 6, 500).speeds = {0.7, 0.7, 1.7};
   add("64x57 0.1s busy", 64, 57, 3, 100).requests_per_engine_second = 2.8;
   {
     fleet_settings& busy = add("8x9 0.1s busy", 8, 9, 3, 100);
@@ -182,23 +180,25 @@
 }
 
 void Run(int seconds, std::uint32_t seed, const std::string& only) {
-  fmt::print("{:20} {:16} {:>8} {:>8} {:>8} {:>8} {:>8} {:>8} {:>8} {:>8}\n",
-             "fleet", "rule", "overload", "queue_ms", "p50_ms", "p99_ms",
-             "busiest", "abroad", "refused", "cpu_us");
+  fmt::print(
+      "{:20} {:16} {:>8} {:>8} {:>8} {:>8} {:>8} {:>8} {:>8} {:>8} {:>8}\n",
+      "fleet", "rule", "overload", "queue_ms", "p50_ms", "p99_ms", "slow:fast",
+      "busiest", "abroad", "refused", "cpu_us");
   for (scenario& scenario : Scenarios()) {
     if (scenario.name.find(only) == std::string::npos)
       continue;
     scenario.settings.seed = seed;
     scenario.settings.seconds = std::min(seconds, scenario.settings.seconds);
     for (const alternative& alternative : Alternatives()) {
-      const fleet_result result = RunFleet(scenario.settings, alternative.make);
+      const fleet_result result = RunFleet(scenario.settings, alternative);
       fmt::print(
-          "{:20} {:16} {:8.4f} {:8.1f} {:8.0f} {:8.0f} {:8.2f} {:8.4f} "
-          "{:8.4f} {:8.1f}\n",
+          "{:20} {:16} {:8.4f} {:8.1f} {:8.0f} {:8.0f} {:8.2f} {:8.2f} "
+          "{:8.4f} {:8.4f} {:8.1f}\n",
           scenario.name, alternative.name, result.avoidable_overload,
           result.queue_ms_per_request, result.first_event_p50_ms,
-          result.first_event_p99_ms, result.busiest_ratio, result.other_domain,
-          result.refused, result.choice_us);
+          result.first_event_p99_ms, result.slow_to_fast_ratio,
+          result.busiest_ratio, result.other_domain, result.refused,
+          result.choice_us);
       std::fflush(stdout);
     }
   }
--- a/src/selection/internal/target_costs.cc
+++ b/src/selection/internal/target_costs.cc
@@ -47,15 +47,17 @@
 
 // Whether the first output is expected after its objective. A caller that is
 // refused at once can retry and may still be served in time.
-bool WouldMissObjective(const target_load& load,
+bool WouldMissObjective(const target_candidate& candidate,
                         const selection_request& request,
                         const prefill_estimator* estimator) {
+  const target_load& load = candidate.load;
   if (!request.first_output_objective || request.continues_run ||
       load.runs == 0 || !estimator)
     return false;
-  return estimator->EstimateTime(load.pending_prefill_tokens +
-                                 request.size->prompt_tokens) >
-         *request.first_output_objective;
+  const microseconds time = estimator->EstimateTime(
+      load.pending_prefill_tokens + request.size->prompt_tokens);
+  return ToMilliseconds(time) * candidate.relative_prefill_time >
+         ToMilliseconds(*request.first_output_objective);
 }
 
 double Fill(const target_candidate& candidate,
@@ -89,7 +91,7 @@
   // A refused caller can retry before an attempt on an unreachable engine would
   // end.
   return load.runs < engine.slots && !IsCoolingDown(candidate, context.now) &&
-         !WouldMissObjective(load, request, context.estimator);
+         !WouldMissObjective(candidate, request, context.estimator);
 }
 
 double EngineCost(const target_candidate& candidate,
@@ -97,9 +99,15 @@
                   const selection_request& request,
                   const placement_context& context) {
   const target_load& load = candidate.load;
+  const double relative_time = candidate.relative_prefill_time;
   double cost = Fill(candidate, engine, request);
-  cost += kFullBatchCost * load.runs / std::max(engine.slots, 1);
-  cost += static_cast<double>(load.pending_prefill_tokens) *
+  cost +=
+      relative_time * kFullBatchCost * load.runs / std::max(engine.slots, 1);
+  cost += relative_time * static_cast<double>(load.pending_prefill_tokens) *
+          kPendingPrefillTokenCost;
+  // A slow engine also takes longer for the request's own prompt.
+  cost += (relative_time - 1) *
+          static_cast<double>(request.size->prompt_tokens) *
           kPendingPrefillTokenCost;
   const domain_id& preferred = request.preferred_domain.empty()
                                    ? context.settings.own_domain
@@ -111,13 +119,15 @@
   return cost + FailureRate(candidate) * kFailureMemoryCost;
 }
 
-double EngineCostPerRun(const engine_spec& engine,
+double EngineCostPerRun(const target_candidate& candidate,
+                        const engine_spec& engine,
                         const selection_request& request) {
   return static_cast<double>(request.size->Total()) /
              static_cast<double>(engine.memory_tokens) +
-         kFullBatchCost / std::max(engine.slots, 1) +
-         static_cast<double>(request.size->prompt_tokens) *
-             kPendingPrefillTokenCost;
+         candidate.relative_prefill_time *
+             (kFullBatchCost / std::max(engine.slots, 1) +
+              static_cast<double>(request.size->prompt_tokens) *
+                  kPendingPrefillTokenCost);
 }
 
 double SuspectCost(const target_candidate& candidate,
--- a/src/selection/internal/target_costs.h
+++ b/src/selection/internal/target_costs.h
@@ -18,6 +18,8 @@
   target_load load;
   // Null if no run has ended on it yet.
   const target_health* health = nullptr;
+  // Time that the engine takes for a prompt relative to the service's average.
+  double relative_prefill_time = 1;
   // Whether the request's session was served there last.
   bool served_session = false;
   // Whether no other target of its domain accepts work of the service.
@@ -44,7 +46,8 @@
                   const placement_context& context);
 
 // By how much the cost rises with each generation like `request`.
-double EngineCostPerRun(const engine_spec& engine,
+double EngineCostPerRun(const target_candidate& candidate,
+                        const engine_spec& engine,
                         const selection_request& request);
 
 // Cost of placing a generation that may crash the engine on it: what would be
--- a/src/selection/internal/target_selector.cc
+++ b/src/selection/internal/target_selector.cc
@@ -199,6 +199,9 @@
     return std::nullopt;
   target_candidate candidate{target, TotalLoad(id),
                              state ? &state->health : nullptr};
+  const auto speeds = prefill_speeds_.find(request.service);
+  if (settings_.weighs_prefill_speeds && speeds != prefill_speeds_.end())
+    candidate.relative_prefill_time = speeds->second.RelativeTime(id);
   const auto estimator = prefill_estimators_.find(request.service);
   const placement_context context{
       settings_,
@@ -219,7 +222,7 @@
                              session->second == id;
   return choice_candidate{
       &target, EngineCost(candidate, *service.engine, request, context),
-      EngineCostPerRun(*service.engine, request)};
+      EngineCostPerRun(candidate, *service.engine, request)};
 }
 
 // Whether no other target of the service in its domain accepts new work.
@@ -289,6 +292,7 @@
   unseen_starts_[request.service].OnOwnStart(now);
   state.health.OnStart();
   state.own_load.pending_prefill_tokens += new_run.pending_prefill_tokens;
+  ObserveBacklog(target, now);
   while (!state.recent_starts.empty() &&
          now >= state.recent_starts.front() + kColdLimitWindow)
     state.recent_starts.pop_front();
@@ -357,6 +361,7 @@
       started.prefill_backlog_tokens, now - started.started_at);
   states_[started.target].own_load.pending_prefill_tokens -=
       std::exchange(started.pending_prefill_tokens, 0);
+  ObserveBacklog(started.target, now);
 }
 
 void target_selector::EndRun(run_number number, run_end end, timestamp now) {
@@ -371,6 +376,7 @@
     return;
   state.own_load.runs -= 1;
   state.own_load.pending_prefill_tokens -= ended.pending_prefill_tokens;
+  ObserveBacklog(ended.target, now);
   state.health.OnEnd(end, now - ended.started_at, now);
   const known_target* target = directory_.Find(ended.target);
   if (end == run_end::unreachable && target &&
@@ -409,6 +415,14 @@
     others_loads_.erase(load.target);
   else
     others_loads_[load.target] = load;
+  ObserveBacklog(load.target, now);
+}
+
+void target_selector::ObserveBacklog(const target_id& target, timestamp now) {
+  const known_target* known = directory_.Find(target);
+  if (known)
+    prefill_speeds_[known->entry.service].OnBacklog(
+        target, TotalLoad(target).pending_prefill_tokens, now);
 }
 
 target_load target_selector::TotalLoad(const target_id& target) const {
@@ -425,6 +439,8 @@
 }
 
 void target_selector::PruneRemovedTargets() {
+  for (auto& [service, speeds] : prefill_speeds_)
+    speeds.Prune([&](const target_id& id) { return !directory_.Find(id); });
   std::erase_if(unreachable_abroad_, [&](const auto& entry) {
     return !directory_.Find(entry.first);
   });
--- a/src/selection/selection_types.h
+++ b/src/selection/selection_types.h
@@ -98,6 +98,8 @@
   // Fraction of the memory of all engines of a service beyond which no backup
   // copies are made: they would use memory that new and moved runs need.
   double backup_service_fill_limit = 0.5;
+  // Whether the costs take into account how fast each engine processes prompts.
+  bool weighs_prefill_speeds = true;
 };
 
 }  // namespace wist
--- a/src/selection/target_selector.h
+++ b/src/selection/target_selector.h
@@ -9,6 +9,7 @@
 #include "directory/target_directory.h"
 #include "routing/route_table.h"
 #include "selection/prefill_estimator.h"
+#include "selection/prefill_speeds.h"
 #include "selection/selection_types.h"
 #include "selection/target_choice.h"
 #include "selection/target_health.h"
@@ -132,6 +133,7 @@
       const routed_service& service,
       const selection_request& request,
       timestamp now) const;
+  void ObserveBacklog(const target_id& target, timestamp now);
   bool IsLastOfDomain(const known_target& target) const;
   bool IsWithinColdLimit(const known_target& target,
                          const routed_service& service,
@@ -147,6 +149,7 @@
   std::unordered_map<run_number, run> runs_;
   std::unordered_map<std::string, target_id> session_targets_;
   std::unordered_map<service_id, prefill_estimator> prefill_estimators_;
+  std::unordered_map<service_id, prefill_speeds> prefill_speeds_;
   std::unordered_map<service_id, unseen_starts_estimator> unseen_starts_;
   report_age_estimator report_age_;
   run_number next_run_number_ = 1;
