--- a/src/selection/internal/target_selector.cc
+++ b/src/selection/internal/target_selector.cc
@@ -146,7 +146,8 @@
 // A suspect generation is placed where least is lost, at any load.
 double target_selector::UnseenStarts(const selection_request& request,
                                      timestamp now) const {
-  if (request.is_suspect)
+  const bool counts_starts = !request.is_suspect;
+  if (!counts_starts)
     return 0;
   const auto found = unseen_starts_.find(request.service);
   const unseen_starts_estimator none;
--- a/src/selection/tests/even_load_test.cc
+++ b/src/selection/tests/even_load_test.cc
@@ -58,6 +58,11 @@
     }
   }
 
+  void ReportBacklog(int engine, std::int64_t tokens, timestamp now) {
+    for (const auto& selector : selectors_)
+      selector->SetOthersLoad({Id(engine), 1, 2500, tokens}, now);
+  }
+
   // Each instance starts a run; adds them to `started`.
   void StartOneEach(std::vector<int>& started, timestamp now) {
     selection_request request;
@@ -133,3 +138,20 @@
       StartsAfterReports(64, {3, 4, 5, 5, 5, 5, 5, 5, 6, 7}, 50, 2000);
   CHECK(BusiestRatio(started) <= 1.6);
 }
+
+// Equal loads would mean a later first event on the slow engines.
+TEST_CASE("slower engines receive fewer runs at the same load") {
+  instances all(8);
+  std::vector<int> started(kEngines);
+  for (int ms = 0; ms < 15'000; ms += 500) {
+    for (int engine = 0; engine < kEngines; ++engine)
+      all.ReportBacklog(engine, 2500, At(ms));
+    for (int engine = 0; engine < kEngines; ++engine)
+      all.ReportBacklog(engine, 0, At(ms + (engine < 5 ? 150 : 350)));
+    if (ms >= 5000)
+      all.StartOneEach(started, At(ms + 400));
+  }
+  const int fast = std::accumulate(started.begin(), started.begin() + 5, 0);
+  const int slow = std::accumulate(started.begin() + 5, started.end(), 0);
+  CHECK(fast >= 2 * slow);
+}
