Estimate the age of loads from the short intervals between reports

Reports are sent when loads change, so the average interval of a quiet fleet is that of its changes.

--- a/src/selection/internal/unseen_starts_estimator.cc
+++ b/src/selection/internal/unseen_starts_estimator.cc
@@ -15,6 +15,15 @@
 // Weight of the newest interval between reports in the moving average.
 constexpr double kIntervalWeight = 0.1;
 
+// Reports are sent when loads change, so that most intervals are longer than
+// the sender's minimum; the age follows from a low quantile of them, which
+// adapts by this step.
+constexpr double kShortQuantile = 0.1;
+constexpr double kQuantileStep = 0.2;
+
+// A silence of this many average intervals is unlikely while reports arrive.
+constexpr double kSilenceIntervals = 4;
+
 // Reports received within this time were sent together.
 constexpr microseconds kSameReport{1000};
 
@@ -77,9 +86,13 @@
   if (last_report_at_ && now < *last_report_at_ + kSameReport)
     return;
   if (last_report_at_) {
-    interval_us_ +=
-        kIntervalWeight *
-        (static_cast<double>((now - *last_report_at_).count()) - interval_us_);
+    const auto interval = static_cast<double>((now - *last_report_at_).count());
+    if (interval_us_ == 0)
+      interval_us_ = short_interval_us_ = interval;
+    interval_us_ += kIntervalWeight * (interval - interval_us_);
+    short_interval_us_ *= interval < short_interval_us_
+                              ? 1 - kQuantileStep * (1 - kShortQuantile)
+                              : 1 + kQuantileStep * kShortQuantile;
   }
   last_report_at_ = now;
 }
@@ -88,16 +101,16 @@
                                        timestamp now) const {
   if (!last_report_at_)
     return microseconds(static_cast<std::int64_t>(kMinAgeUs));
-  // A report passes up and down the tree; each instance on its way holds it for
-  // half of the interval on average.
   // A report passes up and down the tree, and every instance on its way may
   // hold it for one interval. The upper end of the expected range is used:
   // assuming too many unseen starts costs less than assuming too few.
   const double levels = std::ceil(
       std::log(std::max<double>(2, static_cast<double>(instance_count))) /
       std::log(kTreeFanOut));
-  const double silence = static_cast<double>((now - *last_report_at_).count());
-  const double age = std::max(interval_us_, silence) * (levels + 1.5);
+  double age = short_interval_us_ * (levels + 1.5);
+  const auto silence = static_cast<double>((now - *last_report_at_).count());
+  if (silence > kSilenceIntervals * interval_us_)
+    age = std::max(age, silence);
   return microseconds(
       static_cast<std::int64_t>(std::clamp(age, kMinAgeUs, kMaxAgeUs)));
 }
--- a/src/selection/tests/unseen_starts_estimator_test.cc
+++ b/src/selection/tests/unseen_starts_estimator_test.cc
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include <random>
+
 #include "selection/prefill_speeds.h"
 #include "selection/unseen_starts_estimator.h"
 
@@ -56,6 +58,20 @@
   CHECK(age.Age(64, At(600'000)) <= milliseconds(5000));
 }
 
+// Guards against spreading the requests of a quiet fleet: reports are rare
+// there because nothing changes, not because they are slow.
+TEST_CASE("rare changes do not make the loads old") {
+  report_age_estimator age;
+  std::minstd_rand random(1);
+  std::exponential_distribution<double> gap(1.0 / 200);
+  std::int64_t now_ms = 0;
+  for (int i = 0; i < 300; ++i) {
+    age.OnReport(At(now_ms));
+    now_ms += 8 + static_cast<std::int64_t>(gap(random));
+  }
+  CHECK(age.Age(8, At(now_ms)) <= milliseconds(150));
+}
+
 TEST_CASE("an engine without samples counts as average") {
   prefill_speeds speeds;
   CHECK(speeds.RelativeTime(target_id("a")) == 1);
--- a/src/selection/unseen_starts_estimator.h
+++ b/src/selection/unseen_starts_estimator.h
@@ -56,8 +56,9 @@
 
  private:
   std::optional<timestamp> last_report_at_;
-  // Smoothed interval between reports.
+  // Average and a low quantile of the intervals between reports.
   double interval_us_ = 0;
+  double short_interval_us_ = 0;
 };
 
 }  // namespace wist
