--- a/src/selection/internal/prefill_speeds.cc
+++ b/src/selection/internal/prefill_speeds.cc
@@ -8,11 +8,11 @@
 
 // Time over which the sums decay: an engine that is replaced or becomes slower
 // is noticed within seconds.
-constexpr double kHistorySeconds = 10;
+constexpr double kHistorySeconds = 20;
 
 // Busy time at the average speed that is assumed in addition to the observed
 // one, so that a few samples change little.
-constexpr double kAssumedBusySeconds = 0.5;
+constexpr double kAssumedBusySeconds = 2;
 
 // Without a report for longer, the backlog in between is not known.
 constexpr microseconds kMaxObservationGap{2'000'000};
--- a/src/selection/tests/even_load_test.cc
+++ b/src/selection/tests/even_load_test.cc
@@ -54,7 +54,8 @@
     for (const auto& selector : selectors_) {
       for (int engine = 0; engine < kEngines; ++engine)
         selector->SetOthersLoad(
-            {Id(engine), runs[engine], runs[engine] * 2500, 0}, now);
+            {Id(engine), runs[engine], std::int64_t{2500} * runs[engine], 0},
+            now);
     }
   }
 
