--- a/src/selection/internal/target_costs.cc
+++ b/src/selection/internal/target_costs.cc
@@ -47,9 +47,10 @@
 
 // Whether the first output is expected after its objective. A caller that is
 // refused at once can retry and may still be served in time.
-bool WouldMissObjective(const target_load& load,
+bool WouldMissObjective(const target_candidate& candidate,
                         const selection_request& request,
                         const prefill_estimator* estimator) {
+  const target_load& load = candidate.load;
   if (!request.first_output_objective || request.continues_run ||
       load.runs == 0 || !estimator)
     return false;
@@ -57,8 +58,10 @@
   const milliseconds objective =
       std::min(*request.first_output_objective,
                request.urgent_objective.value_or(milliseconds::max()));
-  return estimator->EstimateTime(load.pending_prefill_tokens +
-                                 request.size->prompt_tokens) > objective;
+  const microseconds time = estimator->EstimateTime(
+      load.pending_prefill_tokens + request.size->prompt_tokens);
+  return ToMilliseconds(time) * candidate.relative_prefill_time >
+         ToMilliseconds(objective);
 }
 
 double Fill(const target_candidate& candidate,
@@ -99,7 +102,7 @@
   // A refused caller can retry before an attempt on an unreachable engine would
   // end.
   return load.runs < engine.slots && !IsCoolingDown(candidate, context.now) &&
-         !WouldMissObjective(load, request, context.estimator);
+         !WouldMissObjective(candidate, request, context.estimator);
 }
 
 double EngineCost(const target_candidate& candidate,
@@ -107,9 +110,15 @@
                   const selection_request& request,
                   const placement_context& context) {
   const target_load& load = candidate.load;
+  const double relative_time = candidate.relative_prefill_time;
   double cost = Fill(candidate, engine, request);
-  cost += kFullBatchCost * load.runs / std::max(engine.slots, 1);
-  cost += static_cast<double>(load.pending_prefill_tokens) *
+  cost +=
+      relative_time * kFullBatchCost * load.runs / std::max(engine.slots, 1);
+  cost += relative_time * static_cast<double>(load.pending_prefill_tokens) *
+          kPendingPrefillTokenCost;
+  // A slow engine also takes longer for the request's own prompt.
+  cost += (relative_time - 1) *
+          static_cast<double>(request.size->prompt_tokens) *
           kPendingPrefillTokenCost;
   const domain_id& preferred = request.preferred_domain.empty()
                                    ? context.settings.own_domain
@@ -118,7 +127,18 @@
     cost += kOtherDomainMemoryCost;
   if (candidate.served_session)
     cost -= kSessionAffinityDiscount;
-  return cost + FailureRate(candidate) * kFailureMemoryCost + context.jitter;
+  return cost + FailureRate(candidate) * kFailureMemoryCost;
+}
+
+double EngineCostPerRun(const target_candidate& candidate,
+                        const engine_spec& engine,
+                        const selection_request& request) {
+  return static_cast<double>(request.size->Total()) /
+             static_cast<double>(engine.memory_tokens) +
+         candidate.relative_prefill_time *
+             (kFullBatchCost / std::max(engine.slots, 1) +
+              static_cast<double>(request.size->prompt_tokens) *
+                  kPendingPrefillTokenCost);
 }
 
 double SuspectCost(const target_candidate& candidate,
@@ -129,11 +149,11 @@
     loss += kColdEngineLoss;
   if (candidate.is_last_of_domain)
     loss += kLastOfDomainLoss;
-  return loss + context.jitter;
+  return loss;
 }
 
-double PlainCost(const target_candidate& candidate,
-                 const placement_context& context) {
+double PlainCostPerRun(const target_candidate& candidate,
+                       const placement_context& context) {
   const double latency =
       candidate.health
           ? candidate.health->latency_ms().value_or(kAssumedLatencyMs)
@@ -142,9 +162,13 @@
       candidate.target.entry.domain == context.settings.own_domain
           ? 1
           : kOtherDomainLatencyFactor;
-  return (candidate.load.runs + 1) * latency * domain_factor *
-             (1 + FailureRate(candidate) * kFailureLatencyFactor) *
-             (1 + context.jitter) +
+  return latency * domain_factor *
+         (1 + FailureRate(candidate) * kFailureLatencyFactor);
+}
+
+double PlainCost(const target_candidate& candidate,
+                 const placement_context& context) {
+  return (candidate.load.runs + 1) * PlainCostPerRun(candidate, context) +
          (IsCoolingDown(candidate, context.now)
               ? kCooldownCost * kAssumedLatencyMs
               : 0);
--- a/src/selection/internal/target_costs.h
+++ b/src/selection/internal/target_costs.h
@@ -18,6 +18,8 @@
   target_load load;
   // Null if no run has ended on it yet.
   const target_health* health = nullptr;
+  // Time that the engine takes for a prompt relative to the service's average.
+  double relative_prefill_time = 1;
   // Whether the request's session was served there last.
   bool served_session = false;
   // Whether no other target of its domain accepts work of the service.
@@ -28,8 +30,6 @@
   const selection_settings& settings;
   // Null if no engine of the service has produced output yet.
   const prefill_estimator* estimator = nullptr;
-  // Random cost that spreads the choices of instances that see the same loads.
-  double jitter = 0;
   timestamp now;
 };
 
@@ -45,6 +45,11 @@
                   const selection_request& request,
                   const placement_context& context);
 
+// By how much the cost rises with each generation like `request`.
+double EngineCostPerRun(const target_candidate& candidate,
+                        const engine_spec& engine,
+                        const selection_request& request);
+
 // Cost of placing a generation that may crash the engine on it: what would be
 // lost.
 double SuspectCost(const target_candidate& candidate,
@@ -54,6 +59,10 @@
 double PlainCost(const target_candidate& candidate,
                  const placement_context& context);
 
+// By how much the cost rises with each plain call.
+double PlainCostPerRun(const target_candidate& candidate,
+                       const placement_context& context);
+
 }  // namespace wist
 
 #endif  // SELECTION_INTERNAL_TARGET_COSTS_H_
