--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -46,11 +46,6 @@
 // objective is retried on another target.
 constexpr int kSlowAttemptObjectives = 2;
 
-// A stream that may be repeated and has no event after its objective divided by
-// this number waits for its engine's memory or behind other prompts. An engine
-// that is less loaded can still be in time.
-constexpr int kSlowStreamDivisor = 2;
-
 // A request waits at most its latency objective divided by this number for free
 // capacity. Waiting longer would leave the caller too little time to retry.
 constexpr int kCapacityWaitDivisor = 8;
@@ -211,19 +206,11 @@
       {std::min(routed_.deadline, now + kConnectTimeout), MaxIdle(Route().kind),
        MaxBodyBytes(Route().kind)},
       std::move(callbacks));
-  ArmAttemptTimer();
-}
-
-void exchange::ArmAttemptTimer() {
-  if (!IsRepeatable() || stream_started_)
+  if (Route().kind != call_kind::idempotent)
     return;
-  const milliseconds objective = Route().first_byte_objective;
-  const timestamp due =
-      Route().kind == call_kind::streaming
-          ? received_at_ + objective / kSlowStreamDivisor
-          : services_.scheduler.Now() + objective * kSlowAttemptObjectives;
   attempt_timer_ = services_.scheduler.RunAt(
-      due, [self = shared_from_this()] { self->OnSlowAttempt(); });
+      now + Route().first_byte_objective * kSlowAttemptObjectives,
+      [self = shared_from_this()] { self->OnSlowAttempt(); });
 }
 
 // A response could not be processed. Only this request ends.
@@ -367,26 +354,10 @@
 }
 
 void exchange::OnSlowAttempt() {
-  if (!attempt_ || !attempt_->body.empty() || stream_started_)
-    return;
-  const bool is_stream = Route().kind == call_kind::streaming;
-  if ((is_stream && !HasFasterTarget(services_.scheduler.Now())) ||
-      !TryConsumeRetry())
+  if (!attempt_ || !attempt_->body.empty() || !TryConsumeRetry())
     return;
   attempt_->call->Cancel();
-  // A stream that waits for its prompt to be read is no sign of a bad engine.
-  RetryOnAnotherTarget(is_stream ? run_end::cancelled : run_end::timed_out);
-}
-
-// Whether another engine is expected to produce the first event within the
-// objective.
-bool exchange::HasFasterTarget(timestamp now) const {
-  selection_request request = SelectionRequest();
-  request.excluded.insert(attempt_->target.id);
-  request.first_output_objective = std::chrono::duration_cast<milliseconds>(
-      received_at_ + Route().first_byte_objective - now);
-  return std::holds_alternative<target_id>(
-      services_.selector.Choose(request, now));
+  RetryOnAnotherTarget(run_end::timed_out);
 }
 
 void exchange::OnDeadline() {
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -147,9 +147,7 @@
   void OnFailure(run_end end);
   void AbortStream(const std::string& reason);
   void OnInternalError();
-  void ArmAttemptTimer();
   void OnSlowAttempt();
-  bool HasFasterTarget(timestamp now) const;
   void OnDeadline();
   void EndUnfinished(error_code code, const std::string& stream_reason);
   void EndAttempt(run_end end);
