Use a version that has replaced all others without a roll-out request

Cause: a version that no request has named was withheld for good, so that a service whose targets are all replaced by a release would have no target. Change: the version is withheld only while an established target is left, unless it was rolled back.

--- a/src/rollout/internal/service_rollout.cc
+++ b/src/rollout/internal/service_rollout.cc
@@ -282,11 +282,26 @@
 void service_rollout::UpdateView(const std::vector<rollout_target>& targets,
                                  std::vector<service_event>& events) {
   version_rule rule = CurrentRule();
+  const auto is_established = [this](const rollout_target& target) {
+    return established_.contains(target.version);
+  };
+  // Targets may be replaced by those of another version without a roll-out
+  // request. The service is not left without targets then.
+  const bool is_replaced = std::none_of(
+      targets.begin(), targets.end(), [&](const rollout_target& target) {
+        return is_established(target) &&
+               (target.accepts_work || target.evacuated);
+      });
+  if (is_replaced && !running_ && rule.phase == rollout_phase::only_new)
+    rule = {};
   for (const rollout_target& target : targets) {
     const bool is_new = target.version == rule.target &&
                         rule.phase != rollout_phase::none &&
                         rule.phase != rollout_phase::only_old;
-    if (!is_new && !established_.contains(target.version))
+    const bool is_withheld = is_replaced && !running_
+                                 ? target.version == rule.target
+                                 : !is_established(target);
+    if (!is_new && is_withheld)
       rule.withheld.insert(target.version);
   }
   if (rule.phase != view_.rule.phase || rule.share != view_.rule.share ||
--- a/src/rollout/tests/rollout_tracker_test.cc
+++ b/src/rollout/tests/rollout_tracker_test.cc
@@ -116,6 +116,16 @@
   CHECK_FALSE(Permits(observed.Rule(), choice, "v2"));
 }
 
+// Guards against a service without targets after an operator has replaced all of
+// them without a roll-out request.
+TEST_CASE("a version that replaces all others is used") {
+  instance observed;
+  observed.tracker.SetTargets({Target(kService, "v2")});
+  observed.Advance(10'000);
+  const version_choice choice = ChooseVersion(observed.Rule(), 0);
+  CHECK(Permits(observed.Rule(), choice, "v2"));
+}
+
 // Guards against requests that change sides when they are retried or moved,
 // and against old requests on the new version.
 TEST_CASE("a draw keeps its side in the canary phase") {
