--- a/scenarios/bodies_stop_short_at_entry.lua
+++ b/scenarios/bodies_stop_short_at_entry.lua
@@ -1,6 +1,7 @@
 -- Sixty clients send bodies of the largest size to an entry instance and stop one
 -- byte short, with a length and in chunks. The instance stays within a bound on its
 -- memory and answers an ordinary client meanwhile.
+-- runs: alone
 local memory_bound_mb = 128
 local clients = 60
 local body_bytes = 4194304
