--- a/src/gateway/internal/caller_connection.cc
+++ b/src/gateway/internal/caller_connection.cc
@@ -15,7 +15,7 @@
 // Pipelined bytes that are held without a claim.
 constexpr std::size_t kUnclaimedPipelinedBytes = 4096;
 
-// What has arrived of a request whose length is not known is claimed in steps,
+// What has arrived of a request without a stated length is claimed in steps,
 // so that not every read needs a decision.
 constexpr std::size_t kClaimStepBytes = 16'384;
 
--- a/src/gateway/internal/caller_connection.h
+++ b/src/gateway/internal/caller_connection.h
@@ -95,7 +95,7 @@
   bool draining_ = false;
   bool aborted_ = false;
   bool has_received_ = false;
-  // The sender of the body was told that it may send it.
+  // The sender of the body received the interim response that permits it.
   bool has_sent_continue_ = false;
   // Memory that the request in progress needs.
   std::size_t request_bytes_ = 0;
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -38,7 +38,7 @@
   // Counts the run as open on its target's version.
   std::shared_ptr<void> open_run;
   timestamp sent_at;
-  // Whether the time to its first event or end tells something about its
+  // Whether the time to its first event or end is a sample of its
   // target: not for a run that continues from a copy.
   bool is_timed = false;
   // The response was counted as one of its target's version.
--- a/src/gateway/internal/exchange_versions.cc
+++ b/src/gateway/internal/exchange_versions.cc
@@ -19,7 +19,7 @@
                      });
 }
 
-// Whether the target's speed tells something about its version.
+// Whether the target's speed is a sample of its version.
 bool exchange::IsTimed(const target_entry& target, timestamp now) const {
   const known_target* known = services_.directory.Find(target.id);
   if (!known || known->leaving || now < known->cold_deadline)
--- a/src/gateway/internal/gateway_metrics.h
+++ b/src/gateway/internal/gateway_metrics.h
@@ -39,7 +39,7 @@
   // A stream ended without its last event; not counted if its caller left.
   void OnStreamBroken(const std::string& reason);
   void OnResponseGivenUp();
-  // A request was refused, or a connection closed, for want of `reason`.
+  // A request was refused, or a connection closed, because of `reason`.
   void OnShed(const std::string& reason);
   void OnHandlerFailure();
   void OnStoreCall(const std::string& cause);
--- a/src/gateway/internal/rollout_controller.cc
+++ b/src/gateway/internal/rollout_controller.cc
@@ -17,8 +17,8 @@
 // Changes that arrive together, as a snapshot, are taken in together.
 constexpr milliseconds kChangeDelay{1};
 
-// Interval at which runs are told again to leave the old version: their last
-// move may have failed.
+// Interval at which runs are requested again to leave the old version: their
+// last move may have failed.
 constexpr milliseconds kMoveInterval{500};
 
 // Makes the choice of a version independent of other values hashed from the
--- a/src/gateway/internal/store_view.cc
+++ b/src/gateway/internal/store_view.cc
@@ -254,7 +254,7 @@
     const bool has_other_version =
         !held || held->entry.version != entry->version;
     services_.directory.Upsert(*entry, now);
-    // A new version must not receive requests before it is known to be one.
+    // A new version must not receive requests before it is identified as one.
     if (rollout_handler_ && has_other_version)
       rollout_handler_(change);
     return;
--- a/src/gateway/tests/store_view_test.cc
+++ b/src/gateway/tests/store_view_test.cc
@@ -294,7 +294,7 @@
   CHECK(seen[0].key == "targets/a");
   CHECK(seen[1].key == request.key);
   CHECK_FALSE(seen[1].value);
-  // The version of that target is known now.
+  // The version of that target has been registered now.
   f.DeliverChange({"targets/a", "d1", 21});
   CHECK(seen.size() == 2);
 }
--- a/src/rollout/rollout_types.h
+++ b/src/rollout/rollout_types.h
@@ -39,7 +39,7 @@
 
 enum class rollout_state { running, succeeded, rolled_back };
 
-// What the status `running` tells the instances.
+// What the status `running` states for the instances.
 enum class rollout_stage {
   canary,  // A share of the requests goes to the new version.
   shift    // All new requests go to it.
--- a/src/rollout/service_rollout.h
+++ b/src/rollout/service_rollout.h
@@ -116,7 +116,7 @@
   std::optional<rollout_status> status_;
   std::int64_t status_revision_ = 0;
   std::optional<running_rollout> running_;
-  // The final status that this instance knows. Kept if its key is removed.
+  // The final status that this instance has read. Kept if its key is removed.
   std::optional<rollout_status> decided_;
   // Versions that served the service before the roll-out.
   std::set<version_name> established_;
--- a/src/rollout/tests/fleet_simulation.cc
+++ b/src/rollout/tests/fleet_simulation.cc
@@ -265,7 +265,7 @@
       if (const version_samples* own = group.tracker.OwnSamples(kService))
         snapshot.sums.Merge(*own);
       const rollout_view& view = group.tracker.ViewOf(kService);
-      // Before it knows the roll-out, an instance reports nothing.
+      // Before it has read the roll-out, an instance reports nothing.
       snapshot.unfinished =
           view.active && view.rule.phase == rollout_phase::only_new
               ? group.open_old
--- a/src/rollout/tests/rollout_tracker_test.cc
+++ b/src/rollout/tests/rollout_tracker_test.cc
@@ -116,8 +116,8 @@
   CHECK_FALSE(Permits(observed.Rule(), choice, "v2"));
 }
 
-// Guards against a service without targets after an operator has replaced all of
-// them without a roll-out request.
+// Guards against a service without targets after an operator has replaced all
+// of them without a roll-out request.
 TEST_CASE("a version that replaces all others is used") {
   instance observed;
   observed.tracker.SetTargets({Target(kService, "v2")});
--- a/src/rollout/version_samples.h
+++ b/src/rollout/version_samples.h
@@ -21,7 +21,7 @@
   // The target's own failure, broken, malformed or timed out.
   bool is_bad = false;
   // Time to the first event of a stream, or to the end of another response.
-  // Nothing if it tells nothing about the version: for bad responses, cold
+  // Nothing if it is no sample of the version: for bad responses, cold
   // targets, and targets whose domain was just partitioned.
   std::optional<microseconds> latency;
 
--- a/src/selection/tests/version_selection_test.cc
+++ b/src/selection/tests/version_selection_test.cc
@@ -85,7 +85,7 @@
 }
 
 // Guards against a fall-back inside the selector: only the caller of the
-// selector knows whether another version may run the request.
+// selector decides whether another version may run the request.
 TEST_CASE("a request is refused while its versions are at capacity") {
   fixture f;
   for (const char* id : {"old-1", "old-2"})
