--- a/models/rollout.pml
+++ b/models/rollout.pml
@@ -1,8 +1,7 @@
 /* Roll-outs: two deciders write the status of a roll-out request, which an
  * operator replaces once. At each look a decider may find the version good or bad:
- * the deciders differ, and one that crashes loses its verdict. Responses of the store may be
- * lost, and writes without a response
- * may take effect late. Each request gets at most one final state, which is never
+ * the deciders differ, and one that crashes loses its verdict. Responses of the
+ * store may be lost, and writes without a response may take effect late. Each request gets at most one final state, which is never
  * reverted, and at `succeeded` no run is left on an old target. Verdicts of other
  * instances, which make them return to old targets, are not part of the model.
  *
