--- a/src/gateway/tests/stream_resume_test.cc
+++ b/src/gateway/tests/stream_resume_test.cc
@@ -62,3 +62,14 @@
   f.scheduler.Advance(milliseconds(1000));
   CHECK_FALSE(f.WasSentAgain());
 }
+
+// A call that may be repeated need not produce the same events again.
+TEST_CASE("a stream of a repeatable call is not resumed without permission") {
+  exchange_fixture f;
+  f.settings.retry_slack = 100;
+  f.SendRequest("/again/x");
+  f.target_channel(0).Receive(f.StreamHead() + f.Event(1));
+  f.target_channel(0).End(channel_end::reset);
+  CHECK(f.connector.channels.size() == 1);
+  CHECK(f.caller_channel->aborted);
+}
