Show that gateways which read through each other miss a configuration (CONFIG)

A gateway that the store serves runs requests sent more than 2 s after the acknowledgement of a version by an older one, since for a time nobody in its circle of readers reads the store.

--- a/review/stand_ins_2/deployment.hpp
+++ b/review/stand_ins_2/deployment.hpp
@@ -10,14 +10,17 @@
 struct run_entry {
   std::string id;
   std::string service;
+  std::string worker;
   std::int64_t at_ms = 0;
 };
 
 class run_log {
  public:
-  void Add(const std::string& id, const std::string& service) {
+  void Add(const std::string& id,
+           const std::string& service,
+           const std::string& worker) {
     std::lock_guard lock(mutex_);
-    runs_.push_back({id, service, NowMs()});
+    runs_.push_back({id, service, worker, NowMs()});
   }
   std::vector<run_entry> All() const {
     std::lock_guard lock(mutex_);
@@ -71,7 +74,7 @@
           return;
         continue;
       }
-      runs_.Add(request_id, service_);
+      runs_.Add(request_id, service_, id_);
       SleepMs(15);
       headers.push_back({"X-Wisteriatally-Response-Signature", id_});
       headers.push_back({"Keep-Alive", "timeout=5"});
@@ -87,6 +90,41 @@
   server server_;
 };
 
+// The configuration of a deployment with one plain service and one open route.
+inline std::string PlainConfiguration(const std::string& host,
+                                      const std::string& kind,
+                                      std::int64_t timeout_ms) {
+  return json{{"version", 10},
+              {"routes",
+               {{{"name", "r-plain"},
+                 {"hostname", host},
+                 {"path_prefix", "/plain/"},
+                 {"kind", kind},
+                 {"timeout_ms", timeout_ms},
+                 {"target_latency_ms", 300},
+                 {"priority", 2},
+                 {"service", "plain"},
+                 {"max_attempts", 1},
+                 {"allow_anonymous", true},
+                 {"session_affinity", false},
+                 {"stream_resume", false},
+                 {"target_gap_ms", 180}}}},
+              {"services",
+               {{{"name", "plain"},
+                 {"health_path", "/health"},
+                 {"max_connections", 110},
+                 {"protocol", "h1"},
+                 {"tls", false},
+                 {"cold_start_s", 0.0},
+                 {"cold_per_s", 0.0}}}},
+              {"limits",
+               {{"max_header_bytes", 16384},
+                {"max_body_bytes", 4194304},
+                {"header_timeout_ms", 3000},
+                {"idle_timeout_ms", 15000}}}}
+      .dump();
+}
+
 // Asks each gateway once a second whether it is ready, and chooses one for a
 // new channel as PROTOCOL.md says under "Ingress".
 class balancer {
--- a/review/stand_ins_2/kit.hpp
+++ b/review/stand_ins_2/kit.hpp
@@ -452,7 +452,8 @@
 
   // One machine's way to the store.
   struct entrance {
-    std::atomic<bool> refuses = false;  // Answers 503 to this machine.
+    std::atomic<bool> refuses = false;    // Answers 503 to this machine.
+    std::atomic<bool> is_silent = false;  // Doesn't answer this machine.
     std::atomic<std::int64_t> watches = 0;
     std::atomic<std::int64_t> refusals = 0;
   };
@@ -553,6 +554,12 @@
       if (!ReadHead(*caller, request, 1 << 30) ||
           !ReadBody(*caller, request, 1 << 30))
         return;
+      // An answer that is held back never comes.
+      while (through && through->is_silent) {
+        SleepMs(20);
+        if (caller->IsGone())
+          return;
+      }
       if (through && through->refuses) {
         ++through->refusals;
         if (!caller->Write(Response(503, {}, "")))
@@ -562,6 +569,11 @@
       if (through && request.Target().starts_with("/kv-watch"))
         ++through->watches;
       const auto [status, body] = Answer(request, *caller, through);
+      while (through && through->is_silent) {
+        SleepMs(20);
+        if (caller->IsGone())
+          return;
+      }
       if (!caller->Write(
               Response(status, {{"Content-Type", "application/json"}}, body)))
         return;
