Move the HTTP codec into framework/http

The client of the entry instance's own interface lies in framework/http, which framework/net depends on, so it cannot use it there.

--- a/src/framework/net/http_codec.h
+++ b/src/framework/http/http_codec.h
@@ -1,5 +1,5 @@
-#ifndef FRAMEWORK_NET_HTTP_CODEC_H_
-#define FRAMEWORK_NET_HTTP_CODEC_H_
+#ifndef FRAMEWORK_HTTP_HTTP_CODEC_H_
+#define FRAMEWORK_HTTP_HTTP_CODEC_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -153,4 +153,4 @@
 
 }  // namespace wist
 
-#endif  // FRAMEWORK_NET_HTTP_CODEC_H_
+#endif  // FRAMEWORK_HTTP_HTTP_CODEC_H_
--- a/src/framework/net/internal/http_codec.cc
+++ b/src/framework/http/internal/http_codec.cc
@@ -1,4 +1,4 @@
-#include "framework/net/http_codec.h"
+#include "framework/http/http_codec.h"
 
 #include <fmt/format.h>
 
--- a/src/framework/net/tests/http_codec_fuzz_test.cc
+++ b/src/framework/http/tests/http_codec_fuzz_test.cc
@@ -2,7 +2,7 @@
 
 #include <random>
 
-#include "framework/net/http_codec.h"
+#include "framework/http/http_codec.h"
 
 using namespace wist;
 
--- a/src/framework/net/tests/http_codec_test.cc
+++ b/src/framework/http/tests/http_codec_test.cc
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include "framework/net/http_codec.h"
+#include "framework/http/http_codec.h"
 
 using namespace wist;
 
--- a/src/framework/net/buffered_call.h
+++ b/src/framework/net/buffered_call.h
@@ -7,7 +7,7 @@
 #include <optional>
 #include <string>
 
-#include "framework/net/http_codec.h"
+#include "framework/http/http_codec.h"
 #include "framework/net/i_http_caller.h"
 #include "framework/net/i_scheduler.h"
 
--- a/src/framework/net/i_http_caller.h
+++ b/src/framework/net/i_http_caller.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-#include "framework/net/http_codec.h"
+#include "framework/http/http_codec.h"
 #include "framework/net/i_channel.h"
 #include "framework/net/i_scheduler.h"
 
--- a/src/framework/net/short_request_server.h
+++ b/src/framework/net/short_request_server.h
@@ -6,7 +6,7 @@
 #include <list>
 #include <memory>
 
-#include "framework/net/http_codec.h"
+#include "framework/http/http_codec.h"
 #include "framework/net/i_channel.h"
 
 namespace wist {
--- a/src/framework/net/tests/buffered_call_test.cc
+++ b/src/framework/net/tests/buffered_call_test.cc
@@ -2,8 +2,8 @@
 
 #include <stdexcept>
 
+#include "framework/http/http_codec.h"
 #include "framework/net/buffered_call.h"
-#include "framework/net/http_codec.h"
 #include "framework/net/tests/mocks/scripted_connector.h"
 #include "framework/net/tests/mocks/virtual_scheduler.h"
 
--- a/src/gateway/gateway_types.h
+++ b/src/gateway/gateway_types.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "directory/directory_types.h"
-#include "framework/net/http_codec.h"
+#include "framework/http/http_codec.h"
 #include "verdict/verdict_types.h"
 
 namespace wist {
--- a/src/gateway/internal/status_listener.cc
+++ b/src/gateway/internal/status_listener.cc
@@ -1,6 +1,6 @@
 #include "gateway/internal/status_listener.h"
 
-#include "framework/net/http_codec.h"
+#include "framework/http/http_codec.h"
 
 namespace wist {
 namespace {
--- a/src/peers/mirror_server.h
+++ b/src/peers/mirror_server.h
@@ -8,7 +8,7 @@
 #include <string>
 
 #include "follower/store_mirror.h"
-#include "framework/net/http_codec.h"
+#include "framework/http/http_codec.h"
 #include "framework/net/i_channel.h"
 #include "framework/net/i_scheduler.h"
 #include "framework/net/short_request_server.h"
--- a/src/peers/tests/decoder_allocation_test.cc
+++ b/src/peers/tests/decoder_allocation_test.cc
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "framework/net/http_codec.h"
+#include "framework/http/http_codec.h"
 #include "peers/internal/page_codec.h"
 #include "peers/peer_report.h"
 #include "streams/event_splitter.h"
--- a/src/peers/tests/mocks/mirror_responses.h
+++ b/src/peers/tests/mocks/mirror_responses.h
@@ -3,7 +3,7 @@
 
 #include <string>
 
-#include "framework/net/http_codec.h"
+#include "framework/http/http_codec.h"
 #include "peers/internal/page_codec.h"
 
 namespace wist {
