Split the reader of responses from the HTTP codec

Change: the reader of responses has a file of its own; what it shares with the reader of requests is in internal/beast_message.h. No logic changes.

--- /dev/null
+++ b/src/framework/http/internal/http_response_reader.cc
@@ -0,0 +1,139 @@
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include "framework/http/http_codec.h"
+#include "framework/http/internal/beast_message.h"
+
+namespace wist {
+namespace {
+
+namespace http = boost::beast::http;
+namespace asio = boost::asio;
+
+class response_reader final : public i_http_response_reader {
+ public:
+  explicit response_reader(const http_reader_limits& limits)
+      : max_header_bytes_(limits.max_header_bytes) {
+    parser_.header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
+    parser_.body_limit(limits.max_body_bytes);
+    parser_.eager(true);
+  }
+
+  std::size_t Feed(std::string_view bytes) override {
+    if (state_ == response_state::complete ||
+        state_ == response_state::malformed)
+      return 0;
+    if (state_ == response_state::head_missing)
+      return FeedHead(bytes);
+    return FeedBody(bytes);
+  }
+
+  void FeedEnd() override {
+    if (state_ != response_state::body_missing)
+      return;
+    boost::system::error_code error;
+    parser_.put_eof(error);
+    state_ = error ? response_state::malformed : response_state::complete;
+  }
+
+  response_state state() const override { return state_; }
+  const http_response_head& head() const override { return head_; }
+
+  std::string TakeBody() override {
+    std::string taken;
+    taken.swap(parser_.get().body());
+    return taken;
+  }
+
+ private:
+  // The parser gets the whole head at once, so that the result does not depend
+  // on how the bytes are split.
+  std::size_t FeedHead(std::string_view bytes) {
+    head_bytes_.append(bytes);
+    const std::size_t end = head_bytes_.find(kHeadEnd);
+    if (end == std::string::npos) {
+      if (head_bytes_.size() > max_header_bytes_)
+        state_ = response_state::malformed;
+      return bytes.size();
+    }
+    const std::string head = head_bytes_.substr(0, end + kHeadEnd.size());
+    const std::size_t taken = bytes.size() - (head_bytes_.size() - head.size());
+    head_bytes_.clear();
+    if (!ParseHead(head)) {
+      state_ = response_state::malformed;
+      return bytes.size();
+    }
+    head_.status = static_cast<int>(parser_.get().result_int());
+    head_.headers = CopyHeaders(parser_.get());
+    head_.keep_alive = parser_.get().keep_alive();
+    if (parser_.is_done()) {
+      state_ = response_state::complete;
+      return taken;
+    }
+    state_ = response_state::body_missing;
+    return taken + FeedBody(bytes.substr(taken));
+  }
+
+  // Returns whether the parser accepted the whole head.
+  bool ParseHead(const std::string& head) {
+    std::size_t parsed_size = 0;
+    while (parsed_size < head.size()) {
+      boost::system::error_code error;
+      const std::size_t taken = parser_.put(
+          asio::buffer(head.data() + parsed_size, head.size() - parsed_size),
+          error);
+      parsed_size += taken;
+      if (error && error != http::error::need_more)
+        return false;
+      if (taken == 0)
+        break;
+    }
+    return parsed_size == head.size() && parser_.is_header_done();
+  }
+
+  std::size_t FeedBody(std::string_view bytes) {
+    std::string_view rest = bytes;
+    if (!unparsed_bytes_.empty()) {
+      unparsed_bytes_.append(bytes);
+      rest = unparsed_bytes_;
+    }
+    std::size_t total = 0;
+    while (total < rest.size() && !parser_.is_done()) {
+      boost::system::error_code error;
+      const std::size_t parsed_size = parser_.put(
+          asio::buffer(rest.data() + total, rest.size() - total), error);
+      total += parsed_size;
+      if (error && error != http::error::need_more) {
+        state_ = response_state::malformed;
+        return bytes.size();
+      }
+      if (parsed_size == 0 || error == http::error::need_more)
+        break;
+    }
+    if (parser_.is_done()) {
+      state_ = response_state::complete;
+      const std::size_t left = rest.size() - total;
+      return bytes.size() - left;
+    }
+    unparsed_bytes_ = std::string(rest.substr(total));
+    if (unparsed_bytes_.size() > max_header_bytes_)
+      state_ = response_state::malformed;
+    return bytes.size();
+  }
+
+  const std::size_t max_header_bytes_;
+  http::response_parser<growing_body> parser_;
+  response_state state_ = response_state::head_missing;
+  http_response_head head_;
+  std::string head_bytes_;
+  std::string unparsed_bytes_;  // Bytes of an incomplete chunk header.
+};
+
+}  // namespace
+
+std::unique_ptr<i_http_response_reader> MakeHttpResponseReader(
+    const http_reader_limits& limits) {
+  return std::make_unique<response_reader>(limits);
+}
+
+}  // namespace wist
