Reject responses whose status code is not between 100 and 599

What callers saw: a target in trouble sent a response with status 000, and its caller got it as the response, as a failure of the target. With a header that states "not run", a call that may run once would go to a second target.

Cause: Beast accepts any three digits as a status code, and the reader of responses did not check the range (RFC 9110, section 15). The dialect takes each status that is no success for a failure that the target reports.

Fix: the reader, which all calls of the gateway use, takes such a head for malformed. What follows is what a broken target gets already: a retry where that is permitted, else 502 or an aborted channel, and a failed run of the target.

The tests also hold forms that were rejected before: status lines outside the grammar, blanks in and after the name of a field, control bytes, chunks. Unusual responses that are valid are still read byte for byte.

--- a/src/framework/http/internal/http_response_reader.cc
+++ b/src/framework/http/internal/http_response_reader.cc
@@ -10,6 +10,11 @@
 namespace http = boost::beast::http;
 namespace asio = boost::asio;
 
+// Other codes of three digits are not defined (RFC 9110, section 15). Beast
+// accepts them.
+constexpr unsigned kMinStatusCode = 100;
+constexpr unsigned kMaxStatusCode = 599;
+
 class response_reader final : public i_http_response_reader {
  public:
   explicit response_reader(const http_reader_limits& limits)
@@ -74,7 +79,7 @@
     return taken + FeedBody(bytes.substr(taken));
   }
 
-  // Returns whether the parser accepted the whole head.
+  // Returns whether the whole head is valid.
   bool ParseHead(const std::string& head) {
     std::size_t parsed_size = 0;
     while (parsed_size < head.size()) {
@@ -88,7 +93,13 @@
       if (taken == 0)
         break;
     }
-    return parsed_size == head.size() && parser_.is_header_done();
+    return parsed_size == head.size() && parser_.is_header_done() &&
+           HasValidStatusCode();
+  }
+
+  bool HasValidStatusCode() const {
+    const unsigned code = parser_.get().result_int();
+    return code >= kMinStatusCode && code <= kMaxStatusCode;
   }
 
   std::size_t FeedBody(std::string_view bytes) {
--- /dev/null
+++ b/src/framework/http/tests/invalid_response_test.cc
@@ -0,0 +1,177 @@
+#include <catch2/catch.hpp>
+
+#include <string>
+
+#include "framework/http/http_codec.h"
+
+// Guards against bytes of a target in trouble that are handed to a caller as a
+// response.
+
+using namespace wist;
+
+namespace {
+
+constexpr http_reader_limits kLimits{4096, 4096};
+
+response_state StateAfter(const std::string& bytes) {
+  const auto reader = MakeHttpResponseReader(kLimits);
+  reader->Feed(bytes);
+  return reader->state();
+}
+
+std::string WithStatusLine(const std::string& line) {
+  return line + "\r\nContent-Length: 2\r\n\r\nok";
+}
+
+std::string WithFields(const std::string& lines) {
+  return "HTTP/1.1 200 OK\r\n" + lines + "\r\nok";
+}
+
+}  // namespace
+
+TEST_CASE("a status code outside 100 to 599 is no response") {
+  for (const char* code : {"000", "001", "099", "600", "777", "999"}) {
+    INFO(code);
+    CHECK(StateAfter(WithStatusLine("HTTP/1.1 " + std::string(code) + " X")) ==
+          response_state::malformed);
+  }
+  for (const char* code : {"200", "299", "304", "418", "599"}) {
+    INFO(code);
+    CHECK(StateAfter(WithStatusLine("HTTP/1.1 " + std::string(code) + " X")) !=
+          response_state::malformed);
+  }
+}
+
+TEST_CASE("a status line outside the grammar is no response") {
+  for (const char* line : {"HTTP/1.1 20 OK",
+                           "HTTP/1.1 2000 OK",
+                           "HTTP/1.1 2x0 OK",
+                           "HTTP/1.1 -20 OK",
+                           "HTTP/1.1 +20 OK",
+                           "HTTP/1.1  200 OK",
+                           "HTTP/1.1 200",
+                           "HTTP/1.1\t200 OK",
+                           "HTTP/1.1 OK",
+                           "HTTP/1.1",
+                           "HTTP/2 200 OK",
+                           "HTTP/2.0 200 OK",
+                           "HTTP/0.9 200 OK",
+                           "HTTP/1 200 OK",
+                           "http/1.1 200 OK",
+                           "HTTP 200 OK",
+                           "200 OK",
+                           " HTTP/1.1 200 OK",
+                           "\r\nHTTP/1.1 200 OK",
+                           "HTTP/1.1 200 O\x01K",
+                           "HTTP/1.1 200 O\x7fK",
+                           "HTTP/1.1 200 O\rK",
+                           "HTTP/1.1 200 O\nK"}) {
+    INFO(line);
+    CHECK(StateAfter(WithStatusLine(line)) == response_state::malformed);
+  }
+  const std::string nul("HTTP/1.1 200 O\0K", 16);
+  CHECK(StateAfter(WithStatusLine(nul)) == response_state::malformed);
+}
+
+TEST_CASE("a field name with a blank or a control byte is no response") {
+  for (const std::string name :
+       {"X Y", "X ", "X\t", "X\tY", "X\x01Y", "\x01X", "X\x1f", "X\x7f", "X\rY",
+        "X\nY", "X(Y", "X/Y", "X\"Y", "X,Y", "X{Y", "X\xc3Y", "X\xffY", "",
+        "X\x0bY"}) {
+    for (const std::string before : {"", "A: b\r\n"}) {
+      INFO(before + name);
+      CHECK(StateAfter(
+                WithFields(before + name + ": 1\r\nContent-Length: 2\r\n")) ==
+            response_state::malformed);
+    }
+  }
+  const std::string nul("X\0Y: 1\r\nContent-Length: 2\r\n", 27);
+  CHECK(StateAfter(WithFields(nul)) == response_state::malformed);
+  CHECK(StateAfter(WithFields("no colon\r\nContent-Length: 2\r\n")) ==
+        response_state::malformed);
+}
+
+TEST_CASE("a control byte in a field value is no response") {
+  for (const std::string value :
+       {"a\x01", "a\x7f", "a\rb", "a\nb", "a\x0b", "a\x1b[2J"}) {
+    INFO(value);
+    CHECK(StateAfter(WithFields("X: " + value + "\r\nContent-Length: 2\r\n")) ==
+          response_state::malformed);
+  }
+  const std::string nul("X: a\0b\r\nContent-Length: 2\r\n", 27);
+  CHECK(StateAfter(WithFields(nul)) == response_state::malformed);
+}
+
+TEST_CASE("a chunk outside the grammar is no response") {
+  for (const char* body :
+       {"x\r\nok\r\n0\r\n\r\n",
+        "-2\r\nok\r\n0\r\n\r\n",
+        "+2\r\nok\r\n0\r\n\r\n",
+        " 2\r\nok\r\n0\r\n\r\n",
+        "2 \r\nok\r\n0\r\n\r\n",
+        "0x2\r\nok\r\n0\r\n\r\n",
+        "2\r\nokk\r\n0\r\n\r\n",
+        "2\r\nok0\r\n\r\n",
+        "\r\nok\r\n0\r\n\r\n",
+        "2;\r\nok\r\n0\r\n\r\n",
+        "2;a=\r\nok\r\n0\r\n\r\n",
+        "2 a\r\nok\r\n0\r\n\r\n",
+        "2;a\rb\r\nok\r\n0\r\n\r\n",
+        "10000000000000000\r\nok\r\n0\r\n\r\n",
+        "2\r\nok\r\n0\r\nX Y: 1\r\n\r\n",
+        "2\r\nok\r\n0\r\n X: 1\r\n\r\n",
+        "2\r\nok\r\n0\r\nX : 1\r\n\r\n",
+        "2\r\nok\r\n0\r\nX: \x01\r\n\r\n",
+        "2\r\nok\r\n0\r\nno colon\r\n\r\n",
+        "2\r\nok\r\n0\r\nContent-Length: 2\r\n\r\n",
+        "2\r\nok\r\n0\r\nTransfer-Encoding: chunked\r\n\r\n"}) {
+    INFO(body);
+    const std::string bytes =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+        std::string(body);
+    CHECK(StateAfter(bytes) == response_state::malformed);
+    const auto reader = MakeHttpResponseReader(kLimits);
+    for (const char byte : bytes)
+      reader->Feed(std::string(1, byte));
+    CHECK(reader->state() == response_state::malformed);
+  }
+}
+
+// Valid, though some servers never send it.
+TEST_CASE("unusual responses are read byte for byte") {
+  const std::string body("\0\r\n\xff", 4);
+  for (const char* head :
+       {"HTTP/1.1 200 \r\nContent-Length: 4\r\n\r\n",
+        "HTTP/1.1 299 \xc3\xa9t\xe9 \t!\r\nContent-Length: 4\r\n\r\n",
+        "HTTP/1.0 200 OK\r\nContent-Length: 4\r\n\r\n",
+        "HTTP/1.0 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ncONTENT-lENGTH:4\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: \t 004 \t\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 4, 4\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 4\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nX:\r\nY: \r\nZ: \xff\t\xe9\r\n"
+        "!#$%&'*+-.^_`|~09aZ: 1\r\nContent-Length: 4\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nX: 1\r\nx: 2\r\nContent-Length: 4\r\n\r\n"}) {
+    INFO(head);
+    const auto reader = MakeHttpResponseReader(kLimits);
+    reader->Feed(head + body);
+    reader->FeedEnd();
+    CHECK(reader->state() == response_state::complete);
+    CHECK(reader->TakeBody() == body);
+  }
+  for (const char* coding : {"chunked", "CHUNKED", " Chunked ", ", chunked,"}) {
+    for (const char* chunks :
+         {"4\r\n", "0004\r\n", "4;a\r\n", "4 ; a = \"b;c\" ;d=e\r\n"}) {
+      for (const char* trailers : {"", "X: 1\r\nY:\r\n"}) {
+        INFO(coding << chunks << trailers);
+        const auto reader = MakeHttpResponseReader(kLimits);
+        reader->Feed(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + std::string(coding) +
+            "\r\n\r\n" + chunks + body + "\r\n0\r\n" + trailers + "\r\n");
+        CHECK(reader->state() == response_state::complete);
+        CHECK(reader->TakeBody() == body);
+        CHECK(reader->head().headers.size() == 1);
+      }
+    }
+  }
+}
