Reject responses with folded header lines

What callers saw: a target in trouble sent a head in which the name of a field begins with a blank. Its caller got the response, with that line as a part of the line before it; where the line was "Content-Length" or "Transfer-Encoding", with a body that ends elsewhere than the target says.

Cause: after a first field, Beast takes a line that begins with a blank for the continuation of the one before (obs-fold) and joins them. Names that hold a blank or a control byte elsewhere are rejected by Beast; of these only the tests are new.

Evidence, before the fix: `http` accepts "A: b\r\n Content-Length: 2" as a response that ends with its channel; 11 checks of 13,795 fail.

Fix: the reader rejects them in the head, as the reader of requests does, and in the trailer section. RFC 9112, section 5.2, permits a gateway to answer 502 for them, and forbids servers to send them.

Result: all tests of `http` (13,795), `net` (566) and `gateway` (6,752) pass.

--- a/src/framework/http/internal/beast_message.h
+++ b/src/framework/http/internal/beast_message.h
@@ -51,8 +51,9 @@
   };
 };
 
-// Beast joins folded header lines. They are rejected here because other HTTP
-// implementations may parse the second line as a separate header.
+// Beast joins folded header lines. They are rejected because other HTTP
+// implementations may parse the second line as a separate header; a gateway may
+// reject them (RFC 9112, section 5.2).
 inline bool HasFoldedLine(std::string_view head) {
   for (std::size_t at = head.find('\n'); at != std::string_view::npos;
        at = head.find('\n', at + 1)) {
--- a/src/framework/http/internal/http_response_reader.cc
+++ b/src/framework/http/internal/http_response_reader.cc
@@ -1,6 +1,8 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <functional>
+
 #include "framework/http/http_codec.h"
 #include "framework/http/internal/beast_message.h"
 
@@ -22,6 +24,7 @@
     parser_.header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
     parser_.body_limit(limits.max_body_bytes);
     parser_.eager(true);
+    parser_.on_chunk_header(on_chunk_header_);
   }
 
   std::size_t Feed(std::string_view bytes) override {
@@ -64,7 +67,7 @@
     const std::string head = head_bytes_.substr(0, end + kHeadEnd.size());
     const std::size_t taken = bytes.size() - (head_bytes_.size() - head.size());
     head_bytes_.clear();
-    if (!ParseHead(head)) {
+    if (HasFoldedLine(head) || !ParseHead(head)) {
       state_ = response_state::malformed;
       return bytes.size();
     }
@@ -122,7 +125,9 @@
         break;
     }
     if (parser_.is_done()) {
-      state_ = response_state::complete;
+      const std::string_view parsed = rest.substr(0, total);
+      state_ = HasFoldedTrailer(parsed) ? response_state::malformed
+                                        : response_state::complete;
       const std::size_t left = rest.size() - total;
       return bytes.size() - left;
     }
@@ -132,8 +137,25 @@
     return bytes.size();
   }
 
+  // `input` ends with the response. The parser reads the trailer section at
+  // once, so that all of it is in there.
+  bool HasFoldedTrailer(std::string_view input) const {
+    return last_chunk_header_end_ &&
+           HasFoldedLine(input.substr(last_chunk_header_end_ - input.data()));
+  }
+
   const std::size_t max_header_bytes_;
   http::response_parser<growing_body> parser_;
+  // The end of the last chunk's header in the parser's input, once it is read.
+  const char* last_chunk_header_end_ = nullptr;
+  std::function<
+      void(std::uint64_t, boost::string_view, boost::system::error_code&)>
+      on_chunk_header_ = [this](std::uint64_t size,
+                                boost::string_view extensions,
+                                boost::system::error_code&) {
+        if (size == 0)
+          last_chunk_header_end_ = extensions.data() + extensions.size();
+      };
   response_state state_ = response_state::head_missing;
   http_response_head head_;
   std::string head_bytes_;
--- a/src/framework/http/tests/invalid_response_test.cc
+++ b/src/framework/http/tests/invalid_response_test.cc
@@ -75,9 +75,9 @@
 
 TEST_CASE("a field name with a blank or a control byte is no response") {
   for (const std::string name :
-       {"X Y", "X ", "X\t", "X\tY", "X\x01Y", "\x01X", "X\x1f", "X\x7f", "X\rY",
-        "X\nY", "X(Y", "X/Y", "X\"Y", "X,Y", "X{Y", "X\xc3Y", "X\xffY", "",
-        "X\x0bY"}) {
+       {"X Y",   "X ",    " X",    "\tX",    "X\t",    "X\tY", "X\x01Y",
+        "\x01X", "X\x1f", "X\x7f", "X\rY",   "X\nY",   "X(Y",  "X/Y",
+        "X\"Y",  "X,Y",   "X{Y",   "X\xc3Y", "X\xffY", "",     "X\x0bY"}) {
     for (const std::string before : {"", "A: b\r\n"}) {
       INFO(before + name);
       CHECK(StateAfter(
@@ -91,6 +91,18 @@
         response_state::malformed);
 }
 
+// The body of such a response would end elsewhere than its sender says.
+TEST_CASE("a blank in the name of the field that frames the body is found") {
+  for (const char* lines :
+       {"Content-Length : 2\r\n", " Content-Length: 2\r\n",
+        "A: b\r\n Content-Length: 2\r\n", "A: b\r\n\tContent-Length: 2\r\n",
+        "Content Length: 2\r\n", "Transfer-Encoding : chunked\r\n",
+        "A: b\r\n Transfer-Encoding: chunked\r\n"}) {
+    INFO(lines);
+    CHECK(StateAfter(WithFields(lines)) == response_state::malformed);
+  }
+}
+
 TEST_CASE("a control byte in a field value is no response") {
   for (const std::string value :
        {"a\x01", "a\x7f", "a\rb", "a\nb", "a\x0b", "a\x1b[2J"}) {
@@ -102,6 +114,17 @@
   CHECK(StateAfter(WithFields(nul)) == response_state::malformed);
 }
 
+// A line that begins with a blank continues the value of the one before it
+// (obs-fold), or is a field whose name begins with a blank.
+TEST_CASE("folded header lines are no response") {
+  for (const char* lines :
+       {"X: a\r\n b\r\nContent-Length: 2\r\n", "Content-Length: 2\r\n \r\n",
+        "Content-Length:\r\n 2\r\n", "X: a\r\n\tContent-Length: 2\r\n"}) {
+    INFO(lines);
+    CHECK(StateAfter(WithFields(lines)) == response_state::malformed);
+  }
+}
+
 TEST_CASE("a chunk outside the grammar is no response") {
   for (const char* body :
        {"x\r\nok\r\n0\r\n\r\n",
@@ -122,6 +145,7 @@
         "2\r\nok\r\n0\r\n X: 1\r\n\r\n",
         "2\r\nok\r\n0\r\nX : 1\r\n\r\n",
         "2\r\nok\r\n0\r\nX: \x01\r\n\r\n",
+        "2\r\nok\r\n0\r\nX: 1\r\n Y: 2\r\n\r\n",
         "2\r\nok\r\n0\r\nno colon\r\n\r\n",
         "2\r\nok\r\n0\r\nContent-Length: 2\r\n\r\n",
         "2\r\nok\r\n0\r\nTransfer-Encoding: chunked\r\n\r\n"}) {
--- a/src/gateway/tests/invalid_response_test.cc
+++ b/src/gateway/tests/invalid_response_test.cc
@@ -18,9 +18,10 @@
     heads.push_back("HTTP/1.1 " + std::string(code) + " X\r\n" + fields);
   for (const char* status : {"200 OK", "500 Oops", "503 Full"}) {
     const std::string start = "HTTP/1.1 " + std::string(status) + "\r\n";
-    for (const char* name : {"X Y", "X ", "X\x01", "X\x7fY"})
+    for (const char* name : {"X Y", "X ", " X", "\tX", "X\x01", "X\x7fY"})
       heads.push_back(start + fields + name + ": 1\r\n");
     heads.push_back(start + fields + "X: \x01\r\n");
+    heads.push_back(start + fields + "X: 1\r\n folded\r\n");
   }
   return heads;
 }
@@ -31,7 +32,8 @@
     responses.push_back(head + "Content-Length: 6\r\n\r\nsecret");
   for (const char* chunks :
        {"x\r\nsecret\r\n0\r\n\r\n", "6\r\nsecret!\r\n0\r\n\r\n",
-        "6\r\nsecret\r\n0\r\nX Y: 1\r\n\r\n"}) {
+        "6\r\nsecret\r\n0\r\nX Y: 1\r\n\r\n",
+        "6\r\nsecret\r\n0\r\nX: 1\r\n Y: 2\r\n\r\n"}) {
     responses.push_back("HTTP/1.1 200 OK\r\nId: r\r\n" + lines +
                         "Transfer-Encoding: chunked\r\n\r\n" + chunks);
   }
@@ -106,7 +108,8 @@
 }
 
 TEST_CASE("an invalid end of a stream is not passed on as its end") {
-  for (const char* end : {"x\r\n", "0\r\nX Y: 1\r\n\r\n"}) {
+  for (const char* end :
+       {"x\r\n", "0\r\nX Y: 1\r\n\r\n", "0\r\nX: 1\r\n Y: 2\r\n\r\n"}) {
     INFO(end);
     exchange_fixture f;
     f.SendStreamRequest();
