Reject responses with a transfer coding other than chunked

What callers saw: a response with "Transfer-Encoding: gzip" (or "gzip, chunked", "identity", an unknown word, nothing) reached its caller without that header, so that the coded bytes, or the chunks themselves, stood in for the body. Beside a coding that Beast does not know, a Content-Length was taken for the length.

Cause: Beast looks for "chunked" as the last coding only, and takes a body with any other one for one that ends with the channel.

Evidence, before the fix: 13 checks of 13,811 fail in `http`, 65 of 6,782 in `gateway`: HTTP/1.1 200 OK, Signed: 1, Transfer-Encoding: gzip, Content-Length: 6: CHECK( f.response().starts_with("HTTP/1.1 502") ) is false

Fix: "chunked" alone is valid, once and in HTTP/1.1, since the gateway asks for no other coding (RFC 9112, sections 6.1 and 7). Its case and empty elements of the list do not matter.

Result: all tests of `http` (13,810), `net` (566) and `gateway` (6,893) pass.

--- a/src/framework/http/internal/http_response_reader.cc
+++ b/src/framework/http/internal/http_response_reader.cc
@@ -1,7 +1,9 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <functional>
+#include <vector>
 
 #include "framework/http/http_codec.h"
 #include "framework/http/internal/beast_message.h"
@@ -17,6 +19,26 @@
 constexpr unsigned kMinStatusCode = 100;
 constexpr unsigned kMaxStatusCode = 599;
 
+// As Beast states it.
+constexpr unsigned kHttp11 = 11;
+
+// Returns the elements of a list without the blanks around them. Empty elements
+// are left out (RFC 9110, section 5.6.1).
+std::vector<std::string_view> ListElements(std::string_view list) {
+  constexpr std::string_view kBlanks = " \t";
+  std::vector<std::string_view> elements;
+  for (std::size_t begin = 0; begin <= list.size();) {
+    const std::size_t end = std::min(list.find(',', begin), list.size());
+    const std::size_t first = list.find_first_not_of(kBlanks, begin);
+    if (first < end) {
+      const std::size_t last = list.find_last_not_of(kBlanks, end - 1);
+      elements.push_back(list.substr(first, last - first + 1));
+    }
+    begin = end + 1;
+  }
+  return elements;
+}
+
 class response_reader final : public i_http_response_reader {
  public:
   explicit response_reader(const http_reader_limits& limits)
@@ -97,7 +119,7 @@
         break;
     }
     return parsed_size == head.size() && parser_.is_header_done() &&
-           HasValidStatusCode();
+           HasValidStatusCode() && HasValidTransferCodings();
   }
 
   bool HasValidStatusCode() const {
@@ -105,6 +127,27 @@
     return code >= kMinStatusCode && code <= kMaxStatusCode;
   }
 
+  // Requests ask for no transfer coding, so that only "chunked" is valid, once
+  // and not in HTTP/1.0 (RFC 9112, sections 6.1 and 7). Beast takes a body with
+  // other codings for one that ends with the channel.
+  bool HasValidTransferCodings() const {
+    const auto& message = parser_.get();
+    const auto [first, last] =
+        message.equal_range(http::field::transfer_encoding);
+    if (first == last)
+      return true;
+    std::size_t count = 0;
+    for (auto field = first; field != last; ++field) {
+      const boost::string_view value = field->value();
+      for (const auto coding : ListElements({value.data(), value.size()})) {
+        if (!SameHeaderName(coding, "chunked"))
+          return false;
+        ++count;
+      }
+    }
+    return count == 1 && message.version() >= kHttp11;
+  }
+
   std::size_t FeedBody(std::string_view bytes) {
     std::string_view rest = bytes;
     if (!unparsed_bytes_.empty()) {
--- a/src/framework/http/tests/invalid_response_test.cc
+++ b/src/framework/http/tests/invalid_response_test.cc
@@ -125,6 +125,27 @@
   }
 }
 
+TEST_CASE("a transfer coding that was not requested is no response") {
+  for (const char* lines :
+       {"Transfer-Encoding: gzip\r\n", "Transfer-Encoding: identity\r\n",
+        "Transfer-Encoding: chunked, gzip\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n",
+        "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: chunked, chunked\r\n",
+        "Transfer-Encoding: chunked;q=1\r\n", "Transfer-Encoding: xchunked\r\n",
+        "Transfer-Encoding: chunke\r\n", "Transfer-Encoding: \"chunked\"\r\n",
+        "Transfer-Encoding:\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: gzip\r\nContent-Length: 2\r\n",
+        "Content-Length: 2\r\nTransfer-Encoding: identity\r\n",
+        "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n"}) {
+    INFO(lines);
+    CHECK(StateAfter(WithFields(lines)) == response_state::malformed);
+  }
+  CHECK(StateAfter("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                   "2\r\nok\r\n0\r\n\r\n") == response_state::malformed);
+}
+
 TEST_CASE("a chunk outside the grammar is no response") {
   for (const char* body :
        {"x\r\nok\r\n0\r\n\r\n",
--- a/src/gateway/tests/invalid_response_test.cc
+++ b/src/gateway/tests/invalid_response_test.cc
@@ -22,6 +22,7 @@
       heads.push_back(start + fields + name + ": 1\r\n");
     heads.push_back(start + fields + "X: \x01\r\n");
     heads.push_back(start + fields + "X: 1\r\n folded\r\n");
+    heads.push_back(start + fields + "Transfer-Encoding: gzip\r\n");
   }
   return heads;
 }
