Reject responses with status 204 that state a body

What callers saw: a response "204 No Content" with a length or with chunks reached its caller without the body that its target had sent.

Cause: Beast ends such a response with its head, whatever its headers say. A server must not send these headers (RFC 9110, section 8.6; RFC 9112, section 6.1), so that either the status or the body is wrong.

Fix: the reader takes such a head for malformed. A length of 0 stays permitted, as it contradicts nothing, and so does the length of status 304.

--- a/src/framework/http/internal/http_response_reader.cc
+++ b/src/framework/http/internal/http_response_reader.cc
@@ -119,7 +119,8 @@
         break;
     }
     return parsed_size == head.size() && parser_.is_header_done() &&
-           HasValidStatusCode() && HasValidTransferCodings();
+           HasValidStatusCode() && HasValidTransferCodings() &&
+           (MayHaveBody() || !StatesBody());
   }
 
   bool HasValidStatusCode() const {
@@ -127,6 +128,16 @@
     return code >= kMinStatusCode && code <= kMaxStatusCode;
   }
 
+  // A response to a conditional request, with status 304, may state the length
+  // of the body that it leaves out (RFC 9110, section 8.6).
+  bool MayHaveBody() const {
+    return parser_.get().result() != http::status::no_content;
+  }
+
+  bool StatesBody() const {
+    return parser_.chunked() || parser_.content_length().value_or(0) > 0;
+  }
+
   // Requests ask for no transfer coding, so that only "chunked" is valid, once
   // and not in HTTP/1.0 (RFC 9112, sections 6.1 and 7). Beast takes a body with
   // other codings for one that ends with the channel.
--- a/src/framework/http/tests/invalid_response_test.cc
+++ b/src/framework/http/tests/invalid_response_test.cc
@@ -182,6 +182,19 @@
   }
 }
 
+TEST_CASE("a response whose status permits no body states none") {
+  for (const char* lines :
+       {"Content-Length: 2\r\n", "Transfer-Encoding: chunked\r\n"}) {
+    INFO(lines);
+    CHECK(StateAfter("HTTP/1.1 204 No Content\r\n" + std::string(lines) +
+                     "\r\n") == response_state::malformed);
+  }
+  CHECK(StateAfter("HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n") ==
+        response_state::complete);
+  CHECK(StateAfter("HTTP/1.1 304 Not Modified\r\nContent-Length: 2\r\n\r\n") ==
+        response_state::complete);
+}
+
 // Valid, though some servers never send it.
 TEST_CASE("unusual responses are read byte for byte") {
   const std::string body("\0\r\n\xff", 4);
--- a/src/gateway/tests/invalid_response_test.cc
+++ b/src/gateway/tests/invalid_response_test.cc
@@ -24,6 +24,7 @@
     heads.push_back(start + fields + "X: 1\r\n folded\r\n");
     heads.push_back(start + fields + "Transfer-Encoding: gzip\r\n");
   }
+  heads.push_back("HTTP/1.1 204 No Content\r\n" + fields);
   return heads;
 }
 
