Read past interim responses, and reject a switch of protocols

What callers saw: a target that sends an interim response first, for example "100 Continue" or "103 Early Hints", had it passed on as the response, and the response itself was thrown away with the channel. A "101 Switching Protocols" reached its caller, although nobody had asked for another protocol. A refusal beside one of them was believed.

Cause: the reader of responses ended with the first head, whatever its status (RFC 9110, sections 15.2 and 7.8).

Fix: the reader goes on with the next head after an interim one, which is held to the same rules; more than 100 are bytes without end. Interim responses are not passed on, since requests are collected before they are sent. Status 101 is malformed. A target that sends an interim response is served from now on.

--- a/src/framework/http/http_codec.h
+++ b/src/framework/http/http_codec.h
@@ -107,13 +107,15 @@
   malformed,
 };
 
-// Parses one response incrementally.
+// Parses one response incrementally, after the interim responses (1xx) that
+// come before it. A response that breaks a rule of RFC 9110 or RFC 9112 for its
+// status line, its fields, its framing or its trailers is malformed.
 class i_http_response_reader {
  public:
   virtual ~i_http_response_reader() = default;
 
   // Consumes received bytes and returns how many of them belong to this
-  // response.
+  // response or to an interim response.
   virtual std::size_t Feed(std::string_view bytes) = 0;
 
   // Called when the channel was closed in an orderly way, which is the end of a
--- a/src/framework/http/internal/http_response_reader.cc
+++ b/src/framework/http/internal/http_response_reader.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <optional>
 #include <vector>
 
 #include "framework/http/http_codec.h"
@@ -19,6 +20,12 @@
 constexpr unsigned kMinStatusCode = 100;
 constexpr unsigned kMaxStatusCode = 599;
 
+// Lower ones are those of interim responses.
+constexpr unsigned kMinFinalStatusCode = 200;
+
+// Interim responses beyond this number are taken for bytes without end.
+constexpr int kMaxInterimResponses = 100;
+
 // As Beast states it.
 constexpr unsigned kHttp11 = 11;
 
@@ -41,28 +48,24 @@
 
 class response_reader final : public i_http_response_reader {
  public:
-  explicit response_reader(const http_reader_limits& limits)
-      : max_header_bytes_(limits.max_header_bytes) {
-    parser_.header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
-    parser_.body_limit(limits.max_body_bytes);
-    parser_.eager(true);
-    parser_.on_chunk_header(on_chunk_header_);
+  explicit response_reader(const http_reader_limits& limits) : limits_(limits) {
+    ResetParser();
   }
 
   std::size_t Feed(std::string_view bytes) override {
-    if (state_ == response_state::complete ||
-        state_ == response_state::malformed)
-      return 0;
-    if (state_ == response_state::head_missing)
-      return FeedHead(bytes);
-    return FeedBody(bytes);
+    std::size_t taken = 0;
+    while (state_ == response_state::head_missing && taken < bytes.size())
+      taken += FeedHead(bytes.substr(taken));
+    if (state_ == response_state::body_missing)
+      taken += FeedBody(bytes.substr(taken));
+    return taken;
   }
 
   void FeedEnd() override {
     if (state_ != response_state::body_missing)
       return;
     boost::system::error_code error;
-    parser_.put_eof(error);
+    parser_->put_eof(error);
     state_ = error ? response_state::malformed : response_state::complete;
   }
 
@@ -71,18 +74,26 @@
 
   std::string TakeBody() override {
     std::string taken;
-    taken.swap(parser_.get().body());
+    taken.swap(parser_->get().body());
     return taken;
   }
 
  private:
+  void ResetParser() {
+    parser_.emplace();
+    parser_->header_limit(static_cast<std::uint32_t>(limits_.max_header_bytes));
+    parser_->body_limit(limits_.max_body_bytes);
+    parser_->eager(true);
+    parser_->on_chunk_header(on_chunk_header_);
+  }
+
   // The parser gets the whole head at once, so that the result does not depend
   // on how the bytes are split.
   std::size_t FeedHead(std::string_view bytes) {
     head_bytes_.append(bytes);
     const std::size_t end = head_bytes_.find(kHeadEnd);
     if (end == std::string::npos) {
-      if (head_bytes_.size() > max_header_bytes_)
+      if (head_bytes_.size() > limits_.max_header_bytes)
         state_ = response_state::malformed;
       return bytes.size();
     }
@@ -93,15 +104,23 @@
       state_ = response_state::malformed;
       return bytes.size();
     }
-    head_.status = static_cast<int>(parser_.get().result_int());
-    head_.headers = CopyHeaders(parser_.get());
-    head_.keep_alive = parser_.get().keep_alive();
-    if (parser_.is_done()) {
+    if (IsInterim()) {
+      // A server may send it without being asked for it (RFC 9110, section
+      // 15.2). The response follows.
+      if (++interim_count_ > kMaxInterimResponses)
+        state_ = response_state::malformed;
+      ResetParser();
+      return taken;
+    }
+    head_.status = static_cast<int>(parser_->get().result_int());
+    head_.headers = CopyHeaders(parser_->get());
+    head_.keep_alive = parser_->get().keep_alive();
+    if (parser_->is_done()) {
       state_ = response_state::complete;
       return taken;
     }
     state_ = response_state::body_missing;
-    return taken + FeedBody(bytes.substr(taken));
+    return taken;
   }
 
   // Returns whether the whole head is valid.
@@ -109,7 +128,7 @@
     std::size_t parsed_size = 0;
     while (parsed_size < head.size()) {
       boost::system::error_code error;
-      const std::size_t taken = parser_.put(
+      const std::size_t taken = parser_->put(
           asio::buffer(head.data() + parsed_size, head.size() - parsed_size),
           error);
       parsed_size += taken;
@@ -118,31 +137,37 @@
       if (taken == 0)
         break;
     }
-    return parsed_size == head.size() && parser_.is_header_done() &&
+    return parsed_size == head.size() && parser_->is_header_done() &&
            HasValidStatusCode() && HasValidTransferCodings() &&
            (MayHaveBody() || !StatesBody());
   }
 
+  // No request asks for another protocol.
   bool HasValidStatusCode() const {
-    const unsigned code = parser_.get().result_int();
-    return code >= kMinStatusCode && code <= kMaxStatusCode;
+    const unsigned code = parser_->get().result_int();
+    return code >= kMinStatusCode && code <= kMaxStatusCode &&
+           parser_->get().result() != http::status::switching_protocols;
+  }
+
+  bool IsInterim() const {
+    return parser_->get().result_int() < kMinFinalStatusCode;
   }
 
   // A response to a conditional request, with status 304, may state the length
   // of the body that it leaves out (RFC 9110, section 8.6).
   bool MayHaveBody() const {
-    return parser_.get().result() != http::status::no_content;
+    return !IsInterim() && parser_->get().result() != http::status::no_content;
   }
 
   bool StatesBody() const {
-    return parser_.chunked() || parser_.content_length().value_or(0) > 0;
+    return parser_->chunked() || parser_->content_length().value_or(0) > 0;
   }
 
   // Requests ask for no transfer coding, so that only "chunked" is valid, once
   // and not in HTTP/1.0 (RFC 9112, sections 6.1 and 7). Beast takes a body with
   // other codings for one that ends with the channel.
   bool HasValidTransferCodings() const {
-    const auto& message = parser_.get();
+    const auto& message = parser_->get();
     const auto [first, last] =
         message.equal_range(http::field::transfer_encoding);
     if (first == last)
@@ -166,9 +191,9 @@
       rest = unparsed_bytes_;
     }
     std::size_t total = 0;
-    while (total < rest.size() && !parser_.is_done()) {
+    while (total < rest.size() && !parser_->is_done()) {
       boost::system::error_code error;
-      const std::size_t parsed_size = parser_.put(
+      const std::size_t parsed_size = parser_->put(
           asio::buffer(rest.data() + total, rest.size() - total), error);
       total += parsed_size;
       if (error && error != http::error::need_more) {
@@ -178,7 +203,7 @@
       if (parsed_size == 0 || error == http::error::need_more)
         break;
     }
-    if (parser_.is_done()) {
+    if (parser_->is_done()) {
       const std::string_view parsed = rest.substr(0, total);
       state_ = HasFoldedTrailer(parsed) ? response_state::malformed
                                         : response_state::complete;
@@ -186,7 +211,7 @@
       return bytes.size() - left;
     }
     unparsed_bytes_ = std::string(rest.substr(total));
-    if (unparsed_bytes_.size() > max_header_bytes_)
+    if (unparsed_bytes_.size() > limits_.max_header_bytes)
       state_ = response_state::malformed;
     return bytes.size();
   }
@@ -198,8 +223,9 @@
            HasFoldedLine(input.substr(last_chunk_header_end_ - input.data()));
   }
 
-  const std::size_t max_header_bytes_;
-  http::response_parser<growing_body> parser_;
+  const http_reader_limits limits_;
+  std::optional<http::response_parser<growing_body>> parser_;
+  int interim_count_ = 0;
   // The end of the last chunk's header in the parser's input, once it is read.
   const char* last_chunk_header_end_ = nullptr;
   std::function<
--- a/src/framework/http/tests/invalid_response_test.cc
+++ b/src/framework/http/tests/invalid_response_test.cc
@@ -195,6 +195,56 @@
         response_state::complete);
 }
 
+// Nobody has requested another protocol.
+TEST_CASE("a switch of protocols is no response") {
+  CHECK(StateAfter("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n"
+                   "Connection: upgrade\r\n\r\n") == response_state::malformed);
+}
+
+TEST_CASE("interim responses are not the response") {
+  const std::string interim =
+      "HTTP/1.1 100 Continue\r\n\r\n"
+      "HTTP/1.1 102 Processing\r\nX: 1\r\n\r\n"
+      "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+  CHECK(StateAfter(interim) == response_state::head_missing);
+  const std::string bytes = interim + WithFields("Content-Length: 2\r\n");
+  for (std::size_t step = 1; step <= bytes.size(); ++step) {
+    INFO(step);
+    const auto reader = MakeHttpResponseReader(kLimits);
+    std::string body;
+    for (std::size_t at = 0; at < bytes.size(); at += step) {
+      reader->Feed(bytes.substr(at, step));
+      body += reader->TakeBody();
+    }
+    CHECK(reader->state() == response_state::complete);
+    CHECK(reader->head().status == 200);
+    CHECK(reader->head().headers.size() == 1);
+    CHECK(body == "ok");
+  }
+}
+
+TEST_CASE("an interim response is held to the same rules") {
+  for (const char* interim :
+       {"HTTP/1.1 100 Continue\r\nX Y: 1\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\nX: 1\r\n Y: 2\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\nContent-Length: 2\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\nTransfer-Encoding: chunked\r\n\r\n"}) {
+    INFO(interim);
+    CHECK(StateAfter(interim + WithFields("Content-Length: 2\r\n")) ==
+          response_state::malformed);
+  }
+}
+
+TEST_CASE("interim responses without end are given up") {
+  const auto reader = MakeHttpResponseReader(kLimits);
+  int count = 0;
+  for (; reader->state() == response_state::head_missing && count < 10'000;
+       ++count)
+    reader->Feed("HTTP/1.1 102 Processing\r\n\r\n");
+  CHECK(reader->state() == response_state::malformed);
+  CHECK(count <= 1000);
+}
+
 // Valid, though some servers never send it.
 TEST_CASE("unusual responses are read byte for byte") {
   const std::string body("\0\r\n\xff", 4);
--- a/src/gateway/tests/invalid_response_test.cc
+++ b/src/gateway/tests/invalid_response_test.cc
@@ -25,6 +25,9 @@
     heads.push_back(start + fields + "Transfer-Encoding: gzip\r\n");
   }
   heads.push_back("HTTP/1.1 204 No Content\r\n" + fields);
+  heads.push_back("HTTP/1.1 101 Switching Protocols\r\n" + fields);
+  heads.push_back("HTTP/1.1 100 Continue\r\nX Y: 1\r\n\r\nHTTP/1.1 200 OK\r\n" +
+                  fields);
   return heads;
 }
 
@@ -193,3 +196,23 @@
   }
   CHECK(requests["p1"] < requests["p2"] / 2);
 }
+
+TEST_CASE("an interim response is not the response") {
+  const std::string interim =
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nId: q\r\n\r\n";
+  for (const char* path : {"/once/x", "/again/x"}) {
+    exchange_fixture f;
+    f.SendRequest(path);
+    f.target_channel().Receive(interim);
+    CHECK(f.response().empty());
+    f.target_channel().Receive(f.Response("200 OK", "done"));
+    CHECK(f.response().starts_with("HTTP/1.1 200 OK\r\n"));
+    CHECK(f.response().ends_with("\r\n\r\ndone"));
+    CHECK(f.target_channel().open());
+  }
+  exchange_fixture f;
+  f.SendStreamRequest();
+  f.target_channel().Receive(interim + f.StreamHead() + f.Event(1));
+  CHECK(f.response().starts_with("HTTP/1.1 200"));
+  CHECK(f.ResponseContains("id: 1"));
+}
