--- a/src/peers/tests/watch_sharing_test.cc
+++ b/src/peers/tests/watch_sharing_test.cc
@@ -85,6 +85,28 @@
   CHECK(f.direct.calls == 0);
 }
 
+// Guards against a page in bytes that are no response in HTTP.
+TEST_CASE("a parent whose response is invalid is replaced by the store") {
+  const std::string page = EncodePage(
+      watch_result(watch_page{{{"k", "v", 6}}, 6, milliseconds(40)}));
+  const std::string length =
+      "Content-Length: " + std::to_string(page.size()) + "\r\n\r\n";
+  for (const std::string head :
+       {"HTTP/1.1 000 X\r\n", "HTTP/1.1 999 X\r\n",
+        "HTTP/1.1 200 OK\r\nX Y: 1\r\n", "HTTP/1.1 200 OK\r\nX\x01: 1\r\n",
+        "HTTP/1.1 200 OK\r\nX: 1\r\n Y: 2\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n"}) {
+    INFO(head);
+    fixture f;
+    f.Watch();
+    f.connector.channels[0]->Receive(head + length + page);
+    CHECK(f.connector.channels[0]->aborted);
+    CHECK(f.direct.calls == 1);
+    REQUIRE(f.last_result);
+    CHECK(std::get<watch_page>(*f.last_result).changes.empty());
+  }
+}
+
 TEST_CASE("a parent that does not respond is replaced by the store in time") {
   fixture f;
   f.Watch();
