Let the reader of responses name the rule that a response breaks

Cause: the reader said only that a response is malformed, so that nobody could log or count why. Change: each place that rejects a response states the rule; errors of Beast are mapped to the same names.

--- a/src/framework/http/http_codec.h
+++ b/src/framework/http/http_codec.h
@@ -107,6 +107,25 @@
   malformed,
 };
 
+// What a response has to keep to; the sections are those of RFC 9112 unless
+// stated otherwise.
+enum class response_rule {
+  status_line,      // Section 4.
+  status_code,      // 100 to 599, and no switch of protocols (RFC 9110, 15).
+  field_line,       // Names and values, in the head and in trailers: section 5.
+  folded_line,      // Section 5.2.
+  content_length,   // Section 6.3, and none where there is no body.
+  transfer_coding,  // "chunked" only: sections 6.1 and 7.
+  chunk,            // Section 7.1.
+  interim_responses,  // A limited number of them.
+  head_size,          // Limits of the reader.
+  body_size,
+  complete,  // The connection ends after the response: section 8.
+};
+
+// Returns the name of the rule for logs and metrics.
+std::string_view ResponseRuleName(response_rule rule);
+
 // Parses one response incrementally, after the interim responses (1xx) that
 // come before it. A response that breaks a rule of RFC 9110 or RFC 9112 for its
 // status line, its fields, its framing or its trailers is malformed.
@@ -124,6 +143,9 @@
 
   virtual response_state state() const = 0;
 
+  // The first rule that the response breaks. Set if it is malformed.
+  virtual std::optional<response_rule> broken_rule() const = 0;
+
   // Valid in all states except `head_missing`; after `malformed` it may be
   // incomplete.
   virtual const http_response_head& head() const = 0;
--- a/src/framework/http/internal/http_response_reader.cc
+++ b/src/framework/http/internal/http_response_reader.cc
@@ -46,6 +46,29 @@
   return elements;
 }
 
+std::optional<response_rule> RuleOf(const boost::system::error_code& error) {
+  if (!error || error == http::error::need_more)
+    return std::nullopt;
+  if (error == http::error::bad_version || error == http::error::bad_reason)
+    return response_rule::status_line;
+  if (error == http::error::bad_status)
+    return response_rule::status_code;
+  if (error == http::error::bad_content_length)
+    return response_rule::content_length;
+  if (error == http::error::bad_transfer_encoding)
+    return response_rule::transfer_coding;
+  if (error == http::error::bad_chunk ||
+      error == http::error::bad_chunk_extension)
+    return response_rule::chunk;
+  if (error == http::error::header_limit)
+    return response_rule::head_size;
+  if (error == http::error::body_limit)
+    return response_rule::body_size;
+  if (error == http::error::partial_message)
+    return response_rule::complete;
+  return response_rule::field_line;
+}
+
 class response_reader final : public i_http_response_reader {
  public:
   explicit response_reader(const http_reader_limits& limits) : limits_(limits) {
@@ -66,10 +89,16 @@
       return;
     boost::system::error_code error;
     parser_->put_eof(error);
-    state_ = error ? response_state::malformed : response_state::complete;
+    if (error)
+      Reject(response_rule::complete);
+    else
+      state_ = response_state::complete;
   }
 
   response_state state() const override { return state_; }
+  std::optional<response_rule> broken_rule() const override {
+    return broken_rule_;
+  }
   const http_response_head& head() const override { return head_; }
 
   std::string TakeBody() override {
@@ -79,6 +108,11 @@
   }
 
  private:
+  void Reject(response_rule rule) {
+    state_ = response_state::malformed;
+    broken_rule_ = rule;
+  }
+
   void ResetParser() {
     parser_.emplace();
     parser_->header_limit(static_cast<std::uint32_t>(limits_.max_header_bytes));
@@ -94,21 +128,21 @@
     const std::size_t end = head_bytes_.find(kHeadEnd);
     if (end == std::string::npos) {
       if (head_bytes_.size() > limits_.max_header_bytes)
-        state_ = response_state::malformed;
+        Reject(response_rule::head_size);
       return bytes.size();
     }
     const std::string head = head_bytes_.substr(0, end + kHeadEnd.size());
     const std::size_t taken = bytes.size() - (head_bytes_.size() - head.size());
     head_bytes_.clear();
-    if (HasFoldedLine(head) || !ParseHead(head)) {
-      state_ = response_state::malformed;
+    if (const auto broken = ParseHead(head)) {
+      Reject(*broken);
       return bytes.size();
     }
     if (IsInterim()) {
       // A server may send it without being asked for it (RFC 9110, section
       // 15.2). The response follows.
       if (++interim_count_ > kMaxInterimResponses)
-        state_ = response_state::malformed;
+        Reject(response_rule::interim_responses);
       ResetParser();
       return taken;
     }
@@ -123,8 +157,8 @@
     return taken;
   }
 
-  // Returns whether the whole head is valid.
-  bool ParseHead(const std::string& head) {
+  // Returns the first rule that the head breaks.
+  std::optional<response_rule> ParseHead(const std::string& head) {
     std::size_t parsed_size = 0;
     while (parsed_size < head.size()) {
       boost::system::error_code error;
@@ -132,14 +166,23 @@
           asio::buffer(head.data() + parsed_size, head.size() - parsed_size),
           error);
       parsed_size += taken;
-      if (error && error != http::error::need_more)
-        return false;
+      if (const auto broken = RuleOf(error))
+        return broken;
       if (taken == 0)
         break;
     }
-    return parsed_size == head.size() && parser_->is_header_done() &&
-           HasValidStatusCode() && HasValidTransferCodings() &&
-           (MayHaveBody() || !StatesBody());
+    if (parsed_size != head.size() || !parser_->is_header_done())
+      return response_rule::field_line;
+    if (!HasValidStatusCode())
+      return response_rule::status_code;
+    if (HasFoldedLine(head))
+      return response_rule::folded_line;
+    if (!HasValidTransferCodings())
+      return response_rule::transfer_coding;
+    if (!MayHaveBody() && StatesBody())
+      return parser_->chunked() ? response_rule::transfer_coding
+                                : response_rule::content_length;
+    return std::nullopt;
   }
 
   // No request asks for another protocol.
@@ -196,8 +239,8 @@
       const std::size_t parsed_size = parser_->put(
           asio::buffer(rest.data() + total, rest.size() - total), error);
       total += parsed_size;
-      if (error && error != http::error::need_more) {
-        state_ = response_state::malformed;
+      if (const auto broken = RuleOf(error)) {
+        Reject(*broken);
         return bytes.size();
       }
       if (parsed_size == 0 || error == http::error::need_more)
@@ -205,14 +248,16 @@
     }
     if (parser_->is_done()) {
       const std::string_view parsed = rest.substr(0, total);
-      state_ = HasFoldedTrailer(parsed) ? response_state::malformed
-                                        : response_state::complete;
+      if (HasFoldedTrailer(parsed))
+        Reject(response_rule::folded_line);
+      else
+        state_ = response_state::complete;
       const std::size_t left = rest.size() - total;
       return bytes.size() - left;
     }
     unparsed_bytes_ = std::string(rest.substr(total));
     if (unparsed_bytes_.size() > limits_.max_header_bytes)
-      state_ = response_state::malformed;
+      Reject(response_rule::head_size);
     return bytes.size();
   }
 
@@ -237,6 +282,7 @@
           last_chunk_header_end_ = extensions.data() + extensions.size();
       };
   response_state state_ = response_state::head_missing;
+  std::optional<response_rule> broken_rule_;
   http_response_head head_;
   std::string head_bytes_;
   std::string unparsed_bytes_;  // Bytes of an incomplete chunk header.
@@ -244,6 +290,34 @@
 
 }  // namespace
 
+std::string_view ResponseRuleName(response_rule rule) {
+  switch (rule) {
+    case response_rule::status_line:
+      return "status_line";
+    case response_rule::status_code:
+      return "status_code";
+    case response_rule::field_line:
+      return "field_line";
+    case response_rule::folded_line:
+      return "folded_line";
+    case response_rule::content_length:
+      return "content_length";
+    case response_rule::transfer_coding:
+      return "transfer_coding";
+    case response_rule::chunk:
+      return "chunk";
+    case response_rule::interim_responses:
+      return "interim_responses";
+    case response_rule::head_size:
+      return "head_size";
+    case response_rule::body_size:
+      return "body_size";
+    case response_rule::complete:
+      return "complete";
+  }
+  return "";
+}
+
 std::unique_ptr<i_http_response_reader> MakeHttpResponseReader(
     const http_reader_limits& limits) {
   return std::make_unique<response_reader>(limits);
--- a/src/framework/http/tests/invalid_response_test.cc
+++ b/src/framework/http/tests/invalid_response_test.cc
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include <string>
+#include <vector>
 
 #include "framework/http/http_codec.h"
 
@@ -245,6 +246,56 @@
   CHECK(count <= 1000);
 }
 
+TEST_CASE("a malformed response names the rule that it breaks") {
+  struct row {
+    std::string bytes;
+    const char* rule;
+  };
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string interim = "HTTP/1.1 102 Processing\r\n\r\n";
+  std::string interims;
+  for (int i = 0; i < 200; ++i)
+    interims += interim;
+  for (const auto& [bytes, rule] : std::vector<row>{
+           {WithStatusLine("nonsense"), "status_line"},
+           {WithStatusLine("HTTP/2.0 200 OK"), "status_line"},
+           {WithStatusLine("HTTP/1.1 200 O\x01K"), "status_line"},
+           {WithStatusLine("HTTP/1.1 000 X"), "status_code"},
+           {WithStatusLine("HTTP/1.1 2x0 X"), "status_code"},
+           {WithStatusLine("HTTP/1.1 101 X"), "status_code"},
+           {WithFields("X Y: 1\r\n"), "field_line"},
+           {WithFields("X\x01: 1\r\n"), "field_line"},
+           {WithFields("X: \x01\r\n"), "field_line"},
+           {WithFields("no colon\r\n"), "field_line"},
+           {chunked + "0\r\nX Y: 1\r\n\r\n", "field_line"},
+           {WithFields("X: 1\r\n Y: 2\r\n"), "folded_line"},
+           {chunked + "0\r\nX: 1\r\n Y: 2\r\n\r\n", "folded_line"},
+           {WithFields("Content-Length: x\r\n"), "content_length"},
+           {WithFields("Content-Length: 1\r\nContent-Length: 2\r\n"),
+            "content_length"},
+           {"HTTP/1.1 204 X\r\nContent-Length: 2\r\n\r\n", "content_length"},
+           {WithFields("Transfer-Encoding: gzip\r\n"), "transfer_coding"},
+           {"HTTP/1.1 204 X\r\nTransfer-Encoding: chunked\r\n\r\n",
+            "transfer_coding"},
+           {chunked + "x\r\n", "chunk"},
+           {chunked + "1;\r\n", "chunk"},
+           {interims, "interim_responses"},
+           {WithFields("X: " + std::string(5000, 'x') + "\r\n"), "head_size"},
+           {WithFields("Content-Length: 5000\r\n"), "body_size"}}) {
+    INFO(bytes);
+    const auto reader = MakeHttpResponseReader(kLimits);
+    reader->Feed(bytes);
+    REQUIRE(reader->broken_rule());
+    CHECK(ResponseRuleName(*reader->broken_rule()) == rule);
+  }
+  const auto reader = MakeHttpResponseReader(kLimits);
+  reader->Feed("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no");
+  CHECK_FALSE(reader->broken_rule());
+  reader->FeedEnd();
+  CHECK(reader->broken_rule() == response_rule::complete);
+}
+
 // Valid, though some servers never send it.
 TEST_CASE("unusual responses are read byte for byte") {
   const std::string body("\0\r\n\xff", 4);
