Give up a generation whose target breaks off each response

What callers saw (own interface): a target that answers a resumed stream with 200 and then ends, or breaks off, before an event was asked again at once and without end. The caller's stream neither went on nor ended.

Cause: generation_stream::Next limits the time for a connection that is not opened, but not the responses that bring nothing.

Fix: after five responses in a row that broke off or ended without a further event the generation counts as lost; it may have run, and its target has not crashed. The first reconnection follows at once as before, later ones after 200 ms. A stall is no such response: the target may have a queue.

Result: `entry` passes; a stream that breaks after each event still goes on.

--- a/src/entry/internal/generation_stream.cc
+++ b/src/entry/internal/generation_stream.cc
@@ -22,6 +22,10 @@
 // time-outs, within one call of Reconnect.
 constexpr int kMaxConnectionFailures = 3;
 
+// The generation counts as lost after this many responses in a row that are
+// broken or end without a further event.
+constexpr int kMaxBrokenResponses = 5;
+
 }  // namespace
 
 generation_stream::generation_stream(i_http_client& client,
@@ -63,8 +67,10 @@
 
 stream_event generation_stream::Next() {
   for (;;) {
-    if (auto event = TryReadEvent())
+    if (auto event = TryReadEvent()) {
+      broken_responses_ = 0;
       return *event;
+    }
     Reconnect();
   }
 }
@@ -72,16 +78,30 @@
 std::optional<stream_event> generation_stream::TryReadEvent() {
   try {
     auto event = reader_->Next();
+    if (!event)
+      OnBrokenResponse("response ended without its last event");
     if (event && std::holds_alternative<token_event>(*event))
       ++offset_;
     return event;
-  } catch (const http_error&) {
+  } catch (const http_error& error) {
+    // A target that has no event yet stalls.
+    if (!error.timed_out())
+      OnBrokenResponse(error.what());
     return std::nullopt;
   } catch (const stream_protocol_error& error) {
     throw generation_lost(true, false, error.what());
   }
 }
 
+// A target that sends bytes has not crashed. The first reconnection follows at
+// once, so that a connection that broke once causes no pause.
+void generation_stream::OnBrokenResponse(const std::string& text) {
+  if (++broken_responses_ >= kMaxBrokenResponses)
+    throw generation_lost(true, false, text);
+  if (broken_responses_ > 1)
+    std::this_thread::sleep_for(kReconnectInterval);
+}
+
 void generation_stream::Reconnect() {
   const timestamp reconnect_deadline = clock_.Now() + kReconnectTimeout;
   http_request request;
--- a/src/entry/internal/generation_stream.h
+++ b/src/entry/internal/generation_stream.h
@@ -61,6 +61,7 @@
 
  private:
   std::optional<stream_event> TryReadEvent();
+  void OnBrokenResponse(const std::string& text);
   void Reconnect();
 
   i_http_client& client_;
@@ -69,6 +70,8 @@
   const std::string generation_;
   const stream_format format_;
   std::int64_t offset_ = 0;
+  // Responses in a row that were invalid or ended without a further event.
+  int broken_responses_ = 0;
   std::unique_ptr<i_http_stream> stream_;
   std::optional<event_reader> reader_;
 };
--- /dev/null
+++ b/src/entry/tests/generation_stream_test.cc
@@ -0,0 +1,133 @@
+#include <catch2/catch.hpp>
+
+#include <deque>
+#include <string>
+#include <utility>
+
+#include "entry/internal/generation_stream.h"
+#include "framework/base/tests/mocks/virtual_clock.h"
+
+// Guards against a generation that never ends, since its target breaks off each
+// response.
+
+using namespace wist;
+
+namespace {
+
+const http_error kBroken(true, false, "connection reset");
+
+// A response whose lines are scripted. It ends, or fails if there is an error.
+struct scripted_response {
+  int status = 200;
+  std::deque<std::string> lines;
+  std::optional<http_error> error;
+};
+
+class scripted_stream final : public i_http_stream {
+ public:
+  explicit scripted_stream(scripted_response response)
+      : response_(std::move(response)) {}
+
+  int status() const override { return response_.status; }
+
+  bool ReadLine(std::string& line) override {
+    if (response_.lines.empty()) {
+      if (response_.error)
+        throw http_error(*response_.error);
+      return false;
+    }
+    line = std::exchange(response_.lines.front(), {});
+    response_.lines.pop_front();
+    return true;
+  }
+
+ private:
+  scripted_response response_;
+};
+
+// Returns the scripted responses one after another, and the last one again.
+class scripted_client final : public i_http_client {
+ public:
+  http_response Call(const http_address&,
+                     const http_request&,
+                     timestamp) override {
+    throw http_error(kBroken);
+  }
+
+  std::unique_ptr<i_http_stream> Open(const http_address&,
+                                      const http_request&,
+                                      timestamp,
+                                      milliseconds) override {
+    ++open_count;
+    const scripted_response response = responses.front();
+    if (responses.size() > 1)
+      responses.pop_front();
+    if (response.status == 0)
+      throw http_error(*response.error);
+    return std::make_unique<scripted_stream>(response);
+  }
+
+  std::deque<scripted_response> responses;
+  int open_count = 0;
+};
+
+scripted_response Failed(const http_error& error) {
+  return {0, {}, error};
+}
+
+scripted_response Token(int offset) {
+  return {200, {"id: " + std::to_string(offset), "data: x", ""}, std::nullopt};
+}
+
+struct fixture {
+  void Start() { stream.Start({}, clock.Now() + seconds(2)); }
+
+  virtual_clock clock;
+  scripted_client client;
+  generation_stream stream{client, clock, {}, "g", stream_format::completion};
+};
+
+// Whether reading fails since the target crashed; nullopt if it does not fail.
+std::optional<bool> ReadUntilLost(fixture& f) {
+  try {
+    f.Start();
+    for (int i = 0; i < 100; ++i)
+      f.stream.Next();
+    return std::nullopt;
+  } catch (const generation_lost& lost) {
+    CHECK(lost.may_have_run());
+    return lost.target_crashed();
+  }
+}
+
+}  // namespace
+
+TEST_CASE("a target that accepts no connections has crashed") {
+  fixture f;
+  f.client.responses = {Failed(kBroken)};
+  CHECK(ReadUntilLost(f) == true);
+  CHECK(f.client.open_count < 10);
+}
+
+TEST_CASE("a target whose streams have no events is given up") {
+  for (const auto& error :
+       {std::optional<http_error>(), std::optional(kBroken)}) {
+    fixture f;
+    f.client.responses = {{200, {}, error}};
+    CHECK(ReadUntilLost(f) == false);
+    CHECK(f.client.open_count < 10);
+  }
+}
+
+TEST_CASE("a stream that breaks after each event goes on") {
+  fixture f;
+  for (int i = 0; i < 5; ++i) {
+    f.client.responses.push_back(Token(i));
+    f.client.responses.push_back({200, {}, kBroken});
+  }
+  f.client.responses.push_back({200, {"data: [DONE]", ""}, std::nullopt});
+  f.Start();
+  for (int i = 0; i < 5; ++i)
+    CHECK(std::get<token_event>(f.stream.Next()).offset == i);
+  CHECK(std::holds_alternative<stream_done>(f.stream.Next()));
+}
