Read responses in the own interface by the gateway's rules

What callers saw (own interface): a plain service in trouble sent a response with status 000, with a blank or a control byte in the name of a field, with folded lines, with a coding that nobody asked for, or one that broke off before its length or its last chunk. Callers got it as the response, a broken-off body as a whole one, with verdict "ran". An engine that answered so was said not to have run the generation.

Cause: the client reads responses with POCO, which takes any word for a version, any number for a status, any bytes up to a colon for a name, and the end of a connection for the end of a body.

Fix: the client sends and receives on a POCO socket, and the reader of the gateway's calls decides what a response is. Such a call fails as one that may have run: it is retried where that is permitted, else the caller gets 502. A target that sends such bytes has not crashed, so that no prompt is blamed for it.

The client used to open a second connection for each call, since POCO's session closes one that is not kept alive before it sends; it opens one now.

--- a/scenarios/library.lua
+++ b/scenarios/library.lua
@@ -62,6 +62,25 @@
     function() return get_json(plain_service_port(i), "/stats") end)
 end
 
+-- Starts a service that sends bytes as they are.
+function start_raw_service(name, port)
+  start(name, {build_directory .. "/stand_ins/stand_in_raw_service",
+    "--port", tostring(port)})
+  await("a raw service responds",
+    function() return get_json(port, "/requests") end)
+end
+
+-- `responses` maps paths to bytes, and "default" to those for other paths.
+function set_raw_responses(port, responses)
+  local fields = {}
+  for path, bytes in pairs(responses) do
+    local digits = bytes:gsub(".", function(c) return string.format("%02x", c:byte()) end)
+    fields[#fields + 1] = string.format('"%s":"%s"', path, digits)
+  end
+  expect(http(port, "POST", "/responses", "{" .. table.concat(fields, ",") .. "}") == 200,
+    "the raw service to accept its responses")
+end
+
 function start_entry(i, count, ...)
   local peers = {}
   for peer = 0, count - 1 do
--- a/src/entry/internal/generation_stream.cc
+++ b/src/entry/internal/generation_stream.cc
@@ -23,7 +23,7 @@
 constexpr int kMaxConnectionFailures = 3;
 
 // The generation counts as lost after this many responses in a row that are
-// broken or end without a further event.
+// invalid or end without a further event.
 constexpr int kMaxBrokenResponses = 5;
 
 }  // namespace
@@ -122,7 +122,10 @@
         return;
       }
     } catch (const http_error& error) {
-      if (!error.timed_out() && ++connection_failures >= kMaxConnectionFailures)
+      if (error.is_invalid_response())
+        OnBrokenResponse(error.what());
+      else if (!error.timed_out() &&
+               ++connection_failures >= kMaxConnectionFailures)
         throw generation_lost(true, true, error.what());
     }
     std::this_thread::sleep_for(kReconnectInterval);
--- a/src/entry/tests/generation_stream_test.cc
+++ b/src/entry/tests/generation_stream_test.cc
@@ -7,13 +7,14 @@
 #include "entry/internal/generation_stream.h"
 #include "framework/base/tests/mocks/virtual_clock.h"
 
-// Guards against a generation that never ends, since its target breaks off each
-// response.
+// Guards against a generation that never ends, or is blamed for a crash, since
+// its target sends bytes that are no response.
 
 using namespace wist;
 
 namespace {
 
+const http_error kInvalid(true, false, "invalid response", true);
 const http_error kBroken(true, false, "connection reset");
 
 // A response whose lines are scripted. It ends, or fails if there is an error.
@@ -102,6 +103,13 @@
 
 }  // namespace
 
+TEST_CASE("a target whose responses are invalid has not crashed") {
+  fixture f;
+  f.client.responses = {Failed(kInvalid)};
+  CHECK(ReadUntilLost(f) == false);
+  CHECK(f.client.open_count < 10);
+}
+
 TEST_CASE("a target that accepts no connections has crashed") {
   fixture f;
   f.client.responses = {Failed(kBroken)};
@@ -110,8 +118,8 @@
 }
 
 TEST_CASE("a target whose streams have no events is given up") {
-  for (const auto& error :
-       {std::optional<http_error>(), std::optional(kBroken)}) {
+  for (const auto& error : {std::optional<http_error>(),
+                            std::optional(kInvalid), std::optional(kBroken)}) {
     fixture f;
     f.client.responses = {{200, {}, error}};
     CHECK(ReadUntilLost(f) == false);
--- a/src/framework/http/http_types.h
+++ b/src/framework/http/http_types.h
@@ -50,18 +50,24 @@
  public:
   http_error(bool may_have_been_sent,
              bool timed_out,
-             const std::string& message)
+             const std::string& message,
+             bool is_invalid_response = false)
       : std::runtime_error(message),
         may_have_been_sent_(may_have_been_sent),
-        timed_out_(timed_out) {}
+        timed_out_(timed_out),
+        is_invalid_response_(is_invalid_response) {}
 
   // Whether the server may have received any byte of the request.
   bool may_have_been_sent() const { return may_have_been_sent_; }
   bool timed_out() const { return timed_out_; }
 
+  // Whether the server sent bytes that are no response in the protocol.
+  bool is_invalid_response() const { return is_invalid_response_; }
+
  private:
   bool may_have_been_sent_;
   bool timed_out_;
+  bool is_invalid_response_;
 };
 
 }  // namespace wist
--- a/src/framework/http/internal/poco_http_client.cc
+++ b/src/framework/http/internal/poco_http_client.cc
@@ -1,25 +1,23 @@
-#include <Poco/Net/HTTPClientSession.h>
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
-#include <Poco/StreamCopier.h>
+#include <Poco/Net/StreamSocket.h>
 #include <Poco/Timespan.h>
+#include <fmt/format.h>
+#include <sys/socket.h>
 
 #include <algorithm>
-#include <istream>
-#include <sstream>
+#include <array>
 
+#include "framework/http/http_codec.h"
 #include "framework/http/http_module.h"
 
 namespace wist {
 namespace {
 
-using Poco::Net::HTTPClientSession;
-using Poco::Net::HTTPRequest;
-using Poco::Net::HTTPResponse;
-
 constexpr milliseconds kMinTimeout{1};
+constexpr std::size_t kReadBufferBytes = 16'384;
+constexpr http_reader_limits kLimits{16'384,
+                                     http_reader_limits::kUnlimitedBody};
 
 Poco::Timespan ToTimespan(microseconds span) {
   return Poco::Timespan(std::max<microseconds>(span, kMinTimeout).count());
@@ -39,93 +37,92 @@
   }
 }
 
-HTTPRequest ToPocoRequest(const http_address& address,
+std::string EncodeRequest(const http_address& address,
                           const http_request& request) {
-  HTTPRequest poco_request(request.method, request.path, HTTPRequest::HTTP_1_1);
-  poco_request.setHost(address.host, address.port);
-  for (const http_header& header : request.headers)
-    poco_request.set(header.name, header.value);
-  if (!request.body.empty() || request.method != HTTPRequest::HTTP_GET) {
-    poco_request.setContentLength(
-        static_cast<std::streamsize>(request.body.size()));
-    poco_request.setContentType(request.content_type);
-  }
-  return poco_request;
-}
-
-std::vector<http_header> CopyHeaders(const HTTPResponse& response) {
-  std::vector<http_header> headers;
-  for (const auto& [name, value] : response)
-    headers.push_back({name, value});
-  return headers;
+  http_request_message message;
+  message.method = request.method;
+  message.target = request.path;
+  message.headers = {{"Host", fmt::format("{}:{}", address.host, address.port)},
+                     {"Connection", "close"}};
+  if (!request.body.empty() || request.method != "GET")
+    message.headers.push_back({"Content-Type", request.content_type});
+  message.headers.insert(message.headers.end(), request.headers.begin(),
+                         request.headers.end());
+  return EncodeHttpRequest(message, request.body);
 }
 
-// One HTTP request and its response, on a connection of its own.
+// One HTTP request and its response, on a connection of its own. The response
+// is read by the same rules as those to the gateway's calls.
 class http_exchange {
  public:
+  // Returns once the head of the response has arrived.
   http_exchange(const http_address& address,
                 const http_request& request,
                 microseconds time_left) {
     const Poco::Timespan timeout = ToTimespan(time_left);
-    session_.setTimeout(timeout, timeout, timeout);
-    session_.setHost(address.host);
-    session_.setPort(address.port);
-    TranslateErrors(/*may_have_been_sent=*/false,
-                    [&] { Connect(address, timeout); });
-    TranslateErrors(
-        /*may_have_been_sent=*/true,
-        [&] { Send(ToPocoRequest(address, request), request.body); });
+    // Connecting is separate from sending, so that a failed connection attempt
+    // is reported as one that sent no bytes.
+    TranslateErrors(/*may_have_been_sent=*/false, [&] {
+      socket_.connect(Poco::Net::SocketAddress(address.host, address.port),
+                      timeout);
+      socket_.setNoDelay(true);
+      socket_.setSendTimeout(timeout);
+      socket_.setReceiveTimeout(timeout);
+    });
     TranslateErrors(/*may_have_been_sent=*/true,
-                    [&] { body_ = &session_.receiveResponse(response_); });
+                    [&] { Send(EncodeRequest(address, request)); });
+    while (reader_->state() == response_state::head_missing)
+      Receive();
   }
 
-  HTTPClientSession& session() { return session_; }
-  const HTTPResponse& response() const { return response_; }
-  std::istream& body() { return *body_; }
-
-  // Called when no more body bytes can be read. Throws http_error if a network
-  // error ended the body, since the stream alone does not distinguish this
-  // from a complete body.
-  void CheckBodyComplete() {
-    const Poco::Exception* error = session_.networkException();
-    if (!error)
-      return;
-    const bool timed_out =
-        dynamic_cast<const Poco::TimeoutException*>(error) != nullptr;
-    throw http_error(/*may_have_been_sent=*/true, timed_out,
-                     error->displayText());
+  const http_response_head& head() const { return reader_->head(); }
+  bool IsComplete() const {
+    return reader_->state() == response_state::complete;
   }
+  std::string TakeBody() { return reader_->TakeBody(); }
 
- private:
-  // NOTE: Connecting is separate from sending, so that a failed connection
-  // attempt is reported as one that sent no bytes.
-  void Connect(const http_address& address, const Poco::Timespan& timeout) {
-    Poco::Net::StreamSocket socket;
-    socket.connect(Poco::Net::SocketAddress(address.host, address.port),
-                   timeout);
-    socket.setNoDelay(true);
-    session_.attachSocket(socket);
+  // Longest wait for the next bytes.
+  void SetReceiveTimeout(milliseconds timeout) {
+    socket_.setReceiveTimeout(ToTimespan(timeout));
   }
 
-  void Send(HTTPRequest request, const std::string& body) {
-    std::ostream& out = session_.sendRequest(request);
-    out << body << std::flush;
-    if (!out && session_.networkException())
-      session_.networkException()->rethrow();
+  // Reads the next bytes of the response. Throws http_error if they are invalid
+  // or if there are none. Bytes after the response belong to no request.
+  void Receive() {
+    std::array<char, kReadBufferBytes> buffer;
+    const int size = TranslateErrors(/*may_have_been_sent=*/true, [&] {
+      return socket_.receiveBytes(buffer.data(),
+                                  static_cast<int>(buffer.size()));
+    });
+    if (size > 0) {
+      reader_->Feed({buffer.data(), static_cast<std::size_t>(size)});
+      if (const auto rule = reader_->broken_rule()) {
+        throw http_error(
+            /*may_have_been_sent=*/true, /*timed_out=*/false,
+            fmt::format("invalid response, rule {}", ResponseRuleName(*rule)),
+            /*is_invalid_response=*/true);
+      }
+      return;
+    }
+    reader_->FeedEnd();
+    if (!IsComplete())
+      throw http_error(
+          /*may_have_been_sent=*/true, /*timed_out=*/false,
+          "connection was closed before the response was complete");
   }
 
-  // Makes the protected attachSocket accessible, to pass a connected socket.
-  class attachable_session : public HTTPClientSession {
-   public:
-    using HTTPClientSession::HTTPClientSession;
-    void attachSocket(const Poco::Net::StreamSocket& socket) {
-      HTTPSession::attachSocket(socket);
+ private:
+  void Send(const std::string& bytes) {
+    for (std::size_t sent = 0; sent < bytes.size();) {
+      sent += static_cast<std::size_t>(socket_.sendBytes(
+          bytes.data() + sent, static_cast<int>(bytes.size() - sent),
+          MSG_NOSIGNAL));
     }
-  };
+  }
 
-  attachable_session session_;
-  HTTPResponse response_;
-  std::istream* body_ = nullptr;
+  Poco::Net::StreamSocket socket_;
+  const std::unique_ptr<i_http_response_reader> reader_ =
+      MakeHttpResponseReader(kLimits);
 };
 
 class poco_http_stream final : public i_http_stream {
@@ -135,29 +132,46 @@
                    microseconds time_left,
                    milliseconds stall_limit)
       : exchange_(address, request, time_left) {
-    const Poco::Timespan timeout = ToTimespan(stall_limit);
-    exchange_.session().setTimeout(timeout, timeout, timeout);
-    exchange_.session().socket().setReceiveTimeout(timeout);
+    exchange_.SetReceiveTimeout(stall_limit);
   }
 
-  int status() const override { return exchange_.response().getStatus(); }
+  int status() const override { return exchange_.head().status; }
 
   bool ReadLine(std::string& line) override {
-    const bool has_line = TranslateErrors(
-        /*may_have_been_sent=*/true,
-        [&] { return !!std::getline(exchange_.body(), line); });
-    if (!has_line || exchange_.body().eof()) {
-      exchange_.CheckBodyComplete();
-      if (!has_line)
-        return false;
+    for (;;) {
+      unread_ += exchange_.TakeBody();
+      const std::size_t end = unread_.find('\n', searched_bytes_);
+      if (end != std::string::npos) {
+        TakeLine(end, 1, line);
+        return true;
+      }
+      if (exchange_.IsComplete())
+        break;
+      searched_bytes_ = unread_.size();
+      exchange_.Receive();
     }
-    if (!line.empty() && line.back() == '\r')
-      line.pop_back();
+    if (unread_.empty())
+      return false;
+    TakeLine(unread_.size(), 0, line);
     return true;
   }
 
  private:
+  void TakeLine(std::size_t size,
+                std::size_t terminator_size,
+                std::string& line) {
+    line.assign(unread_, 0, size);
+    unread_.erase(0, size + terminator_size);
+    searched_bytes_ = 0;
+    if (!line.empty() && line.back() == '\r')
+      line.pop_back();
+  }
+
   http_exchange exchange_;
+  // Body bytes that no line has returned yet.
+  std::string unread_;
+  // Leading bytes of it in which no line ends.
+  std::size_t searched_bytes_ = 0;
 };
 
 class poco_http_client final : public i_http_client {
@@ -169,16 +183,12 @@
                      const http_request& request,
                      timestamp deadline) override {
     http_exchange exchange(address, request, deadline - clock_->Now());
-    http_response response;
-    response.status = exchange.response().getStatus();
-    response.headers = CopyHeaders(exchange.response());
-    std::ostringstream body;
-    TranslateErrors(/*may_have_been_sent=*/true, [&] {
-      Poco::StreamCopier::copyStream(exchange.body(), body);
-    });
-    exchange.CheckBodyComplete();
-    response.body = body.str();
-    return response;
+    std::string body = exchange.TakeBody();
+    while (!exchange.IsComplete()) {
+      exchange.Receive();
+      body += exchange.TakeBody();
+    }
+    return {exchange.head().status, exchange.head().headers, std::move(body)};
   }
 
   std::unique_ptr<i_http_stream> Open(const http_address& address,
