Let headers of a request replace those that the client sets

Cause: since the client sends its own Host beside that of the request, as the scenarios of the gateway set one, and the gateway refuses two of them. Evidence: scenario invalid_responses timed out with "a request reaches a target". Fix: a header of the request replaces the one with the same name.

--- a/src/framework/http/internal/poco_http_client.cc
+++ b/src/framework/http/internal/poco_http_client.cc
@@ -37,6 +37,13 @@
   }
 }
 
+void SetHeader(http_request_message& message, const http_header& header) {
+  std::erase_if(message.headers, [&](const http_header& earlier) {
+    return SameHeaderName(earlier.name, header.name);
+  });
+  message.headers.push_back(header);
+}
+
 std::string EncodeRequest(const http_address& address,
                           const http_request& request) {
   http_request_message message;
@@ -44,10 +51,10 @@
   message.target = request.path;
   message.headers = {{"Host", fmt::format("{}:{}", address.host, address.port)},
                      {"Connection", "close"}};
+  for (const http_header& header : request.headers)
+    SetHeader(message, header);
   if (!request.body.empty() || request.method != "GET")
-    message.headers.push_back({"Content-Type", request.content_type});
-  message.headers.insert(message.headers.end(), request.headers.begin(),
-                         request.headers.end());
+    SetHeader(message, {"Content-Type", request.content_type});
   return EncodeHttpRequest(message, request.body);
 }
 
--- a/src/framework/http/tests/http_client_test.cc
+++ b/src/framework/http/tests/http_client_test.cc
@@ -128,6 +128,17 @@
         std::string::npos);
 }
 
+TEST_CASE("a header of the request replaces the one that the client sets") {
+  raw_server server("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  const std::shared_ptr<const i_clock> clock = MakeSystemClock();
+  const http_request request{.headers = {{"host", "h"}}};
+  MakeHttpClient(clock)->Call(server.address(), request,
+                              clock->Now() + kTimeout);
+  const std::string sent = server.Request();
+  CHECK(sent.find("\r\nhost: h\r\n") != std::string::npos);
+  CHECK(sent.find("Host: ") == std::string::npos);
+}
+
 TEST_CASE("an invalid response is an error of a call that may have run") {
   std::vector<std::string> all = kInvalidBodies;
   for (const std::string& head : kInvalidHeads)
