Log and count invalid responses by the rule that they break

Cause: an operator saw a failed request, and not that a target sends bytes that are no response, nor why they are none.

Change: both HTTP stacks report each invalid response in one place, with the name of the server and the id of the request that the call was made for; the dialect's rules (a signature, no content encoding) are reported beside them.

--- a/src/apps/wisteriatally/gateway_command.cc
+++ b/src/apps/wisteriatally/gateway_command.cc
@@ -37,13 +37,18 @@
       MakeStdoutLogger(log_level::info, settings.gateway.instance);
   const std::shared_ptr<const i_clock> clock = MakeSystemClock();
   const auto loop = MakeEventLoop(clock);
-  const auto caller = MakeHttpCaller(*loop, *loop);
+  std::unique_ptr<i_gateway> gateway;
+  const auto caller =
+      MakeHttpCaller(*loop, *loop, [&](const invalid_response& response) {
+        if (gateway)
+          gateway->OnInvalidResponse(response);
+      });
   const auto store = MakePlatformStore(settings.store, *caller, *loop);
   const auto dialect = MakePlatformDialect();
   platform_settings_watcher watcher(*path, settings, *logger);
-  const auto gateway = MakeGateway(settings.gateway,
-                                   {*loop, *dialect, *store, *logger, clock,
-                                    [&] { return watcher.ReloadIfChanged(); }});
+  gateway = MakeGateway(settings.gateway,
+                        {*loop, *dialect, *store, *logger, clock,
+                         [&] { return watcher.ReloadIfChanged(); }});
   gateway->Run();
   return 0;
 }
--- a/src/apps/wisteriatally/main.cc
+++ b/src/apps/wisteriatally/main.cc
@@ -11,6 +11,7 @@
 #include "entry/entry_module.h"
 #include "framework/base/system_clock.h"
 #include "framework/http/http_module.h"
+#include "framework/http/invalid_response_log.h"
 #include "framework/keys/keys_module.h"
 #include "framework/logging/logging_module.h"
 #include "gateway_command.h"
@@ -100,9 +101,16 @@
   signal(SIGPIPE, SIG_IGN);
 
   const auto clock = MakeSystemClock();
-  const auto http = MakeHttpClient(clock);
   const auto logger =
       MakeStderrLogger(settings.min_log_level, settings.instance);
+  const std::shared_ptr<i_metrics> metrics = MakePrometheusMetrics();
+  invalid_response_log invalid_responses(*logger, [&](const std::string& rule) {
+    metrics->OnInvalidResponse(rule);
+  });
+  const auto http =
+      MakeHttpClient(clock, [&](const invalid_response& response) {
+        invalid_responses.Report(response, clock->Now());
+      });
   const auto keys = MakeKeyring(settings.keys);
   const std::shared_ptr<i_kv_store> store =
       MakeHttpKvStore(http, clock, settings.platform, settings.domain);
@@ -113,10 +121,10 @@
                {clock, http, store, claims,
                 MakeHttpInstanceList(http, settings.platform, settings.domain),
                 keys, logger});
-  const auto entry = MakeEntryService(
-      {settings.instance, settings.domain, settings.start_limit,
-       settings.test_hooks},
-      {clock, http, keys, logger, MakePrometheusMetrics(), claims, node});
+  const auto entry =
+      MakeEntryService({settings.instance, settings.domain,
+                        settings.start_limit, settings.test_hooks},
+                       {clock, http, keys, logger, metrics, claims, node});
   const auto server = MakeHttpServer(
       ToServerSettings(settings, clock),
       [&](const http_server_request& request, i_http_responder& responder) {
--- a/src/entry/internal/deferred_canceller.cc
+++ b/src/entry/internal/deferred_canceller.cc
@@ -38,7 +38,8 @@
 }
 
 void deferred_canceller::Cancel(const scheduled_cancel& cancel) {
-  http_request request{.method = "DELETE"};
+  http_request request{.method = "DELETE",
+                       .label = {cancel.target.id.text(), ""}};
   // The caller may have reconnected to another instance, which then reads the
   // generation: `unless_read` makes the target keep it in that case.
   request.path = "/v1/generations/" + cancel.generation + "?unless_read=true";
--- a/src/entry/internal/generation_service.cc
+++ b/src/entry/internal/generation_service.cc
@@ -181,7 +181,8 @@
        std::to_string(PriorityOf(configuration->body, request.workspace))}};
   target_request.body = request.body;
   generation_stream stream(*services_.http, *services_.clock, target,
-                           generation.generation, request.format);
+                           generation.generation, record.request_id,
+                           request.format);
   stream.Start(target_request, services_.clock->Now() + kHeaderTimeout);
   record.verdict = run_verdict::may_have_run;
   RelayTokens(stream, generation, target, labels, arrived_at, &guard, &observer,
@@ -269,7 +270,7 @@
   token_sink sink =
       streaming_sink(responder, *services_.keys, record.request_id);
   generation_stream stream(*services_.http, *services_.clock, *target,
-                           point.generation, point.format);
+                           point.generation, record.request_id, point.format);
   try {
     stream.ResumeAt(point.offset);
     RelayTokens(stream, point, *target, {"", "", settings_.domain},
--- a/src/entry/internal/generation_stream.cc
+++ b/src/entry/internal/generation_stream.cc
@@ -32,15 +32,17 @@
                                      const i_clock& clock,
                                      const target_spec& target,
                                      const std::string& generation,
+                                     const std::string& request_id,
                                      stream_format format)
     : client_(client),
       clock_(clock),
       target_(target),
       generation_(generation),
+      label_{target.id.text(), request_id},
       format_(format) {}
 
-void generation_stream::Start(const http_request& request,
-                              timestamp header_deadline) {
+void generation_stream::Start(http_request request, timestamp header_deadline) {
+  request.label = label_;
   try {
     stream_ = client_.Open({target_.host, target_.port}, request,
                            header_deadline, kIdleTimeout);
@@ -104,7 +106,7 @@
 
 void generation_stream::Reconnect() {
   const timestamp reconnect_deadline = clock_.Now() + kReconnectTimeout;
-  http_request request;
+  http_request request{.label = label_};
   request.path =
       fmt::format("/v1/generations/{}?from={}&as={}", generation_, offset_,
                   format_ == stream_format::chat ? "chat" : "completions");
--- a/src/entry/internal/generation_stream.h
+++ b/src/entry/internal/generation_stream.h
@@ -41,10 +41,11 @@
                     const i_clock& clock,
                     const target_spec& target,
                     const std::string& generation,
+                    const std::string& request_id,
                     stream_format format);
 
   // Starts the generation. Throws generation_lost.
-  void Start(const http_request& request, timestamp header_deadline);
+  void Start(http_request request, timestamp header_deadline);
 
   // Continues a generation, which another instance may have started. Throws
   // generation_lost.
@@ -68,6 +69,7 @@
   const i_clock& clock_;
   const target_spec target_;
   const std::string generation_;
+  const call_label label_;
   const stream_format format_;
   std::int64_t offset_ = 0;
   // Responses in a row that were invalid or ended without a further event.
--- a/src/entry/internal/plain_call_service.cc
+++ b/src/entry/internal/plain_call_service.cc
@@ -188,6 +188,7 @@
   audit_log_.LogDispatch(record, target, configuration->version);
   http_request call{.method = "POST", .path = "/call"};
   call.body = request.body;
+  call.label = {target.id.text(), record.request_id};
   if (request.key)
     call.headers.push_back({"Idempotency-Key", request.key->text()});
   if (!services_.node->plain_router().MaySend(target))
--- a/src/entry/tests/generation_stream_test.cc
+++ b/src/entry/tests/generation_stream_test.cc
@@ -85,7 +85,8 @@
 
   virtual_clock clock;
   scripted_client client;
-  generation_stream stream{client, clock, {}, "g", stream_format::completion};
+  generation_stream stream{client, clock, {},
+                           "g",    "r",   stream_format::completion};
 };
 
 // Whether reading fails since the target crashed; nullopt if it does not fail.
--- a/src/framework/http/http_module.h
+++ b/src/framework/http/http_module.h
@@ -9,8 +9,10 @@
 
 namespace wist {
 
+// `observer` is called for each invalid response, from the thread of the call.
 std::shared_ptr<i_http_client> MakeHttpClient(
-    std::shared_ptr<const i_clock> clock);
+    std::shared_ptr<const i_clock> clock,
+    invalid_response_observer observer = {});
 
 // Returns a server that already accepts connections. Throws std::runtime_error
 // if it cannot listen on the address, for example because the port is in use.
--- a/src/framework/http/http_types.h
+++ b/src/framework/http/http_types.h
@@ -3,6 +3,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <functional>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -28,12 +29,33 @@
   auto operator<=>(const http_header&) const = default;
 };
 
+// Names a call in reports about its response. It is not sent.
+struct call_label {
+  std::string server;  // For example the id of a target.
+  // Id of the caller's request that the call is made for; empty if there is
+  // none.
+  std::string request_id;
+
+  auto operator<=>(const call_label&) const = default;
+};
+
+// Bytes that a server sent and that are no response in the protocol.
+struct invalid_response {
+  call_label call;
+  std::string rule;  // Name of the rule that they break.
+
+  auto operator<=>(const invalid_response&) const = default;
+};
+
+using invalid_response_observer = std::function<void(const invalid_response&)>;
+
 struct http_request {
   std::string method = "GET";
   std::string path;
   std::vector<http_header> headers;
   std::string body;
   std::string content_type = "application/json";
+  call_label label;
 };
 
 struct http_response {
--- a/src/framework/http/internal/poco_http_client.cc
+++ b/src/framework/http/internal/poco_http_client.cc
@@ -65,7 +65,9 @@
   // Returns once the head of the response has arrived.
   http_exchange(const http_address& address,
                 const http_request& request,
-                microseconds time_left) {
+                microseconds time_left,
+                invalid_response_observer observer)
+      : label_(request.label), observer_(std::move(observer)) {
     const Poco::Timespan timeout = ToTimespan(time_left);
     // Connecting is separate from sending, so that a failed connection attempt
     // is reported as one that sent no bytes.
@@ -104,6 +106,8 @@
     if (size > 0) {
       reader_->Feed({buffer.data(), static_cast<std::size_t>(size)});
       if (const auto rule = reader_->broken_rule()) {
+        if (observer_)
+          observer_({label_, std::string(ResponseRuleName(*rule))});
         throw http_error(
             /*may_have_been_sent=*/true, /*timed_out=*/false,
             fmt::format("invalid response, rule {}", ResponseRuleName(*rule)),
@@ -127,6 +131,8 @@
     }
   }
 
+  const call_label label_;
+  const invalid_response_observer observer_;
   Poco::Net::StreamSocket socket_;
   const std::unique_ptr<i_http_response_reader> reader_ =
       MakeHttpResponseReader(kLimits);
@@ -137,8 +143,9 @@
   poco_http_stream(const http_address& address,
                    const http_request& request,
                    microseconds time_left,
-                   milliseconds stall_limit)
-      : exchange_(address, request, time_left) {
+                   milliseconds stall_limit,
+                   invalid_response_observer observer)
+      : exchange_(address, request, time_left, std::move(observer)) {
     exchange_.SetReceiveTimeout(stall_limit);
   }
 
@@ -183,13 +190,15 @@
 
 class poco_http_client final : public i_http_client {
  public:
-  explicit poco_http_client(std::shared_ptr<const i_clock> clock)
-      : clock_(std::move(clock)) {}
+  poco_http_client(std::shared_ptr<const i_clock> clock,
+                   invalid_response_observer observer)
+      : clock_(std::move(clock)), observer_(std::move(observer)) {}
 
   http_response Call(const http_address& address,
                      const http_request& request,
                      timestamp deadline) override {
-    http_exchange exchange(address, request, deadline - clock_->Now());
+    http_exchange exchange(address, request, deadline - clock_->Now(),
+                           observer_);
     std::string body = exchange.TakeBody();
     while (!exchange.IsComplete()) {
       exchange.Receive();
@@ -202,19 +211,23 @@
                                       const http_request& request,
                                       timestamp header_deadline,
                                       milliseconds stall_limit) override {
-    return std::make_unique<poco_http_stream>(
-        address, request, header_deadline - clock_->Now(), stall_limit);
+    return std::make_unique<poco_http_stream>(address, request,
+                                              header_deadline - clock_->Now(),
+                                              stall_limit, observer_);
   }
 
  private:
   const std::shared_ptr<const i_clock> clock_;
+  const invalid_response_observer observer_;
 };
 
 }  // namespace
 
 std::shared_ptr<i_http_client> MakeHttpClient(
-    std::shared_ptr<const i_clock> clock) {
-  return std::make_shared<poco_http_client>(std::move(clock));
+    std::shared_ptr<const i_clock> clock,
+    invalid_response_observer observer) {
+  return std::make_shared<poco_http_client>(std::move(clock),
+                                            std::move(observer));
 }
 
 }  // namespace wist
--- a/src/framework/http/tests/http_client_test.cc
+++ b/src/framework/http/tests/http_client_test.cc
@@ -186,6 +186,20 @@
   }
 }
 
+TEST_CASE("an invalid response is reported with the label of its call") {
+  raw_server server("HTTP/1.1 000 X\r\n\r\n");
+  const std::shared_ptr<const i_clock> clock = MakeSystemClock();
+  std::vector<invalid_response> reported;
+  const auto client = MakeHttpClient(
+      clock,
+      [&](const invalid_response& response) { reported.push_back(response); });
+  const http_request request{.label = {"t", "r"}};
+  CHECK_THROWS_AS(
+      client->Call(server.address(), request, clock->Now() + kTimeout),
+      http_error);
+  CHECK(reported == std::vector<invalid_response>{{{"t", "r"}, "status_code"}});
+}
+
 TEST_CASE("unusual responses are returned byte for byte") {
   const std::string body("\0\r\n\xff", 4);
   for (const char* head :
--- a/src/framework/net/buffered_call.h
+++ b/src/framework/net/buffered_call.h
@@ -27,6 +27,7 @@
   // A call whose response body is larger is given up. Each use states its own
   // limit.
   std::size_t max_body_bytes = 0;
+  call_label label;
 };
 
 // An HTTP call that collects the whole response and has a time limit.
--- a/src/framework/net/i_http_caller.h
+++ b/src/framework/net/i_http_caller.h
@@ -43,6 +43,7 @@
   milliseconds max_idle{1000};
   // A response with a longer body is malformed.
   std::size_t max_body_bytes = http_reader_limits::kUnlimitedBody;
+  call_label label;
 };
 
 // A call in progress.
@@ -75,8 +76,11 @@
   virtual void CloseIdleChannels(const http_address& address) = 0;
 };
 
-std::unique_ptr<i_http_caller> MakeHttpCaller(i_connector& connector,
-                                              i_scheduler& scheduler);
+// `observer` is called for each invalid response, before the call ends.
+std::unique_ptr<i_http_caller> MakeHttpCaller(
+    i_connector& connector,
+    i_scheduler& scheduler,
+    invalid_response_observer observer = {});
 
 }  // namespace wist
 
--- a/src/framework/net/internal/buffered_call.cc
+++ b/src/framework/net/internal/buffered_call.cc
@@ -33,10 +33,10 @@
       return self->Finish(std::nullopt);
     self->Finish(std::move(self->response_));
   };
-  self->call_ = caller.Call(
-      address, std::move(request),
-      {now + limits.connect, limits.max_idle, limits.max_body_bytes},
-      std::move(callbacks));
+  self->call_ = caller.Call(address, std::move(request),
+                            {now + limits.connect, limits.max_idle,
+                             limits.max_body_bytes, limits.label},
+                            std::move(callbacks));
   return self;
 }
 
--- a/src/framework/net/internal/http_caller.cc
+++ b/src/framework/net/internal/http_caller.cc
@@ -137,11 +137,14 @@
   http_call(http_address address,
             std::shared_ptr<idle_channel_pool> pool,
             call_callbacks callbacks,
-            std::size_t max_body_bytes)
+            const call_options& options,
+            std::shared_ptr<const invalid_response_observer> observer)
       : address_(std::move(address)),
         pool_(std::move(pool)),
         callbacks_(std::move(callbacks)),
-        reader_limits_{kMaxResponseHeadBytes, max_body_bytes},
+        reader_limits_{kMaxResponseHeadBytes, options.max_body_bytes},
+        label_(options.label),
+        observer_(std::move(observer)),
         reader_(MakeHttpResponseReader(reader_limits_)) {}
 
   void StartOnIdleChannel(std::shared_ptr<i_channel> channel,
@@ -186,8 +189,8 @@
     while (channel_) {
       const std::size_t consumed = reader_->Feed(bytes);
       bytes.remove_prefix(consumed);
-      if (reader_->state() == response_state::malformed)
-        return Fail(call_end::malformed);
+      if (const auto rule = reader_->broken_rule())
+        return OnInvalidResponse(*rule);
       if (!has_seen_head_ && reader_->state() != response_state::head_missing)
         OnHead();
       if (!channel_)
@@ -245,10 +248,12 @@
     Finish({call_end::broken, may_have_been_sent});
   }
 
-  void Fail(call_end end) {
+  void OnInvalidResponse(response_rule rule) {
     const bool may_have_been_sent = MayHaveBeenSent();
     std::exchange(channel_, nullptr)->Abort();
-    Finish({end, may_have_been_sent});
+    if (*observer_)
+      (*observer_)({label_, std::string(ResponseRuleName(rule))});
+    Finish({call_end::malformed, may_have_been_sent});
   }
 
   void Finish(call_outcome outcome) {
@@ -262,6 +267,8 @@
   const std::shared_ptr<idle_channel_pool> pool_;
   call_callbacks callbacks_;
   const http_reader_limits reader_limits_;
+  const call_label label_;
+  const std::shared_ptr<const invalid_response_observer> observer_;
   std::unique_ptr<i_http_response_reader> reader_;
   std::shared_ptr<i_channel> channel_;
   bool has_seen_head_ = false;
@@ -272,16 +279,20 @@
 
 class http_caller final : public i_http_caller {
  public:
-  http_caller(i_connector& connector, i_scheduler& scheduler)
+  http_caller(i_connector& connector,
+              i_scheduler& scheduler,
+              invalid_response_observer observer)
       : connector_(connector),
-        pool_(std::make_shared<idle_channel_pool>(scheduler)) {}
+        pool_(std::make_shared<idle_channel_pool>(scheduler)),
+        observer_(std::make_shared<const invalid_response_observer>(
+            std::move(observer))) {}
 
   std::shared_ptr<i_http_call> Call(const http_address& address,
                                     std::string request,
                                     const call_options& options,
                                     call_callbacks callbacks) override {
     auto call = std::make_shared<http_call>(
-        address, pool_, std::move(callbacks), options.max_body_bytes);
+        address, pool_, std::move(callbacks), options, observer_);
     if (auto pooled = pool_->Acquire(address, options.max_idle)) {
       call->StartOnIdleChannel(std::move(pooled), std::move(request));
       return call;
@@ -298,13 +309,18 @@
  private:
   i_connector& connector_;
   const std::shared_ptr<idle_channel_pool> pool_;
+  // Shared with the calls, which may outlive this object.
+  const std::shared_ptr<const invalid_response_observer> observer_;
 };
 
 }  // namespace
 
-std::unique_ptr<i_http_caller> MakeHttpCaller(i_connector& connector,
-                                              i_scheduler& scheduler) {
-  return std::make_unique<http_caller>(connector, scheduler);
+std::unique_ptr<i_http_caller> MakeHttpCaller(
+    i_connector& connector,
+    i_scheduler& scheduler,
+    invalid_response_observer observer) {
+  return std::make_unique<http_caller>(connector, scheduler,
+                                       std::move(observer));
 }
 
 }  // namespace wist
--- a/src/gateway/gateway_types.h
+++ b/src/gateway/gateway_types.h
@@ -74,6 +74,8 @@
   bool is_event_stream = false;
   // The address now belongs to another target.
   bool is_misdirected = false;
+  // Name of the rule that an invalid response breaks.
+  std::string broken_rule;
 };
 
 // What a target states about itself in the head of a response.
--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -203,8 +203,10 @@
   };
   attempt_->call = services_.caller.Call(
       target.address, services_.dialect.EncodeDispatch(request_, dispatch),
-      {std::min(routed_.deadline, now + kConnectTimeout), MaxIdle(Route().kind),
-       MaxBodyBytes(Route().kind)},
+      {std::min(routed_.deadline, now + kConnectTimeout),
+       MaxIdle(Route().kind),
+       MaxBodyBytes(Route().kind),
+       {target.id.text(), request_.id}},
       std::move(callbacks));
   if (Route().kind != call_kind::idempotent)
     return;
@@ -262,8 +264,11 @@
       return OnCopyUnusable("receiver_refused");
     return OnRejected(/*reached_target=*/true);
   }
-  if (classification.kind == response_kind::invalid)
+  if (classification.kind == response_kind::invalid) {
+    services_.on_invalid_response({{attempt_->target.id.text(), request_.id},
+                                   classification.broken_rule});
     return OnFailure(run_end::broken);
+  }
   if (classification.kind == response_kind::failure && !stream_started_) {
     if (TryConsumeRetry())
       return RetryOnAnotherTarget(run_end::failed);
--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -5,6 +5,7 @@
 
 #include "follower/prefix_follower.h"
 #include "framework/base/hashing.h"
+#include "framework/http/invalid_response_log.h"
 #include "gateway/gateway_module.h"
 #include "gateway/internal/caller_channels.h"
 #include "gateway/internal/crash_detector.h"
@@ -53,7 +54,15 @@
           const gateway_dependencies& dependencies)
       : settings_(settings),
         dependencies_(dependencies),
-        caller_(MakeHttpCaller(dependencies.loop, dependencies.loop)),
+        invalid_responses_(dependencies.logger,
+                           [this](const std::string& rule) {
+                             metrics_.OnInvalidResponse(rule);
+                           }),
+        caller_(MakeHttpCaller(dependencies.loop,
+                               dependencies.loop,
+                               [this](const invalid_response& response) {
+                                 OnInvalidResponse(response);
+                               })),
         directory_(settings.outage_grace),
         selector_({settings.domain}, directory_, Seed()),
         services_{settings_,
@@ -124,6 +133,9 @@
            {"bytes", static_cast<std::int64_t>(bytes)},
            {"total_bytes", static_cast<std::int64_t>(total_bytes)}});
     });
+    services_.on_invalid_response = [this](const invalid_response& response) {
+      OnInvalidResponse(response);
+    };
     services_.requests.SetObserver([this](request_buffers::shed_reason reason) {
       OnShed(reason == request_buffers::shed_reason::slow ? "slow" : "no_room");
     });
@@ -201,6 +213,10 @@
     dependencies_.logger.Flush();
   }
 
+  void OnInvalidResponse(const invalid_response& response) override {
+    invalid_responses_.Report(response, dependencies_.loop.Now());
+  }
+
  private:
   void EnableRollouts() {
     rollout_environment environment;
@@ -536,6 +552,7 @@
   gateway_settings settings_;
   const gateway_dependencies dependencies_;
   gateway_metrics metrics_;
+  invalid_response_log invalid_responses_;
   const std::unique_ptr<i_http_caller> caller_;
   configuration_tracker latest_configuration_;
   target_directory directory_;
--- a/src/gateway/internal/gateway_metrics.cc
+++ b/src/gateway/internal/gateway_metrics.cc
@@ -41,6 +41,11 @@
               .Help(
                   "Responses given up since this instance held too many bytes")
               .Register(*registry_)),
+      invalid_responses_(
+          prometheus::BuildCounter()
+              .Name("wist_gateway_invalid_responses_total")
+              .Help("Responses that break a rule of the protocol, by rule")
+              .Register(*registry_)),
       shed_requests_(
           prometheus::BuildCounter()
               .Name("wist_gateway_requests_shed_total")
@@ -107,6 +112,10 @@
   given_up_responses_.Add({}).Increment();
 }
 
+void gateway_metrics::OnInvalidResponse(const std::string& rule) {
+  invalid_responses_.Add({{"rule", rule}}).Increment();
+}
+
 void gateway_metrics::OnShed(const std::string& reason) {
   shed_requests_.Add({{"reason", reason}}).Increment();
 }
--- a/src/gateway/internal/gateway_metrics.h
+++ b/src/gateway/internal/gateway_metrics.h
@@ -39,6 +39,8 @@
   // A stream ended without its last event; not counted if its caller left.
   void OnStreamBroken(const std::string& reason);
   void OnResponseGivenUp();
+  // A response broke the rule with this name.
+  void OnInvalidResponse(const std::string& rule);
   // A request was refused, or a connection closed, because of `reason`.
   void OnShed(const std::string& reason);
   void OnHandlerFailure();
@@ -59,6 +61,7 @@
   prometheus::Family<prometheus::Counter>& moves_;
   prometheus::Family<prometheus::Counter>& broken_streams_;
   prometheus::Family<prometheus::Counter>& given_up_responses_;
+  prometheus::Family<prometheus::Counter>& invalid_responses_;
   prometheus::Family<prometheus::Counter>& shed_requests_;
   prometheus::Family<prometheus::Counter>& handler_failures_;
   prometheus::Family<prometheus::Counter>& store_calls_;
--- a/src/gateway/internal/gateway_services.h
+++ b/src/gateway/internal/gateway_services.h
@@ -63,6 +63,10 @@
           [](const quarantine&, const std::function<void(bool)>&) {
             return false;
           };
+  // Called for a response that is valid in HTTP and not in the protocol of the
+  // deployment. Others are reported by the caller of HTTP.
+  invalid_response_observer on_invalid_response = [](const invalid_response&) {
+  };
   // Null unless roll-outs are enabled.
   i_version_policy* versions = nullptr;
   response_buffers buffers{settings.memory_limit_bytes /
--- a/src/gateway/internal/run_mover.cc
+++ b/src/gateway/internal/run_mover.cc
@@ -82,8 +82,10 @@
       services_.dialect.EncodeMoveRequest(source_,
                                           {request_id_, receiver_->address}),
       {kConnectTimeout,
-       std::chrono::duration_cast<milliseconds>(deadline_ - now), kMaxIdle,
-       kMaxMoveResponseBytes},
+       std::chrono::duration_cast<milliseconds>(deadline_ - now),
+       kMaxIdle,
+       kMaxMoveResponseBytes,
+       {source_.id.text(), request_id_}},
       [self = shared_from_this()](std::optional<buffered_response> response) {
         self->call_.reset();
         if (response) {
--- a/src/gateway/internal/run_stopper.cc
+++ b/src/gateway/internal/run_stopper.cc
@@ -52,7 +52,11 @@
       services_.caller, services_.scheduler, source_.address,
       services_.dialect.EncodeMoveRequest(
           source_, {request_id_, receiver_, /*stops_run=*/true}),
-      {kConnectTimeout, kMaxResponseTime, kMaxIdle, kMaxMoveResponseBytes},
+      {kConnectTimeout,
+       kMaxResponseTime,
+       kMaxIdle,
+       kMaxMoveResponseBytes,
+       {source_.id.text(), request_id_}},
       [self = shared_from_this()](std::optional<buffered_response> response) {
         const auto call = std::exchange(self->call_, nullptr);
         // The call is null if this handler has thrown on its response.
@@ -135,7 +139,11 @@
   buffered_call::Start(
       services.caller, services.scheduler, copy.told_target.address,
       services.dialect.EncodeReleaseRequest(copy.told_target, copy.handle),
-      {kConnectTimeout, kMaxResponseTime, kMaxIdle, kMaxMoveResponseBytes},
+      {kConnectTimeout,
+       kMaxResponseTime,
+       kMaxIdle,
+       kMaxMoveResponseBytes,
+       {copy.told_target.id.text(), ""}},
       [](const std::optional<buffered_response>&) {
         // Targets free unused copies themselves after some time.
       });
--- a/src/gateway/tests/invalid_response_test.cc
+++ b/src/gateway/tests/invalid_response_test.cc
@@ -197,6 +197,40 @@
   CHECK(requests["p1"] < requests["p2"] / 2);
 }
 
+TEST_CASE("an invalid response is reported with its target and request") {
+  exchange_fixture f;
+  f.settings.retry_slack = 100;
+  f.SendRequest("/again/x");
+  f.target_channel().Receive("HTTP/1.1 000 X\r\nId: r\r\nSigned: 1\r\n\r\n");
+  f.target_channel().Receive(f.Response("200 OK", "forged", ""));
+  REQUIRE(f.invalid_responses.size() == 2);
+  CHECK(f.invalid_responses[0] ==
+        invalid_response{{f.TargetName(0), "r"}, "status_code"});
+  CHECK(f.invalid_responses[1] ==
+        invalid_response{{f.TargetName(1), "r"}, "signature"});
+  f.SendRequest("/once/x");
+  f.target_channel().Receive(f.Response("500 Oops", "why"));
+  CHECK(f.invalid_responses.size() == 2);
+}
+
+TEST_CASE("an invalid response about a copy is reported") {
+  exchange_fixture f;
+  f.SendStreamRequest();
+  const std::string source = f.TargetName(0);
+  f.target_channel().Receive(f.StreamHead() + f.Event(1));
+  f.directory.Remove(target_id(source), false, f.scheduler.Now());
+  f.target_channel().Receive("HTTP/1.1 200 OK\r\nX Y: 1\r\n\r\n");
+  f.scheduler.Advance(milliseconds(60));
+  f.target_channel().Receive(f.Response("200 OK", "copy"));
+  REQUIRE(f.target_channel().written.starts_with("POST /stop/"));
+  f.target_channel().Receive("HTTP/1.1 999 X\r\n\r\n");
+  REQUIRE(f.invalid_responses.size() == 2);
+  CHECK(f.invalid_responses[0] ==
+        invalid_response{{source, "r"}, "field_line"});
+  CHECK(f.invalid_responses[1] ==
+        invalid_response{{source, "r"}, "status_code"});
+}
+
 TEST_CASE("an interim response is not the response") {
   const std::string interim =
       "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nId: q\r\n\r\n";
--- a/src/gateway/tests/mocks/exchange_fixture.h
+++ b/src/gateway/tests/mocks/exchange_fixture.h
@@ -5,6 +5,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "framework/net/tests/mocks/scripted_connector.h"
 #include "framework/net/tests/mocks/virtual_scheduler.h"
@@ -47,6 +48,9 @@
     directory.SubscribeToDepartures([this](const known_target& target) {
       connection->OnTargetLeaving(target.entry.id);
     });
+    services.on_invalid_response = [this](const invalid_response& response) {
+      invalid_responses.push_back(response);
+    };
     connection = std::make_shared<caller_connection>(services, caller_channel,
                                                      [](caller_connection*) {});
     connection->Start();
@@ -145,7 +149,13 @@
   plain_dialect dialect;
   gateway_metrics metrics;
   recorded_logger logger;
-  std::unique_ptr<i_http_caller> caller = MakeHttpCaller(connector, scheduler);
+  std::vector<invalid_response> invalid_responses;
+  std::unique_ptr<i_http_caller> caller =
+      MakeHttpCaller(connector,
+                     scheduler,
+                     [this](const invalid_response& response) {
+                       invalid_responses.push_back(response);
+                     });
   configuration_tracker latest_configuration;
   target_directory directory{milliseconds(2000)};
   target_selector selector{{domain_id("d")}, directory, 1};
--- a/src/gateway/tests/mocks/plain_dialect.h
+++ b/src/gateway/tests/mocks/plain_dialect.h
@@ -80,6 +80,8 @@
       classification.kind = response_kind::failure;
     else if (!head.Header("Signed").empty())
       classification.kind = response_kind::success;
+    else
+      classification.broken_rule = "signature";
     return classification;
   }
 
--- a/src/metrics/i_metrics.h
+++ b/src/metrics/i_metrics.h
@@ -32,6 +32,10 @@
   // Records the time between two consecutive tokens of a stream.
   virtual void OnTokenGap(const metric_labels& labels, microseconds gap) = 0;
 
+  // A response of a target, of the store or of another instance broke the rule
+  // with this name.
+  virtual void OnInvalidResponse(const std::string& rule) = 0;
+
   virtual void SetRequestsInFlight(int count) = 0;
 
   // Sets the number of bytes exchanged with other instances since the start of
--- a/src/metrics/internal/prometheus_metrics.cc
+++ b/src/metrics/internal/prometheus_metrics.cc
@@ -57,6 +57,11 @@
                   .Name("wisteriatally_between_tokens_seconds")
                   .Help("Time between two tokens of a stream")
                   .Register(registry_)),
+        invalid_responses_(
+            prometheus::BuildCounter()
+                .Name("wisteriatally_invalid_responses_total")
+                .Help("Responses that break a rule of the protocol, by rule")
+                .Register(registry_)),
         requests_in_flight_(prometheus::BuildGauge()
                                 .Name("wisteriatally_streams")
                                 .Help("Requests in flight")
@@ -94,6 +99,10 @@
       series.stall_seconds->Increment(gap_seconds - kStallThresholdSeconds);
   }
 
+  void OnInvalidResponse(const std::string& rule) override {
+    invalid_responses_.Add({{"rule", rule}}).Increment();
+  }
+
   void SetRequestsInFlight(int count) override {
     requests_in_flight_.Set(count);
   }
@@ -133,6 +142,7 @@
   prometheus::Family<prometheus::Counter>& stall_seconds_;
   prometheus::Family<Histogram>& first_token_;
   prometheus::Family<Histogram>& gaps_;
+  prometheus::Family<prometheus::Counter>& invalid_responses_;
   prometheus::Gauge& requests_in_flight_;
   prometheus::Gauge& control_bytes_;
   std::mutex mutex_;
--- a/src/node/internal/load_poller.cc
+++ b/src/node/internal/load_poller.cc
@@ -13,8 +13,10 @@
                                       const i_clock& clock,
                                       const target_spec& target) {
   const timestamp called_at = clock.Now();
-  const http_response response = client.Call(
-      {target.host, target.port}, {.path = "/load"}, called_at + kPollTimeout);
+  const http_response response =
+      client.Call({target.host, target.port},
+                  {.path = "/load", .label = {target.id.text(), ""}},
+                  called_at + kPollTimeout);
   const auto object = nlohmann::json::parse(response.body, nullptr, false);
   if (response.status != 200 || !object.is_object())
     return std::nullopt;
--- a/src/orders/internal/order_issuer.cc
+++ b/src/orders/internal/order_issuer.cc
@@ -107,7 +107,8 @@
                                {.method = "POST",
                                 .path = "/orders",
                                 .headers = {},
-                                .body = body.dump()},
+                                .body = body.dump(),
+                                .label = {target.id.text(), ""}},
                                std::min(deadline, now + kOrderDeliveryTimeout));
       if (response.status == kHttpOk)
         return order_accepted{};
--- a/src/peers/internal/watch_tree_reader.cc
+++ b/src/peers/internal/watch_tree_reader.cc
@@ -168,8 +168,11 @@
           parent.address, "/range",
           {{"prefix", prefix},
            {"wait_ms", std::to_string(kMaxFirstCopyWait.count())}}),
-      {kConnectTimeout, kMaxFirstCopyWait + kResponseTimeout, kMaxChannelIdle,
-       kMaxMirrorPageBytes},
+      {kConnectTimeout,
+       kMaxFirstCopyWait + kResponseTimeout,
+       kMaxChannelIdle,
+       kMaxMirrorPageBytes,
+       {parent.name, ""}},
       [this, name = parent.name, patience = source.patience, prefix,
        done = std::move(done)](std::optional<buffered_response> response) {
         range_result result = response ? DecodeRangePage(response->body)
@@ -233,8 +236,11 @@
                            {"wait_ms", std::to_string(parent_wait.count())}});
   buffered_call::Start(
       caller_, scheduler_, parent.address, request,
-      {kConnectTimeout, parent_wait + kResponseTimeout, kMaxChannelIdle,
-       kMaxMirrorPageBytes},
+      {kConnectTimeout,
+       parent_wait + kResponseTimeout,
+       kMaxChannelIdle,
+       kMaxMirrorPageBytes,
+       {parent.name, ""}},
       [this, name = parent.name, patience = source.patience,
        call =
            std::move(call)](std::optional<buffered_response> response) mutable {
--- a/src/store/internal/http_kv_store.cc
+++ b/src/store/internal/http_kv_store.cc
@@ -23,6 +23,11 @@
   return {{"X-Domain", domain}};
 }
 
+http_request WithLabel(http_request request) {
+  request.label = {"store", ""};
+  return request;
+}
+
 json ParseObject(const http_response& response) {
   json object = json::parse(response.body, nullptr, false);
   if (!object.is_object())
@@ -66,7 +71,7 @@
     request.body = value;
     http_response response;
     try {
-      response = client_->Call(address_, request, deadline);
+      response = client_->Call(address_, WithLabel(request), deadline);
     } catch (const http_error& error) {
       if (!error.may_have_been_sent())
         throw kv_unavailable(error.what());
@@ -123,7 +128,7 @@
     request.path = fmt::format("/leases/{}?holder={}", UrlEncode(lease.name),
                                UrlEncode(lease.holder));
     try {
-      client_->Call(address_, request, deadline);
+      client_->Call(address_, WithLabel(request), deadline);
     } catch (const http_error&) {
       // The lease expires at its deadline.
     }
@@ -132,7 +137,7 @@
  private:
   http_response CallOrThrow(const http_request& request, timestamp deadline) {
     try {
-      return client_->Call(address_, request, deadline);
+      return client_->Call(address_, WithLabel(request), deadline);
     } catch (const http_error& error) {
       throw kv_unavailable(error.what());
     }
@@ -193,7 +198,8 @@
  private:
   http_response Call(const http_request& request, timestamp deadline) {
     try {
-      http_response response = client_->Call(address_, request, deadline);
+      http_response response =
+          client_->Call(address_, WithLabel(request), deadline);
       if (response.status != 200)
         throw kv_unavailable(
             fmt::format("instance list returned status {}", response.status));
--- a/stand_ins/raw_service/raw_service_main.cc
+++ b/stand_ins/raw_service/raw_service_main.cc
@@ -7,6 +7,7 @@
 #include "framework/http/http_codec.h"
 #include "framework/net/i_event_loop.h"
 #include "framework/net/short_request_server.h"
+#include "stand_ins/common/hex.h"
 #include "stand_ins/common/option_parsing.h"
 
 // A service that sends bytes as they are, also those that are no response, and
@@ -31,21 +32,11 @@
     if (path == "/requests")
       return Send(channel, EncodeHttpResponse(200, {}, counts_.dump()));
     counts_[path] = counts_.value(path, 0) + 1;
-    Send(channel, Decode(responses_.value(
+    Send(channel, DecodeHex(responses_.value(
                       path, responses_.value("default", std::string()))));
   }
 
  private:
-  static std::string Decode(const std::string& digits) {
-    constexpr int kHexadecimal = 16;
-    std::string bytes;
-    for (std::size_t at = 0; at + 1 < digits.size(); at += 2) {
-      bytes += static_cast<char>(
-          std::stoi(digits.substr(at, 2), nullptr, kHexadecimal));
-    }
-    return bytes;
-  }
-
   static void Send(const std::shared_ptr<i_channel>& channel,
                    const std::string& bytes) {
     channel->Write(bytes);
