Take unreadable responses of the own interface's store for failures

What would happen (own interface): a response of the key-value service that is valid JSON with a field of another type, for example {"revision":"4"}, threw an exception that the node's threads do not catch, which ends the process. One without the field was read as revision 0, an empty value or an empty list, which say that a key, a lease's number or all other instances do not exist. An unreadable response to a write was taken for a write that was not executed.

Cause: fields were read with defaults, and only bodies that are no object counted as no response.

Evidence, before the fix (`store`, http_kv_store_test, new): 73 checks of 91 fail: {}: CHECK_THROWS_AS( f.store->Read(...), kv_unavailable ): no exception {"value":"v","revision":"4"}: unexpected [json.exception.type_error.302]

Fix: one place decodes bodies; a missing field or one of another type makes the service unavailable, and a write in doubt. An odd entry among the instances is left out.

Result: `store` passes.

--- a/src/store/internal/http_kv_store.cc
+++ b/src/store/internal/http_kv_store.cc
@@ -28,17 +28,49 @@
   return request;
 }
 
-json ParseObject(const http_response& response) {
-  json object = json::parse(response.body, nullptr, false);
+// Returns what `decode` makes of the object in the body. Throws kv_unavailable
+// if there is none, or if a field is missing or has another type.
+template <typename Decode>
+auto DecodeBody(const http_response& response, Decode decode) {
+  const json object = json::parse(response.body, nullptr, false);
   if (!object.is_object())
     throw kv_unavailable("key-value service response is not a JSON object");
-  return object;
+  try {
+    return decode(object);
+  } catch (const json::exception& error) {
+    throw kv_unavailable(
+        fmt::format("key-value service response: {}", error.what()));
+  }
+}
+
+// Throws json::exception if the value is not an unsigned integer.
+std::uint64_t UnsignedField(const json& object, const char* name) {
+  const json& value = object.at(name);
+  if (!value.is_number_unsigned()) {
+    throw json::other_error::create(
+        0, fmt::format("{} is not an unsigned integer", name), &object);
+  }
+  return value.get<std::uint64_t>();
 }
 
 kv_entry ParseEntry(const http_response& response) {
-  const json object = ParseObject(response);
-  return {object.value("value", ""),
-          object.value("revision", std::uint64_t{0})};
+  return DecodeBody(response, [](const json& object) {
+    return kv_entry{object.at("value").get<std::string>(),
+                    UnsignedField(object, "revision")};
+  });
+}
+
+// Returns nothing for an entry that names no instance, so that one odd entry
+// does not hide the others.
+std::optional<listed_instance> ParseInstance(const json& entry) {
+  try {
+    return listed_instance{entry.at("id").get<std::string>(),
+                           entry.at("domain").get<std::string>(),
+                           entry.at("peer_address").get<std::string>(),
+                           entry.value("leaving", false)};
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
 }
 
 class http_kv_store final : public i_kv_store {
@@ -77,10 +109,14 @@
         throw kv_unavailable(error.what());
       return kv_in_doubt{error.what()};
     }
-    if (response.status == 200)
-      return kv_written{ParseEntry(response).revision};
-    if (response.status == 409)
-      return kv_conflict{ParseEntry(response)};
+    try {
+      if (response.status == 200)
+        return kv_written{ParseEntry(response).revision};
+      if (response.status == 409)
+        return kv_conflict{ParseEntry(response)};
+    } catch (const kv_unavailable& error) {
+      return kv_in_doubt{error.what()};
+    }
     if (response.status == 429 || response.status == 503)
       throw kv_unavailable("key-value service rejected the write");
     return kv_in_doubt{fmt::format(
@@ -117,10 +153,11 @@
     if (response.status == 409)
       return std::nullopt;
     RequireStatus(response, 200);
-    const json object = ParseObject(response);
-    return kv_lease{name, holder,
-                    object.value("fencing_number", std::uint64_t{0}),
-                    sent_at + validity};
+    return DecodeBody(response, [&](const json& object) {
+      return std::optional(kv_lease{name, holder,
+                                    UnsignedField(object, "fencing_number"),
+                                    sent_at + validity});
+    });
   }
 
   void ReleaseLease(const kv_lease& lease, timestamp deadline) override {
@@ -167,14 +204,17 @@
   std::vector<listed_instance> List(timestamp deadline) override {
     const http_response response =
         Call({.path = "/instances", .headers = headers_}, deadline);
-    const json object = ParseObject(response);
-    std::vector<listed_instance> listed;
-    for (const json& entry : object.value("instances", json::array())) {
-      listed.push_back({entry.value("id", ""), entry.value("domain", ""),
-                        entry.value("peer_address", ""),
-                        entry.value("leaving", false)});
-    }
-    return listed;
+    return DecodeBody(response, [](const json& object) {
+      const json& entries = object.at("instances");
+      if (!entries.is_array())
+        throw json::other_error::create(0, "instances is no array", &entries);
+      std::vector<listed_instance> listed;
+      for (const json& entry : entries) {
+        if (auto instance = ParseInstance(entry))
+          listed.push_back(std::move(*instance));
+      }
+      return listed;
+    });
   }
 
   void Announce(const listed_instance& self, timestamp deadline) override {
