Do not take a stop without a handle for confirmed

What callers saw: a target that answers the request to stop a run with 200 and no handle, for example with a body that is no JSON, was taken to have stopped it. The run went on at another target, while its source could still work on it.

Cause: run_stopper looked at the status only; run_mover looks for the handle too.

Evidence, before the fix (`gateway`, invalid_response_test): "a stop without a handle is not confirmed" fails, the run is sent with "Memory: copy" at once.

Fix: such a response is broken, like none: the stop is requested again, and the limit on the silence of a source decides meanwhile, as before. It is logged with the rule "handle".

--- a/src/gateway/internal/run_stopper.cc
+++ b/src/gateway/internal/run_stopper.cc
@@ -17,6 +17,9 @@
 // could not be told from them.
 constexpr milliseconds kMaxIdle{0};
 
+// A target that has copied a run names its handle.
+constexpr char kHandleRule[] = "handle";
+
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 
@@ -77,8 +80,13 @@
       source_, services_.dialect.DecodeSignals(response->head), request_id_);
   const move_response decoded = services_.dialect.DecodeMoveResponse(
       response->head.status, response->body);
-  if (decoded.status == kOk)
-    return {stop_outcome::copied, decoded.handle};
+  if (decoded.status == kOk) {
+    if (!decoded.handle.empty())
+      return {stop_outcome::copied, decoded.handle};
+    services_.on_invalid_response(
+        {{source_.id.text(), request_id_}, kHandleRule});
+    return {stop_outcome::broken, ""};
+  }
   if (decoded.status == kNotFound)
     return {stop_outcome::had_ended, ""};
   // A refusal with a handle says that the run was stopped but not copied.
--- a/src/gateway/tests/invalid_response_test.cc
+++ b/src/gateway/tests/invalid_response_test.cc
@@ -165,6 +165,22 @@
   }
 }
 
+// A target that has stopped a run names the copy of it.
+TEST_CASE("a stop without a handle is not confirmed") {
+  exchange_fixture f;
+  f.SendStreamRequest();
+  const std::string source = f.TargetName(0);
+  f.target_channel().Receive(f.StreamHead() + f.Event(1));
+  f.directory.Remove(target_id(source), false, f.scheduler.Now());
+  f.target_channel().Receive(f.Response("200 OK", "copy"));
+  REQUIRE(f.target_channel().written.starts_with("POST /stop/"));
+  f.target_channel().Receive(f.Response("200 OK", ""));
+  for (const auto& channel : f.connector.channels)
+    CHECK(channel->written.find("Memory: ") == std::string::npos);
+  f.scheduler.Advance(milliseconds(60));
+  CHECK(f.target_channel().written.starts_with("POST /stop/"));
+}
+
 TEST_CASE("an invalid response states nothing about its target") {
   for (const std::string& bytes :
        InvalidResponses("Signed: 1\r\nLeaving: 1\r\nPause: 5000\r\n")) {
