Pass on responses that have no body as they are

What callers saw: a HEAD request was passed on, and its response was held until the deadline, since the reader waited for the body whose length the response stated; the caller got 504, and the target was taken for one that does not respond. A refusal of HEAD came with a body, which the caller reads as the start of the next response. Responses with status 204 and 304 went out with "Content-Length: 0", which a server must not send beside 204, and which is wrong beside 304 (RFC 9110, section 8.6).

Cause: neither the reader nor the encoder of responses took the method of the request into account, and the encoder did not look at the status (RFC 9112, section 6.3).

Fix: the reader of a response to HEAD ends with the head; such responses, 204 and 304 are encoded without a body, and with the length that the target stated.

--- a/src/framework/http/http_codec.h
+++ b/src/framework/http/http_codec.h
@@ -154,8 +154,10 @@
   virtual std::string TakeBody() = 0;
 };
 
+// A response to HEAD has no body, whatever its head states.
 std::unique_ptr<i_http_response_reader> MakeHttpResponseReader(
-    const http_reader_limits& limits);
+    const http_reader_limits& limits,
+    bool is_response_to_head = false);
 
 // Encode a message in HTTP/1.1 format. Requests and responses get the
 // Content-Length or Transfer-Encoding header that they need, but no Connection
@@ -167,11 +169,21 @@
 std::string EncodeHttpResponse(int status,
                                const std::vector<http_header>& headers,
                                std::string_view body);
+// A response to HEAD, or one with a status that permits no body. Its length, if
+// it states one, is among the headers.
+std::string EncodeBodilessResponse(int status,
+                                   const std::vector<http_header>& headers);
 std::string EncodeChunkedResponseHead(int status,
                                       const std::vector<http_header>& headers);
 std::string EncodeChunk(std::string_view bytes);
 std::string_view LastChunk();
 
+// Whether the status permits a body (RFC 9112, section 6.3).
+bool StatusPermitsBody(int status);
+
+// Returns an encoded response without its body.
+std::string WithoutBody(std::string response);
+
 // Header names are case-insensitive.
 bool SameHeaderName(std::string_view left, std::string_view right);
 
--- a/src/framework/http/internal/http_codec.cc
+++ b/src/framework/http/internal/http_codec.cc
@@ -254,6 +254,11 @@
   return text;
 }
 
+std::string EncodeBodilessResponse(int status,
+                                   const std::vector<http_header>& headers) {
+  return EncodeHead(status, headers) + "\r\n";
+}
+
 std::string EncodeChunkedResponseHead(int status,
                                       const std::vector<http_header>& headers) {
   return EncodeHead(status, headers) + "Transfer-Encoding: chunked\r\n\r\n";
@@ -267,4 +272,19 @@
   return "0\r\n\r\n";
 }
 
+bool StatusPermitsBody(int status) {
+  constexpr int kNoContent = 204;
+  constexpr int kNotModified = 304;
+  constexpr int kMinFinalStatus = 200;
+  return status >= kMinFinalStatus && status != kNoContent &&
+         status != kNotModified;
+}
+
+std::string WithoutBody(std::string response) {
+  const std::size_t end = response.find(kHeadEnd);
+  if (end != std::string::npos)
+    response.resize(end + kHeadEnd.size());
+  return response;
+}
+
 }  // namespace wist
--- a/src/framework/http/internal/http_response_reader.cc
+++ b/src/framework/http/internal/http_response_reader.cc
@@ -71,7 +71,8 @@
 
 class response_reader final : public i_http_response_reader {
  public:
-  explicit response_reader(const http_reader_limits& limits) : limits_(limits) {
+  response_reader(const http_reader_limits& limits, bool is_response_to_head)
+      : limits_(limits), is_response_to_head_(is_response_to_head) {
     ResetParser();
   }
 
@@ -118,6 +119,7 @@
     parser_->header_limit(static_cast<std::uint32_t>(limits_.max_header_bytes));
     parser_->body_limit(limits_.max_body_bytes);
     parser_->eager(true);
+    parser_->skip(is_response_to_head_);
     parser_->on_chunk_header(on_chunk_header_);
   }
 
@@ -269,6 +271,7 @@
   }
 
   const http_reader_limits limits_;
+  const bool is_response_to_head_;
   std::optional<http::response_parser<growing_body>> parser_;
   int interim_count_ = 0;
   // The end of the last chunk's header in the parser's input, once it is read.
@@ -319,8 +322,9 @@
 }
 
 std::unique_ptr<i_http_response_reader> MakeHttpResponseReader(
-    const http_reader_limits& limits) {
-  return std::make_unique<response_reader>(limits);
+    const http_reader_limits& limits,
+    bool is_response_to_head) {
+  return std::make_unique<response_reader>(limits, is_response_to_head);
 }
 
 }  // namespace wist
--- a/src/framework/http/tests/invalid_response_test.cc
+++ b/src/framework/http/tests/invalid_response_test.cc
@@ -196,6 +196,27 @@
         response_state::complete);
 }
 
+// It ends with its head, whatever length that states (RFC 9112, section 6.3).
+TEST_CASE("a response to HEAD has no body") {
+  for (const char* lines :
+       {"Content-Length: 5\r\n", "", "Transfer-Encoding: chunked\r\n"}) {
+    INFO(lines);
+    const auto reader =
+        MakeHttpResponseReader(kLimits, /*is_response_to_head=*/true);
+    const std::string head =
+        "HTTP/1.1 103 Early Hints\r\n\r\n"
+        "HTTP/1.1 200 OK\r\n" +
+        std::string(lines) + "\r\n";
+    CHECK(reader->Feed(head + "HTTP/1.1") == head.size());
+    CHECK(reader->state() == response_state::complete);
+    CHECK(reader->TakeBody().empty());
+  }
+  const auto reader =
+      MakeHttpResponseReader(kLimits, /*is_response_to_head=*/true);
+  reader->Feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n");
+  CHECK(reader->state() == response_state::malformed);
+}
+
 // Nobody has requested another protocol.
 TEST_CASE("a switch of protocols is no response") {
   CHECK(StateAfter("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n"
--- a/src/framework/net/internal/http_caller.cc
+++ b/src/framework/net/internal/http_caller.cc
@@ -23,6 +23,9 @@
 // connections that a target accepts.
 constexpr std::size_t kMaxIdlePerAddress = 8;
 
+// Start of an encoded request whose response has no body.
+constexpr std::string_view kHeadRequest = "HEAD ";
+
 // Returns the value of "timeout=N" in the Keep-Alive header, or the default.
 milliseconds ParseKeepAlive(const http_response_head& head) {
   const std::string_view value = head.Header("Keep-Alive");
@@ -138,14 +141,16 @@
             std::shared_ptr<idle_channel_pool> pool,
             call_callbacks callbacks,
             const call_options& options,
+            bool is_head_request,
             std::shared_ptr<const invalid_response_observer> observer)
       : address_(std::move(address)),
         pool_(std::move(pool)),
         callbacks_(std::move(callbacks)),
         reader_limits_{kMaxResponseHeadBytes, options.max_body_bytes},
+        is_head_request_(is_head_request),
         label_(options.label),
         observer_(std::move(observer)),
-        reader_(MakeHttpResponseReader(reader_limits_)) {}
+        reader_(MakeHttpResponseReader(reader_limits_, is_head_request_)) {}
 
   void StartOnIdleChannel(std::shared_ptr<i_channel> channel,
                           std::string request) {
@@ -202,7 +207,7 @@
         return;
       if (!is_skipping_response_)
         return Complete(!bytes.empty());
-      reader_ = MakeHttpResponseReader(reader_limits_);
+      reader_ = MakeHttpResponseReader(reader_limits_, is_head_request_);
       has_seen_head_ = false;
       is_skipping_response_ = false;
       if (bytes.empty())
@@ -267,6 +272,7 @@
   const std::shared_ptr<idle_channel_pool> pool_;
   call_callbacks callbacks_;
   const http_reader_limits reader_limits_;
+  const bool is_head_request_;
   const call_label label_;
   const std::shared_ptr<const invalid_response_observer> observer_;
   std::unique_ptr<i_http_response_reader> reader_;
@@ -292,7 +298,8 @@
                                     const call_options& options,
                                     call_callbacks callbacks) override {
     auto call = std::make_shared<http_call>(
-        address, pool_, std::move(callbacks), options, observer_);
+        address, pool_, std::move(callbacks), options,
+        request.starts_with(kHeadRequest), observer_);
     if (auto pooled = pool_->Acquire(address, options.max_idle)) {
       call->StartOnIdleChannel(std::move(pooled), std::move(request));
       return call;
--- a/src/gateway/internal/caller_connection.cc
+++ b/src/gateway/internal/caller_connection.cc
@@ -129,6 +129,7 @@
 
 void caller_connection::StartExchange(http_request_message message) {
   keep_alive_ = message.keep_alive;
+  is_head_request_ = message.method == "HEAD";
   auto decoded = services_.dialect.DecodeRequest(std::move(message));
   if (const auto* code = std::get_if<error_code>(&decoded)) {
     keep_alive_ = false;
@@ -325,7 +326,8 @@
 void caller_connection::Send(std::string bytes) {
   if (!channel_)
     return;
-  channel_->Write(std::move(bytes));
+  channel_->Write(is_head_request_ ? WithoutBody(std::move(bytes))
+                                   : std::move(bytes));
   if (channel_->UnsentBytes() == 0)
     return;
   services_.buffers.AddUnsent(channel_, [weak = weak_from_this()] {
--- a/src/gateway/internal/caller_connection.h
+++ b/src/gateway/internal/caller_connection.h
@@ -92,6 +92,7 @@
   std::unique_ptr<request_buffer> buffer_;
   std::unique_ptr<i_timer> timer_;
   bool keep_alive_ = true;
+  bool is_head_request_ = false;
   bool draining_ = false;
   bool aborted_ = false;
   bool has_received_ = false;
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -174,6 +174,7 @@
   bool ResumeFromOtherCopy();
   bool ResumeWithNewRun();
 
+  std::string EncodeResponse() const;
   void ForwardResponse();
   void Refuse(error_code code, run_verdict verdict);
   void RefuseOverloaded(milliseconds retry_after);
--- a/src/gateway/internal/exchange_response.cc
+++ b/src/gateway/internal/exchange_response.cc
@@ -8,6 +8,8 @@
 namespace wist {
 namespace {
 
+constexpr int kNoContent = 204;
+
 // Appends `bytes` to `body` without reserving more than the stated length, or
 // twice what has arrived.
 void AppendToBody(std::string_view bytes,
@@ -121,6 +123,18 @@
           attempt_->head.EndsWithChannel() && !has_events);
 }
 
+std::string exchange::EncodeResponse() const {
+  const http_response_head& head = attempt_->head;
+  auto headers = services_.dialect.CallerHeaders(head);
+  if (request_.message.method != "HEAD" && StatusPermitsBody(head.status))
+    return EncodeHttpResponse(head.status, headers, attempt_->body);
+  // The length of the body that is left out.
+  const std::string_view length = head.Header("Content-Length");
+  if (!length.empty() && head.status != kNoContent)
+    headers.push_back({"Content-Length", std::string(length)});
+  return EncodeBodilessResponse(head.status, headers);
+}
+
 void exchange::ForwardResponse() {
   services_.selector.OnFirstOutput(attempt_->run, services_.scheduler.Now());
   const bool succeeded =
@@ -135,9 +149,7 @@
     response_writer_->FinishStream(std::string(LastChunk()));
     return Finish("answered", "", run_verdict::ran);
   }
-  std::string bytes = EncodeHttpResponse(
-      attempt_->head.status, services_.dialect.CallerHeaders(attempt_->head),
-      attempt_->body);
+  std::string bytes = EncodeResponse();
   EndAttempt(succeeded ? run_end::completed : run_end::failed);
   services_.metrics.OnFirstByte(CallKindName(Route().kind),
                                 services_.scheduler.Now() - received_at_);
--- a/src/gateway/tests/invalid_response_test.cc
+++ b/src/gateway/tests/invalid_response_test.cc
@@ -247,6 +247,43 @@
         invalid_response{{source, "r"}, "status_code"});
 }
 
+TEST_CASE("a response to HEAD is passed on without a body") {
+  exchange_fixture f;
+  const std::string request =
+      "HEAD /once/x HTTP/1.1\r\nHost: h\r\nId: r\r\nKey: k\r\n\r\n";
+  f.caller_channel->Receive(request);
+  f.target_channel().Receive(
+      "HTTP/1.1 200 OK\r\nId: r\r\nSigned: 1\r\nContent-Length: 40\r\n\r\n");
+  CHECK(f.response() ==
+        "HTTP/1.1 200 OK\r\nId: r\r\nContent-Length: 40\r\n\r\n");
+  f.scheduler.Advance(milliseconds(1));
+  f.caller_channel->Receive(request);
+  CHECK(f.connector.channels.size() == 1);
+}
+
+TEST_CASE("a refusal of HEAD has no body") {
+  exchange_fixture f;
+  f.caller_channel->Receive(
+      "HEAD /nowhere HTTP/1.1\r\nHost: h\r\nId: r\r\n\r\n");
+  CHECK(f.response().ends_with("\r\n\r\n"));
+}
+
+TEST_CASE("responses without a body state no length of their own") {
+  exchange_fixture f;
+  f.SendRequest("/once/x");
+  f.target_channel().Receive(
+      "HTTP/1.1 204 No Content\r\nId: r\r\n"
+      "Signed: 1\r\n\r\n");
+  CHECK(f.response() == "HTTP/1.1 204 No Content\r\nId: r\r\n\r\n");
+  exchange_fixture g;
+  g.SendRequest("/once/x");
+  g.target_channel().Receive(
+      "HTTP/1.1 304 Not Modified\r\nId: r\r\n"
+      "Signed: 1\r\nContent-Length: 40\r\n\r\n");
+  CHECK(g.response() ==
+        "HTTP/1.1 304 Not Modified\r\nId: r\r\nContent-Length: 40\r\n\r\n");
+}
+
 TEST_CASE("an interim response is not the response") {
   const std::string interim =
       "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nId: q\r\n\r\n";
