Read a parent's page from a response with status 200 only

What would happen: an instance that reads the store through a parent took a page from a response with any status, for example of another program at an address that is in use again.

Cause: the reader decoded the body without a look at the status.

Evidence, before the fix (`peers`, watch_sharing_test): "a page is read from a response with status 200 only" fails: CHECK( f.direct.calls == 1 ) is 0 == 1.

Fix: another status is no page, and the parent counts as failed. A mirror responds to each request with 200.

Result: `peers` passes.

--- a/src/peers/internal/watch_tree_reader.cc
+++ b/src/peers/internal/watch_tree_reader.cc
@@ -74,9 +74,17 @@
   return EncodeHttpRequest(request);
 }
 
+constexpr int kOk = 200;
+
+// Returns null unless the response of a parent has a page.
+const std::string* PageOf(const std::optional<buffered_response>& response) {
+  return response && response->head.status == kOk ? &response->body : nullptr;
+}
+
 // Returns whether a parent states that it has no source itself.
 bool IsLossNotice(const std::optional<buffered_response>& response) {
-  return response && IsUnavailablePage(response->body);
+  const std::string* page = PageOf(response);
+  return page && IsUnavailablePage(*page);
 }
 
 // Returns whether to use the response of a parent. history_gone is a usable
@@ -175,8 +183,9 @@
        {parent.name, ""}},
       [this, name = parent.name, patience = source.patience, prefix,
        done = std::move(done)](std::optional<buffered_response> response) {
-        range_result result = response ? DecodeRangePage(response->body)
-                                       : range_result(store_error::unavailable);
+        const std::string* encoded = PageOf(response);
+        range_result result = encoded ? DecodeRangePage(*encoded)
+                                      : range_result(store_error::unavailable);
         const auto* page = std::get_if<range_page>(&result);
         if (page && page->age <= kMaxMirrorAge) {
           OnParentSuccess(name);
@@ -244,8 +253,9 @@
       [this, name = parent.name, patience = source.patience,
        call =
            std::move(call)](std::optional<buffered_response> response) mutable {
-        watch_result result = response ? DecodeWatchPage(response->body)
-                                       : watch_result(store_error::unavailable);
+        const std::string* encoded = PageOf(response);
+        watch_result result = encoded ? DecodeWatchPage(*encoded)
+                                      : watch_result(store_error::unavailable);
         if (IsUsableResponse(result)) {
           OnParentSuccess(name);
           return call.done(std::move(result));
--- a/src/peers/tests/watch_sharing_test.cc
+++ b/src/peers/tests/watch_sharing_test.cc
@@ -107,6 +107,27 @@
   }
 }
 
+// Guards against a page from whoever answers at the address of a parent.
+TEST_CASE("a page is read from a response with status 200 only") {
+  const std::string page = EncodePage(
+      watch_result(watch_page{{{"k", "v", 6}}, 6, milliseconds(40)}));
+  for (const int status : {201, 404, 500, 503}) {
+    INFO(status);
+    fixture f;
+    f.Watch();
+    f.connector.channels[0]->Receive(EncodeHttpResponse(status, {}, page));
+    CHECK(f.direct.calls == 1);
+    REQUIRE(f.last_result);
+    CHECK(std::get<watch_page>(*f.last_result).changes.empty());
+  }
+  fixture f;
+  f.store.ReadRange("", "", [](const range_result&) {});
+  f.connector.channels[0]->Receive(EncodeHttpResponse(
+      404, {},
+      EncodePage(range_result(range_page{{{"k", "v", 6}}, false, 6}))));
+  CHECK(f.direct.calls == 1);
+}
+
 TEST_CASE("a parent that does not respond is replaced by the store in time") {
   fixture f;
   f.Watch();
