--- a/src/gateway/internal/exchange_response.cc
+++ b/src/gateway/internal/exchange_response.cc
@@ -46,14 +46,11 @@
     if (!HoldBytes(attempt_->body.capacity()) ||
         attempt_->body.size() <= kMaxBufferedResponseBytes)
       return;
-    attempt_->call->Cancel();
-    return OnFailure(run_end::broken);
+    return OnInvalidBody("body_size");
   }
   std::string events = splitter_.Feed(bytes);
-  if (splitter_.IsTooLong()) {
-    attempt_->call->Cancel();
-    return OnFailure(run_end::broken);
-  }
+  if (splitter_.IsTooLong())
+    return OnInvalidBody("event_size");
   if (!HoldBytes(splitter_.partial_bytes()))
     return;
   if (events.empty())
@@ -81,6 +78,13 @@
     response_writer_->AppendToStream(EncodeChunk(events));
 }
 
+void exchange::OnInvalidBody(const std::string& rule) {
+  services_.on_invalid_response(
+      {{attempt_->target.id.text(), request_.id}, rule});
+  attempt_->call->Cancel();
+  OnFailure(run_end::broken);
+}
+
 // Returns false if the response was given up, which has ended the attempt.
 bool exchange::HoldBytes(std::size_t bytes) {
   if (!attempt_->buffer) {
--- a/src/gateway/tests/invalid_response_test.cc
+++ b/src/gateway/tests/invalid_response_test.cc
@@ -229,6 +229,21 @@
   CHECK(f.invalid_responses.size() == 2);
 }
 
+TEST_CASE("a body without end is reported") {
+  exchange_fixture f;
+  f.SendStreamRequest();
+  f.target_channel().Receive(
+      "HTTP/1.1 200 OK\r\nId: r\r\nSigned: 1\r\nEvents: 1\r\n\r\n" +
+      std::string(2'000'000, 'x'));
+  REQUIRE(f.invalid_responses.size() == 1);
+  CHECK(f.invalid_responses[0].rule == "event_size");
+  f.SendStreamRequest();
+  f.target_channel().Receive("HTTP/1.1 200 OK\r\nId: r\r\nSigned: 1\r\n\r\n" +
+                             std::string(kMaxBufferedResponseBytes + 1, 'x'));
+  REQUIRE(f.invalid_responses.size() == 2);
+  CHECK(f.invalid_responses[1].rule == "body_size");
+}
+
 TEST_CASE("an invalid response about a copy is reported") {
   exchange_fixture f;
   f.SendStreamRequest();
