--- a/scenarios/invalid_responses_at_entry.lua
+++ b/scenarios/invalid_responses_at_entry.lua
@@ -1,7 +1,7 @@
 -- A plain service and an engine send bytes that are no response: a status code of
 -- 000, a blank or a control byte in the name of a field, a transfer coding that
--- nobody asked for, a body that ends too early. Callers get an error that says that
--- the call may have run, or the response of another target.
+-- was not requested, a body that ends too early. Callers get an error with the verdict
+-- may_have_run, or the response of another target.
 start_platform()
 start_raw_service("engine-0", engine_port(0))
 start_engine(1)
--- a/scenarios/library.lua
+++ b/scenarios/library.lua
@@ -126,7 +126,7 @@
     "127.0.0.1:" .. platform_port(), "--author", "scenario", ...})
 end
 
--- Starts a deployment and waits until its instances are ready and know each
+-- Starts a deployment and waits until its instances are ready and list each
 -- other. Further arguments are options of the engines.
 function deploy(engines, plain_services, entries, ...)
   start_platform()
--- a/src/framework/http/internal/http_response_reader.cc
+++ b/src/framework/http/internal/http_response_reader.cc
@@ -141,7 +141,7 @@
       return bytes.size();
     }
     if (IsInterim()) {
-      // A server may send it without being asked for it (RFC 9110, section
+      // A server may send it unrequested (RFC 9110, section
       // 15.2). The response follows.
       if (++interim_count_ > kMaxInterimResponses)
         Reject(response_rule::interim_responses);
@@ -187,7 +187,7 @@
     return std::nullopt;
   }
 
-  // No request asks for another protocol.
+  // Requests offer no switch to another protocol.
   bool HasValidStatusCode() const {
     const unsigned code = parser_->get().result_int();
     return code >= kMinStatusCode && code <= kMaxStatusCode &&
@@ -208,7 +208,7 @@
     return parser_->chunked() || parser_->content_length().value_or(0) > 0;
   }
 
-  // Requests ask for no transfer coding, so that only "chunked" is valid, once
+  // Requests accept no transfer coding, so that only "chunked" is valid, once
   // and not in HTTP/1.0 (RFC 9112, sections 6.1 and 7). Beast takes a body with
   // other codings for one that ends with the channel.
   bool HasValidTransferCodings() const {
--- a/src/framework/http/internal/poco_http_client.cc
+++ b/src/framework/http/internal/poco_http_client.cc
@@ -24,7 +24,7 @@
 }
 
 // Runs `operation` and rethrows Poco exceptions as http_error.
-// `may_have_been_sent` says whether the server may have received bytes of the
+// `may_have_been_sent` is whether the server may have received bytes of the
 // request if `operation` fails.
 template <typename Operation>
 auto TranslateErrors(bool may_have_been_sent, Operation operation) {
--- a/src/framework/http/tests/invalid_response_test.cc
+++ b/src/framework/http/tests/invalid_response_test.cc
@@ -92,7 +92,7 @@
         response_state::malformed);
 }
 
-// The body of such a response would end elsewhere than its sender says.
+// The body of such a response would end elsewhere than its sender states.
 TEST_CASE("a blank in the name of the field that frames the body is found") {
   for (const char* lines :
        {"Content-Length : 2\r\n", " Content-Length: 2\r\n",
--- a/src/framework/net/buffered_call.h
+++ b/src/framework/net/buffered_call.h
@@ -24,7 +24,7 @@
   milliseconds response{1000};
   // Channels that have been idle for this long are not reused.
   milliseconds max_idle{1000};
-  // A call whose response body is larger is given up. Each use states its own
+  // A call whose response body is larger is cancelled. Each use states its own
   // limit.
   std::size_t max_body_bytes = 0;
   call_label label;
--- a/src/framework/net/i_http_caller.h
+++ b/src/framework/net/i_http_caller.h
@@ -28,7 +28,7 @@
 // No callback is called after Cancel.
 struct call_callbacks {
   // Returns whether a response belongs to this call. Other responses are
-  // discarded, and the call waits for the next one. `may_be_old` says that the
+  // discarded, and the call waits for the next one. `may_be_old` means that the
   // channel has carried another call or response before, of which this may be a
   // repetition. If the callback is empty, the first response is accepted.
   std::function<bool(const http_response_head&, bool may_be_old)> matches_call;
--- a/src/gateway/gateway_types.h
+++ b/src/gateway/gateway_types.h
@@ -82,7 +82,7 @@
 struct target_signals {
   // It accepts no new work and will shut down soon.
   bool is_leaving = false;
-  // Time for which it wants no requests from this instance.
+  // Time for which it accepts no requests from this instance.
   std::optional<milliseconds> pause;
 
   auto operator<=>(const target_signals&) const = default;
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -58,13 +58,13 @@
   // The source holds the run's copy until it continues elsewhere.
   std::shared_ptr<void> open_run;
   std::shared_ptr<run_stopper> stopper;
-  // Targets chosen before are asked again from this time on.
+  // Targets chosen before are checked again from this time on.
   timestamp decision_deadline;
   // Set while the run waits for its source to stop.
   std::unique_ptr<i_timer> stop_timer;
   // What the latest request to stop the run has shown.
   std::optional<stop_outcome> last_stop_outcome;
-  // The source refused the last request, and is not asked again.
+  // The source refused the last request, and gets no further one.
   bool stays_at_source = false;
   // Whether the wait has been extended after a pause of the process.
   bool was_extended = false;
--- a/src/gateway/internal/exchange_response.cc
+++ b/src/gateway/internal/exchange_response.cc
@@ -85,7 +85,7 @@
   OnFailure(run_end::broken);
 }
 
-// Returns false if the response was given up, which has ended the attempt.
+// Returns false if the response was cancelled, which has ended the attempt.
 bool exchange::HoldBytes(std::size_t bytes) {
   if (!attempt_->buffer) {
     if (bytes == 0)
--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -321,8 +321,8 @@
                                {{"instance", settings_.instance}});
   }
 
-  // An instance that can't confirm its configuration can't tell whether an API
-  // key was revoked, so it would refuse the requests that need one.
+  // An instance that can't confirm its configuration can't determine whether an
+  // API key was revoked, so it would refuse the requests that need one.
   bool IsReady() const {
     return !services_.stop_deadline && latest_configuration_.table() &&
            store_view_.HasSnapshot() &&
--- a/src/gateway/internal/gateway_services.h
+++ b/src/gateway/internal/gateway_services.h
@@ -102,7 +102,7 @@
                    const target_id* from = nullptr);
 
   // Whether a run that another target worked on may be sent to this one now. To
-  // be asked right before the send.
+  // be called right before the send.
   bool AcceptsRun(const target_id& target) const;
 
   // Whether a run may be sent back to a target that it was about to leave.
--- a/src/gateway/internal/run_mover.cc
+++ b/src/gateway/internal/run_mover.cc
@@ -9,7 +9,7 @@
 // whose receivers all refuse the copy.
 constexpr int kMaxCopyRequests = 16;
 
-// Delay before the next attempt if the source does not know the run yet or no
+// Delay before the next attempt if the source has not begun the run yet or no
 // receiver has room. Engines free memory several times a second, and a shutdown
 // is announced only a second or two in advance.
 constexpr milliseconds kRetryInterval{60};
@@ -17,7 +17,7 @@
 constexpr milliseconds kConnectTimeout{300};
 
 // Responses to copy requests carry no id, so that an earlier response that is
-// repeated on a connection in use again could not be told from them.
+// repeated on a connection in use again could not be distinguished from them.
 constexpr milliseconds kMaxIdle{0};
 
 constexpr int kOk = 200;
--- a/src/gateway/internal/run_stopper.cc
+++ b/src/gateway/internal/run_stopper.cc
@@ -14,7 +14,7 @@
 constexpr milliseconds kMaxResponseTime{8000};
 
 // Responses carry no id, so that an earlier one on a connection in use again
-// could not be told from them.
+// could not be distinguished from them.
 constexpr milliseconds kMaxIdle{0};
 
 // A target that has copied a run names its handle.
@@ -89,7 +89,7 @@
   }
   if (decoded.status == kNotFound)
     return {stop_outcome::had_ended, ""};
-  // A refusal with a handle says that the run was stopped but not copied.
+  // A refusal with a handle means that the run was stopped but not copied.
   if (!decoded.handle.empty())
     return {stop_outcome::kept, decoded.handle};
   return {stop_outcome::refused, ""};
--- a/src/gateway/tests/mocks/exchange_fixture.h
+++ b/src/gateway/tests/mocks/exchange_fixture.h
@@ -122,7 +122,7 @@
     return EncodeChunk("id: " + std::to_string(id) + "\ndata: x\n\n");
   }
 
-  // The latest call asks a target to stop a run. The target ends the run's
+  // The latest call requests the stop of a run. The target ends the run's
   // connection, if it is open still, and responds that it has no such run.
   void ConfirmStop() {
     const auto stop = connector.channels.back();
--- a/src/peers/internal/watch_tree_reader.cc
+++ b/src/peers/internal/watch_tree_reader.cc
@@ -12,6 +12,8 @@
 namespace wist {
 namespace {
 
+constexpr int kOk = 200;
+
 constexpr milliseconds kConnectTimeout{300};
 
 // Time in which a parent has to respond, in addition to the wait of a watch. A
@@ -74,8 +76,6 @@
   return EncodeHttpRequest(request);
 }
 
-constexpr int kOk = 200;
-
 // Returns null unless the response of a parent has a page.
 const std::string* PageOf(const std::optional<buffered_response>& response) {
   return response && response->head.status == kOk ? &response->body : nullptr;
@@ -261,7 +261,7 @@
           return call.done(std::move(result));
         }
         if (patience > milliseconds(0) && IsLossNotice(response)) {
-          // The parent looks for a source itself. It is asked again, unless it
+          // The parent looks for a source itself. It is called again, unless it
           // had its time.
           if (AwaitsSource(patience))
             return call.done(store_error::unavailable);
--- a/src/peers/tests/watch_sharing_test.cc
+++ b/src/peers/tests/watch_sharing_test.cc
@@ -266,7 +266,7 @@
   }
   CHECK(responses == 24);
   CHECK(f.direct.calls == 0);
-  // The parent is asked again and has found one.
+  // The parent is called again and has found one.
   const watch_page page{{{"k", "v", 6}}, 6, milliseconds(40)};
   f.connector.channels.back()->Receive(
       OkResponse(EncodePage(watch_result(page))));
--- a/src/store/tests/http_kv_store_test.cc
+++ b/src/store/tests/http_kv_store_test.cc
@@ -7,7 +7,7 @@
 #include "store/store_module.h"
 
 // Guards against a response of the key-value service that is valid in HTTP and
-// does not say what a response has to say.
+// lacks what a response has to state.
 
 using namespace wist;
 
