--- a/src/gateway/tests/invalid_response_test.cc
+++ b/src/gateway/tests/invalid_response_test.cc
@@ -45,6 +45,18 @@
   return responses;
 }
 
+// Starts a stream whose target then leaves, so that its run is moved. Returns
+// the name of that target.
+std::string StartMove(exchange_fixture& f) {
+  f.SendStreamRequest();
+  const std::string source = f.TargetName(0);
+  f.target_channel().Receive(f.StreamHead() + f.Event(1));
+  f.directory.Remove(target_id(source), false, f.scheduler.Now());
+  REQUIRE(f.connector.channels.size() == 2);
+  REQUIRE(f.target_channel().written.starts_with("POST /move/"));
+  return source;
+}
+
 }  // namespace
 
 TEST_CASE("a call that may have run gets 502 for an invalid response") {
@@ -129,12 +141,7 @@
   for (const std::string& bytes : InvalidResponses("")) {
     INFO(bytes);
     exchange_fixture f;
-    f.SendStreamRequest();
-    const std::string source = f.TargetName(0);
-    f.target_channel().Receive(f.StreamHead() + f.Event(1));
-    f.directory.Remove(target_id(source), false, f.scheduler.Now());
-    REQUIRE(f.connector.channels.size() == 2);
-    REQUIRE(f.target_channel().written.starts_with("POST /move/"));
+    StartMove(f);
     f.target_channel().Receive(bytes);
     CHECK(f.logger.LastField("move", "outcome") == "broken");
     // The run goes on at its source.
@@ -151,10 +158,7 @@
   for (const std::string& bytes : InvalidResponses("")) {
     INFO(bytes);
     exchange_fixture f;
-    f.SendStreamRequest();
-    const std::string source = f.TargetName(0);
-    f.target_channel().Receive(f.StreamHead() + f.Event(1));
-    f.directory.Remove(target_id(source), false, f.scheduler.Now());
+    StartMove(f);
     f.target_channel().Receive(f.Response("200 OK", "copy"));
     REQUIRE(f.target_channel().written.starts_with("POST /stop/"));
     f.target_channel().Receive(bytes);
@@ -168,10 +172,7 @@
 // A target that has stopped a run names the copy of it.
 TEST_CASE("a stop without a handle is not confirmed") {
   exchange_fixture f;
-  f.SendStreamRequest();
-  const std::string source = f.TargetName(0);
-  f.target_channel().Receive(f.StreamHead() + f.Event(1));
-  f.directory.Remove(target_id(source), false, f.scheduler.Now());
+  StartMove(f);
   f.target_channel().Receive(f.Response("200 OK", "copy"));
   REQUIRE(f.target_channel().written.starts_with("POST /stop/"));
   f.target_channel().Receive(f.Response("200 OK", ""));
@@ -246,10 +247,7 @@
 
 TEST_CASE("an invalid response about a copy is reported") {
   exchange_fixture f;
-  f.SendStreamRequest();
-  const std::string source = f.TargetName(0);
-  f.target_channel().Receive(f.StreamHead() + f.Event(1));
-  f.directory.Remove(target_id(source), false, f.scheduler.Now());
+  const std::string source = StartMove(f);
   f.target_channel().Receive("HTTP/1.1 200 OK\r\nX Y: 1\r\n\r\n");
   f.scheduler.Advance(milliseconds(60));
   f.target_channel().Receive(f.Response("200 OK", "copy"));
