Bound the keep-alive timeout that a server states

What happened: a keep-alive timeout near the limit of 64 bits overflowed when it was converted to milliseconds, and the channel was closed at once.

Evidence, before the fix (`net`, http_caller_test): "a keep-alive timeout beyond all bounds counts as a long one" fails: 2 == 1 channels.

Fix: a timeout of more than an hour counts as an hour.

Result: `net` passes.

--- a/src/framework/net/internal/http_caller.cc
+++ b/src/framework/net/internal/http_caller.cc
@@ -19,6 +19,9 @@
 // Used when the server sends no keep-alive timeout.
 constexpr milliseconds kDefaultKeepAlive{4000};
 
+// A longer keep-alive timeout, in seconds, may be out of range.
+constexpr std::int64_t kMaxKeepAliveS = 3600;
+
 // Keeps the idle channels of all instances together below the number of
 // connections that a target accepts.
 constexpr std::size_t kMaxIdlePerAddress = 8;
@@ -39,7 +42,7 @@
       std::from_chars(first, value.data() + value.size(), timeout_s);
   if (error != std::errc())
     return kDefaultKeepAlive;
-  return seconds(timeout_s);
+  return seconds(std::min(timeout_s, kMaxKeepAliveS));
 }
 
 struct idle_channel {
--- a/src/framework/net/tests/http_caller_test.cc
+++ b/src/framework/net/tests/http_caller_test.cc
@@ -109,6 +109,21 @@
   CHECK(f.connector.channels.size() == 2);
 }
 
+// The time in milliseconds is out of range.
+TEST_CASE("a keep-alive timeout beyond all bounds counts as a long one") {
+  for (const char* timeout :
+       {"9223372036854775807", "9223372036854776", "100000"}) {
+    INFO(timeout);
+    fixture f;
+    f.Call();
+    f.channel(0).Receive(
+        "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=" + std::string(timeout) +
+        "\r\nContent-Length: 0\r\n\r\n");
+    f.Call();
+    CHECK(f.connector.channels.size() == 1);
+  }
+}
+
 TEST_CASE("a channel is not reused after Connection: close or surplus bytes") {
   fixture f;
   f.Call();
