--- a/scenarios/invalid_responses_at_entry.lua
+++ b/scenarios/invalid_responses_at_entry.lua
@@ -79,4 +79,20 @@
   expect(result.done and result.tokens == 10,
     "the generation of another engine after " .. bytes)
 end
+
+-- Valid in HTTP, but the stream ends in an orderly way without its last event.
+local function sound_response(body)
+  return "HTTP/1.1 200 OK\r\nContent-Length: " .. #body .. "\r\n\r\n" .. body
+end
+set_raw_responses(engine_port(0), {["/load"] = load_report,
+  ["/v1/completions"] =
+    sound_response('id: 0\ndata: {"choices":[{"text":"x"}]}\n\n'),
+  default = sound_response("")})
+local state = await("the raw engine begins a generation", function()
+  local before = received(engine_port(0), "/v1/completions")
+  local ended = await_stream_end(stream_completion(0, 10, "a brief without an end"))
+  return received(engine_port(0), "/v1/completions") > before and ended
+end)
+expect(not state.done and state.tokens == 1, "an incomplete stream")
+expect(state.error_body:find('"may_have_run"', 1, true), "the verdict may_have_run")
 expect_no_audit_findings()
