Log and count lost histories and ranges that are behind

The first of a series of rejected ranges and each lost history now have a log line with the revisions, and both are counted in wist_gateway_store_calls_total{outcome}. No logic changes. Unit tests of the follower check both reports.

--- a/src/follower/internal/prefix_follower.cc
+++ b/src/follower/internal/prefix_follower.cc
@@ -64,9 +64,11 @@
     range_revision_ = page.at_revision;
   if (page.age > settings_.max_age)
     return OnError(store_error::unavailable);
-  if (is_first_page && IsBehind(page))
+  if (is_first_page && IsBehind(page)) {
+    listener_.OnRangeBehind(page.at_revision, latest_revision_);
     return RunAfter(settings_.initial_retry_pause,
                     &prefix_follower::StartRangeRead);
+  }
   max_page_age_ = std::max(max_page_age_, page.age);
   for (const store_change& item : page.items) {
     if (item.value)
@@ -135,6 +137,7 @@
 
 void prefix_follower::OnError(store_error error) {
   if (error == store_error::history_gone) {
+    listener_.OnHistoryGone(revision_.value_or(0));
     revision_.reset();
     return RunAfter(milliseconds(0), &prefix_follower::StartRangeRead);
   }
--- a/src/follower/prefix_follower.h
+++ b/src/follower/prefix_follower.h
@@ -30,6 +30,15 @@
 
   virtual void OnStoreLost(store_error error) = 0;
   virtual void OnStoreRegained() = 0;
+
+  // The source no longer has the changes after `revision`, so that all entries
+  // are read again.
+  virtual void OnHistoryGone(std::int64_t revision) = 0;
+
+  // The entries read are those of `revision`, before `latest_revision`, which
+  // was reported already. They are rejected and read again.
+  virtual void OnRangeBehind(std::int64_t revision,
+                             std::int64_t latest_revision) = 0;
 };
 
 struct follower_settings {
--- a/src/follower/tests/prefix_follower_test.cc
+++ b/src/follower/tests/prefix_follower_test.cc
@@ -53,6 +53,12 @@
   void OnConfirmed(std::int64_t, timestamp at) override { confirmed_at = at; }
   void OnStoreLost(store_error) override { ++lost; }
   void OnStoreRegained() override { ++regained; }
+  void OnHistoryGone(std::int64_t revision) override { gone_at = revision; }
+  void OnRangeBehind(std::int64_t revision, std::int64_t latest) override {
+    ++behind;
+    behind_revision = revision;
+    behind_latest = latest;
+  }
 
   std::vector<std::map<std::string, store_change>> snapshots;
   std::vector<std::string> changes;
@@ -60,6 +66,10 @@
   bool after_outage = false;
   int lost = 0;
   int regained = 0;
+  std::int64_t gone_at = 0;
+  int behind = 0;
+  std::int64_t behind_revision = 0;
+  std::int64_t behind_latest = 0;
 };
 
 struct fixture {
@@ -134,6 +144,7 @@
   f.store.RespondToRange(range_page{{}, false, 90});
   CHECK(f.store.watch_since.back() == 90);
   CHECK(f.listener.lost == 0);
+  CHECK(f.listener.gone_at == 10);
 }
 
 // Guards against sound targets that look removed: after lost history the keys
@@ -148,6 +159,9 @@
   f.store.RespondToRange(range_page{{}, false, 11});
   CHECK(f.listener.snapshots.size() == 1);
   CHECK(f.listener.lost == 0);
+  CHECK(f.listener.behind == 1);
+  CHECK(f.listener.behind_revision == 11);
+  CHECK(f.listener.behind_latest == 12);
   f.scheduler.Advance(milliseconds(100));
   REQUIRE(f.store.range_done);
   f.store.RespondToRange(range_page{{{"p/a", "1", 12}}, false, 12});
--- a/src/gateway/internal/gateway_metrics.cc
+++ b/src/gateway/internal/gateway_metrics.cc
@@ -132,6 +132,14 @@
   store_calls_.Add({{"outcome", "lost"}}).Increment();
 }
 
+void gateway_metrics::OnStoreHistoryGone() {
+  store_calls_.Add({{"outcome", "history_gone"}}).Increment();
+}
+
+void gateway_metrics::OnStoreBehind() {
+  store_calls_.Add({{"outcome", "behind"}}).Increment();
+}
+
 void gateway_metrics::SetConfigurationAge(double seconds) {
   state_.Add({{"value", "configuration_age_seconds"}}).Set(seconds);
 }
--- a/src/gateway/internal/gateway_metrics.h
+++ b/src/gateway/internal/gateway_metrics.h
@@ -46,6 +46,10 @@
   void OnHandlerFailure();
   void OnStoreCall(const std::string& cause);
   void OnStoreLost();
+  // The source of this instance no longer has the changes that it watches.
+  void OnStoreHistoryGone();
+  // Entries of an earlier revision than a known one were read and rejected.
+  void OnStoreBehind();
   void SetConfigurationAge(double seconds);
   void SetQuarantines(std::size_t count);
   void SetDroppedLogLines(std::uint64_t lines);
--- a/src/gateway/internal/store_view.cc
+++ b/src/gateway/internal/store_view.cc
@@ -158,6 +158,7 @@
       services_.latest_configuration.version(), confirmed_at);
   mirror_.Confirm(revision, confirmed_at);
   is_reachable_ = true;
+  is_behind_logged_ = false;
 }
 
 void store_view::OnStoreLost(store_error error) {
@@ -173,6 +174,22 @@
   services_.logger.Write(log_level::info, "store_regained", {});
 }
 
+void store_view::OnHistoryGone(std::int64_t revision) {
+  services_.metrics.OnStoreHistoryGone();
+  services_.logger.Write(log_level::warning, "store_history_gone",
+                         {{"revision", revision}});
+}
+
+void store_view::OnRangeBehind(std::int64_t revision,
+                               std::int64_t latest_revision) {
+  services_.metrics.OnStoreBehind();
+  if (std::exchange(is_behind_logged_, true))
+    return;
+  services_.logger.Write(
+      log_level::warning, "store_behind",
+      {{"revision", revision}, {"latest_revision", latest_revision}});
+}
+
 void store_view::ApplyChange(const store_change& change, bool after_outage) {
   if (dialect_.IsConfigurationKey(change.key)) {
     if (change.value)
--- a/src/gateway/internal/store_view.h
+++ b/src/gateway/internal/store_view.h
@@ -71,6 +71,9 @@
   void OnConfirmed(std::int64_t revision, timestamp confirmed_at) override;
   void OnStoreLost(store_error error) override;
   void OnStoreRegained() override;
+  void OnHistoryGone(std::int64_t revision) override;
+  void OnRangeBehind(std::int64_t revision,
+                     std::int64_t latest_revision) override;
 
   change_kind KindOf(const store_change& change) const;
   void ApplyChange(const store_change& change, bool after_outage);
@@ -98,6 +101,8 @@
   store_mirror mirror_;
   bool has_snapshot_ = false;
   bool is_reachable_ = false;
+  // Whether a log line was written since ranges are rejected as behind.
+  bool is_behind_logged_ = false;
   std::set<domain_id> evacuated_;
   std::map<std::string, known_instance> instances_;
   std::set<std::string> quarantine_keys_;
