Read the store by era and revision

Cause: a revision was taken for a position in the store's history by itself. A store that returns from an older copy gives the revisions that followed the copy out again. A watch went on from its old revision, so that the store returned nothing of what was written below it, and each empty response confirmed the old content. Where the old revision was above the store's, ranges were rejected as behind for 1.7 s, twelve to seventeen of them; then the instance was right, but its mirror kept the larger revision, so that its readers received no change and had their old content confirmed.

Now a revision consists of the era, which the store states in all responses, and its number. The era passes down the watch tree; a store's response in another era ends the watch, a later era is read at once whatever its numbers are, and an earlier one is never used. A mirror passes on the differences to readers that were at a revision that it had itself, and tells all others to read again. Entries that the copy lacks have two seconds to be written again, as after an outage. A store that states no era is read as before, and so are instances of earlier versions, which neither send nor read the era.

--- a/src/apps/wisteriatally/gateway_command.cc
+++ b/src/apps/wisteriatally/gateway_command.cc
@@ -38,12 +38,13 @@
   const std::shared_ptr<const i_clock> clock = MakeSystemClock();
   const auto loop = MakeEventLoop(clock);
   std::unique_ptr<i_gateway> gateway;
-  const auto caller =
-      MakeHttpCaller(*loop, *loop, [&](const invalid_response& response) {
-        if (gateway)
-          gateway->OnInvalidResponse(response);
-      });
-  const auto store = MakePlatformStore(settings.store, *caller, *loop);
+  const auto on_invalid_response = [&](const invalid_response& response) {
+    if (gateway)
+      gateway->OnInvalidResponse(response);
+  };
+  const auto caller = MakeHttpCaller(*loop, *loop, on_invalid_response);
+  const auto store =
+      MakePlatformStore(settings.store, *caller, *loop, on_invalid_response);
   const auto dialect = MakePlatformDialect();
   platform_settings_watcher watcher(*path, settings, *logger);
   gateway = MakeGateway(settings.gateway,
--- a/src/follower/i_async_store.h
+++ b/src/follower/i_async_store.h
@@ -9,6 +9,7 @@
 #include <variant>
 #include <vector>
 
+#include "follower/store_revision.h"
 #include "framework/base/time_types.h"
 
 namespace wist {
@@ -17,7 +18,7 @@
 struct store_change {
   std::string key;
   std::optional<std::string> value;
-  std::int64_t revision = 0;
+  store_revision revision;
 
   auto operator<=>(const store_change&) const = default;
 };
@@ -26,7 +27,7 @@
 struct range_page {
   std::vector<store_change> items;
   bool has_more = false;
-  std::int64_t at_revision = 0;
+  store_revision at_revision;
   // Age of the content when the page was created; 0 for a page from the store
   // itself.
   microseconds age{0};
@@ -34,10 +35,11 @@
   auto operator<=>(const range_page&) const = default;
 };
 
-// All changes after the requested revision, up to and including `at_revision`.
+// All changes after the requested revision, up to and including `at_revision`,
+// which may be of a later era.
 struct watch_page {
   std::vector<store_change> changes;
-  std::int64_t at_revision = 0;
+  store_revision at_revision;
   microseconds age{0};
   // Time for which the mirror held the call before it created the page; 0 if it
   // is not known.
@@ -47,8 +49,10 @@
 };
 
 enum class store_error {
-  unavailable,   // No response, or the store currently rejects this instance.
-  history_gone,  // The store no longer has the requested changes.
+  unavailable,  // No response, or the store currently rejects this instance.
+  // The store no longer has the requested changes, or they are those of another
+  // era.
+  history_gone,
 };
 
 std::string_view StoreErrorName(store_error error);
@@ -69,7 +73,7 @@
   // Reads the changes after `since_revision`; waits up to `wait` for the first
   // one.
   virtual void Watch(const std::string& prefix,
-                     std::int64_t since_revision,
+                     store_revision since_revision,
                      milliseconds wait,
                      std::function<void(watch_result)> done) = 0;
 };
@@ -93,7 +97,7 @@
 // The revision that a key is expected to have; 0 means that it does not exist.
 struct key_condition {
   std::string key;
-  std::int64_t revision = 0;
+  store_revision revision;
 
   auto operator<=>(const key_condition&) const = default;
 };
@@ -123,7 +127,7 @@
   // The same, only if the key still has `expected_revision`; 0 means that it
   // does not exist.
   virtual void PutIfUnchanged(const std::string& key,
-                              std::int64_t expected_revision,
+                              store_revision expected_revision,
                               const std::string& value,
                               store_lease lease,
                               std::function<void(put_result)> done) = 0;
--- a/src/follower/internal/prefix_follower.cc
+++ b/src/follower/internal/prefix_follower.cc
@@ -40,7 +40,7 @@
 
 void prefix_follower::StartRangeRead() {
   items_.clear();
-  range_revision_ = 0;
+  range_revision_.reset();
   max_page_age_ = microseconds(0);
   called_at_ = scheduler_.Now();
   ReadPage("");
@@ -59,7 +59,7 @@
   // The pages may be read at different revisions. The watch continues from the
   // revision of the first one, and returns again changes that later pages
   // already contain.
-  const bool is_first_page = range_revision_ == 0;
+  const bool is_first_page = !range_revision_;
   if (is_first_page)
     range_revision_ = page.at_revision;
   if (page.age > settings_.max_age)
@@ -69,6 +69,10 @@
     return RunAfter(settings_.initial_retry_pause,
                     &prefix_follower::StartRangeRead);
   }
+  // Together the pages would be no content that the store ever had.
+  if (page.at_revision.era != range_revision_->era)
+    return RunAfter(settings_.initial_retry_pause,
+                    &prefix_follower::StartRangeRead);
   max_page_age_ = std::max(max_page_age_, page.age);
   for (const store_change& item : page.items) {
     if (item.value)
@@ -77,8 +81,9 @@
   if (page.has_more && !page.items.empty())
     return ReadPage(page.items.back().key);
   OnSuccess();
+  EnterEraOf(*range_revision_);
   revision_ = range_revision_;
-  latest_revision_ = range_revision_;
+  latest_revision_ = *range_revision_;
   behind_deadline_.reset();
   listener_.OnSnapshot(items_, *revision_, IsAfterOutage());
   items_.clear();
@@ -88,12 +93,15 @@
 
 // Whether the source lacks changes that are known here. Entries that it lacks
 // would be taken for removed ones. A source that remains behind for longer than
-// its content may be old has lost them.
+// its content may be old has lost them. One of an earlier era never becomes the
+// store's content again.
 bool prefix_follower::IsBehind(const range_page& first_page) {
   if (first_page.at_revision >= latest_revision_) {
     behind_deadline_.reset();
     return false;
   }
+  if (first_page.at_revision.era < latest_revision_.era)
+    return true;
   const timestamp now = scheduler_.Now();
   if (!behind_deadline_)
     behind_deadline_ = now + settings_.max_age;
@@ -112,7 +120,10 @@
   const auto& page = std::get<watch_page>(result);
   if (page.age > settings_.max_age)
     return OnError(store_error::unavailable);
+  if (page.at_revision.era < revision_->era)
+    return OnError(store_error::unavailable);
   OnSuccess();
+  EnterEraOf(page.at_revision);
   for (const store_change& change : page.changes)
     listener_.OnChange(change, IsAfterOutage());
   revision_ = std::max(*revision_, page.at_revision);
@@ -137,7 +148,7 @@
 
 void prefix_follower::OnError(store_error error) {
   if (error == store_error::history_gone) {
-    listener_.OnHistoryGone(revision_.value_or(0));
+    listener_.OnHistoryGone(revision_.value_or(store_revision()));
     revision_.reset();
     return RunAfter(milliseconds(0), &prefix_follower::StartRangeRead);
   }
@@ -168,6 +179,15 @@
   listener_.OnStoreRegained();
 }
 
+// Entries that the copy lacks are removed like those that expire in an outage.
+void prefix_follower::EnterEraOf(store_revision revision) {
+  if (latest_revision_ == store_revision() ||
+      revision.era <= latest_revision_.era)
+    return;
+  grace_deadline_ = scheduler_.Now() + settings_.outage_grace;
+  listener_.OnNewEra(revision, latest_revision_);
+}
+
 bool prefix_follower::IsAfterOutage() const {
   return grace_deadline_ && scheduler_.Now() < *grace_deadline_;
 }
--- a/src/follower/internal/store_mirror.cc
+++ b/src/follower/internal/store_mirror.cc
@@ -25,7 +25,7 @@
   change_log_.clear();
   last_logged_.clear();
   // The next Confirm() sets it.
-  log_start_revision_ = -1;
+  log_start_revision_.reset();
 }
 
 void store_mirror::Apply(const store_change& change, change_kind kind) {
@@ -54,14 +54,14 @@
   if (change_log_.size() <=
       std::max(kMinLogEntries, kLogEntriesPerItem * items_.size()))
     return;
-  log_start_revision_ =
-      std::max(log_start_revision_, change_log_.front().change.revision);
+  log_start_revision_ = std::max(log_start_revision_.value_or(store_revision()),
+                                 change_log_.front().change.revision);
   EraseLogged(change_log_.begin());
 }
 
 void store_mirror::ApplyRemovals(
     const std::map<std::string, store_change>& items,
-    std::int64_t revision) {
+    store_revision revision) {
   std::vector<store_change> removals;
   for (const auto& [key, item] : items_) {
     if (!items.contains(key))
@@ -76,6 +76,11 @@
   return found != items_.end() && found->second == entry;
 }
 
+bool store_mirror::ContainsValue(const store_change& entry) const {
+  const auto found = items_.find(entry.key);
+  return found != items_.end() && found->second.value == entry.value;
+}
+
 void store_mirror::EraseLogged(std::list<logged_change>::iterator entry) {
   const auto last = last_logged_.find(entry->change.key);
   if (last != last_logged_.end() && last->second == entry)
@@ -83,9 +88,11 @@
   change_log_.erase(entry);
 }
 
-void store_mirror::Confirm(std::int64_t revision, timestamp confirmed_at) {
-  if (log_start_revision_ < 0)
+void store_mirror::Confirm(store_revision revision, timestamp confirmed_at) {
+  if (!log_start_revision_)
     log_start_revision_ = revision;
+  if (confirmed_at_ && revision.era > revision_.era)
+    previous_era_end_ = revision_;
   revision_ = std::max(revision_, revision);
   confirmed_at_ =
       confirmed_at_ ? std::max(*confirmed_at_, confirmed_at) : confirmed_at;
@@ -111,14 +118,14 @@
 }
 
 std::optional<watch_result> store_mirror::Watch(const std::string& prefix,
-                                                std::int64_t since_revision,
+                                                store_revision since_revision,
                                                 timestamp now) const {
   if (!confirmed_at_)
     return store_error::unavailable;
   // The caller has already seen a later revision than this mirror.
   if (since_revision > revision_)
     return std::nullopt;
-  if (since_revision < log_start_revision_)
+  if (!HasChangesSince(since_revision))
     return store_error::history_gone;
   watch_page page;
   page.at_revision = revision_;
@@ -136,7 +143,21 @@
   return page;
 }
 
-watch_result store_mirror::EmptyWatchResult(std::int64_t since_revision,
+// The log leads from the last revision of the earlier era to the later one. A
+// reader that has seen later revisions of the earlier era, which the store has
+// lost, would keep their changes.
+bool store_mirror::HasChangesSince(store_revision revision) const {
+  if (log_start_revision_ && revision < *log_start_revision_)
+    return false;
+  if (revision.era == revision_.era)
+    return true;
+  // Revisions without an era may be those of different eras.
+  return revision.era > 0 && previous_era_end_ &&
+         revision.era == previous_era_end_->era &&
+         revision <= *previous_era_end_;
+}
+
+watch_result store_mirror::EmptyWatchResult(store_revision since_revision,
                                             timestamp now) const {
   // A mirror that is behind the caller cannot confirm that nothing changed.
   if (!confirmed_at_ || since_revision > revision_)
--- a/src/follower/prefix_follower.h
+++ b/src/follower/prefix_follower.h
@@ -20,25 +20,30 @@
   // that the store was unavailable until recently, so that entries may have
   // expired because they could not be renewed.
   virtual void OnSnapshot(const std::map<std::string, store_change>& items,
-                          std::int64_t revision,
+                          store_revision revision,
                           bool after_outage) = 0;
   virtual void OnChange(const store_change& change, bool after_outage) = 0;
 
   // The snapshot and the changes reported so far are the complete content of
   // the store at `revision`, which was its latest revision at `confirmed_at`.
-  virtual void OnConfirmed(std::int64_t revision, timestamp confirmed_at) = 0;
+  virtual void OnConfirmed(store_revision revision, timestamp confirmed_at) = 0;
 
   virtual void OnStoreLost(store_error error) = 0;
   virtual void OnStoreRegained() = 0;
 
   // The source no longer has the changes after `revision`, so that all entries
   // are read again.
-  virtual void OnHistoryGone(std::int64_t revision) = 0;
+  virtual void OnHistoryGone(store_revision revision) = 0;
 
   // The entries read are those of `revision`, before `latest_revision`, which
   // was reported already. They are rejected and read again.
-  virtual void OnRangeBehind(std::int64_t revision,
-                             std::int64_t latest_revision) = 0;
+  virtual void OnRangeBehind(store_revision revision,
+                             store_revision latest_revision) = 0;
+
+  // The store has begun a new era at `revision`, and what was written since it
+  // was copied is gone. `latest_revision` is the last one reported before.
+  virtual void OnNewEra(store_revision revision,
+                        store_revision latest_revision) = 0;
 };
 
 struct follower_settings {
@@ -51,8 +56,8 @@
   milliseconds change_pause{40};
   milliseconds initial_retry_pause{100};
   milliseconds max_retry_pause{1000};
-  // Time after an outage within which missing entries may still be written
-  // again by their owners.
+  // Time after an outage, or after the begin of an era, within which missing
+  // entries may still be written again by their owners.
   milliseconds outage_grace{2000};
 };
 
@@ -74,6 +79,7 @@
   void ReadPage(const std::string& after_key);
   void OnRangePage(range_result result);
   bool IsBehind(const range_page& first_page);
+  void EnterEraOf(store_revision revision);
   void StartWatch();
   void OnWatchPage(watch_result result);
   void OnError(store_error error);
@@ -93,10 +99,11 @@
   timestamp called_at_;
   // Revision from which the next watch continues; nothing until all keys have
   // been read.
-  std::optional<std::int64_t> revision_;
-  std::int64_t range_revision_ = 0;
+  std::optional<store_revision> revision_;
+  // Of the first page of the range that is being read.
+  std::optional<store_revision> range_revision_;
   // Latest revision that was reported to the listener.
-  std::int64_t latest_revision_ = 0;
+  store_revision latest_revision_;
   // Until when ranges of earlier revisions are rejected.
   std::optional<timestamp> behind_deadline_;
   bool store_lost_ = false;
--- a/src/follower/store_mirror.h
+++ b/src/follower/store_mirror.h
@@ -40,14 +40,20 @@
   // Applies the removal of all entries that are not in `items`, the content at
   // `revision`.
   void ApplyRemovals(const std::map<std::string, store_change>& items,
-                     std::int64_t revision);
+                     store_revision revision);
 
   // Whether the content has the entry with this value and revision.
   bool Contains(const store_change& entry) const;
 
+  // The same with any revision.
+  bool ContainsValue(const store_change& entry) const;
+
   // Records that the content is that of the store at `revision`, which was its
   // latest revision at `confirmed_at`.
-  void Confirm(std::int64_t revision, timestamp confirmed_at);
+  void Confirm(store_revision revision, timestamp confirmed_at);
+
+  // Returns the latest confirmed revision.
+  store_revision revision() const { return revision_; }
 
   // Whether the content was confirmed at least once.
   bool HasContent() const { return confirmed_at_.has_value(); }
@@ -56,11 +62,11 @@
 
   // Returns nothing if there is no change after `since_revision` to pass on.
   std::optional<watch_result> Watch(const std::string& prefix,
-                                    std::int64_t since_revision,
+                                    store_revision since_revision,
                                     timestamp now) const;
 
   // Returns the result of a watch whose wait ended without a change.
-  watch_result EmptyWatchResult(std::int64_t since_revision,
+  watch_result EmptyWatchResult(store_revision since_revision,
                                 timestamp now) const;
 
  private:
@@ -72,6 +78,7 @@
   };
 
   microseconds ContentAge(timestamp now) const;
+  bool HasChangesSince(store_revision revision) const;
   void EraseLogged(std::list<logged_change>::iterator entry);
 
   std::function<void()> update_handler_;
@@ -81,10 +88,12 @@
   // The last logged change of each key.
   std::unordered_map<std::string, std::list<logged_change>::iterator>
       last_logged_;
-  // The log contains all changes after this revision; -1 if it is not known
-  // yet.
-  std::int64_t log_start_revision_ = 0;
-  std::int64_t revision_ = 0;
+  // The log contains all changes after this revision; nothing if it is not
+  // known yet.
+  std::optional<store_revision> log_start_revision_ = store_revision();
+  store_revision revision_;
+  // The last revision that was confirmed in the era before that of `revision_`.
+  std::optional<store_revision> previous_era_end_;
   std::optional<timestamp> confirmed_at_;
 };
 
--- a/src/follower/tests/prefix_follower_test.cc
+++ b/src/follower/tests/prefix_follower_test.cc
@@ -19,7 +19,7 @@
     range_done = std::move(done);
   }
   void Watch(const std::string&,
-             std::int64_t since_revision,
+             store_revision since_revision,
              milliseconds,
              std::function<void(watch_result)> done) override {
     watch_since.push_back(since_revision);
@@ -34,14 +34,14 @@
   }
 
   std::vector<std::string> range_after;
-  std::vector<std::int64_t> watch_since;
+  std::vector<store_revision> watch_since;
   std::function<void(range_result)> range_done;
   std::function<void(watch_result)> watch_done;
 };
 
 struct recording_listener final : i_prefix_listener {
   void OnSnapshot(const std::map<std::string, store_change>& items,
-                  std::int64_t,
+                  store_revision,
                   bool after) override {
     snapshots.push_back(items);
     after_outage = after;
@@ -50,15 +50,18 @@
     changes.push_back(change.key);
     after_outage = after;
   }
-  void OnConfirmed(std::int64_t, timestamp at) override { confirmed_at = at; }
+  void OnConfirmed(store_revision, timestamp at) override { confirmed_at = at; }
   void OnStoreLost(store_error) override { ++lost; }
   void OnStoreRegained() override { ++regained; }
-  void OnHistoryGone(std::int64_t revision) override { gone_at = revision; }
-  void OnRangeBehind(std::int64_t revision, std::int64_t latest) override {
+  void OnHistoryGone(store_revision revision) override { gone_at = revision; }
+  void OnRangeBehind(store_revision revision, store_revision latest) override {
     ++behind;
     behind_revision = revision;
     behind_latest = latest;
   }
+  void OnNewEra(store_revision revision, store_revision) override {
+    eras.push_back(revision);
+  }
 
   std::vector<std::map<std::string, store_change>> snapshots;
   std::vector<std::string> changes;
@@ -66,10 +69,11 @@
   bool after_outage = false;
   int lost = 0;
   int regained = 0;
-  std::int64_t gone_at = 0;
+  store_revision gone_at;
   int behind = 0;
-  std::int64_t behind_revision = 0;
-  std::int64_t behind_latest = 0;
+  store_revision behind_revision;
+  store_revision behind_latest;
+  std::vector<store_revision> eras;
 };
 
 struct fixture {
@@ -91,7 +95,7 @@
   CHECK(f.store.range_after == std::vector<std::string>{"", "p/a"});
   REQUIRE(f.listener.snapshots.size() == 1);
   CHECK(f.listener.snapshots[0].size() == 2);
-  CHECK(f.store.watch_since == std::vector<std::int64_t>{10});
+  CHECK(f.store.watch_since == std::vector<store_revision>{10});
 }
 
 TEST_CASE("an early response confirms only the time of its call") {
@@ -230,3 +234,64 @@
       watch_page{{}, 10, milliseconds(100), milliseconds(300)});
   CHECK(f.listener.confirmed_at == called_at + milliseconds(200));
 }
+
+// Guards against changes that are never read after the store has returned from
+// an older copy: lower revisions would be rejected as behind.
+TEST_CASE("keys of a later era are used at once whatever their revision") {
+  fixture f;
+  f.store.RespondToRange(range_page{{{"p/a", "1", {1, 9}}}, false, {1, 40}});
+  f.store.RespondToWatch(store_error::history_gone);
+  f.scheduler.Advance(milliseconds(1));
+  f.store.RespondToRange(range_page{{}, false, {2, 12}});
+  REQUIRE(f.listener.snapshots.size() == 2);
+  CHECK(f.listener.eras == std::vector<store_revision>{{2, 12}});
+  // Entries that the copy lacks may be written again.
+  CHECK(f.listener.after_outage);
+  CHECK(f.store.watch_since.back() == store_revision(2, 12));
+}
+
+TEST_CASE("a mirror of a later era passes on its changes") {
+  fixture f;
+  f.store.RespondToRange(range_page{{}, false, {1, 40}});
+  f.store.RespondToWatch(
+      watch_page{{{"p/a", std::nullopt, {2, 12}}}, {2, 12}, milliseconds(5)});
+  CHECK(f.listener.changes == std::vector<std::string>{"p/a"});
+  CHECK(f.listener.eras == std::vector<store_revision>{{2, 12}});
+  CHECK(f.listener.after_outage);
+  f.scheduler.Advance(milliseconds(40));
+  CHECK(f.store.watch_since.back() == store_revision(2, 12));
+}
+
+// Guards against a source that has not noticed the later era, and would confirm
+// what the store has lost.
+TEST_CASE("content of an earlier era is never used") {
+  fixture f;
+  f.store.RespondToRange(range_page{{}, false, {2, 12}});
+  const timestamp confirmed_at = f.listener.confirmed_at;
+  f.scheduler.Advance(milliseconds(300));
+  f.store.RespondToWatch(watch_page{{{"p/a", "1", {1, 60}}}, {1, 60}});
+  CHECK(f.listener.changes.empty());
+  CHECK(f.listener.lost == 1);
+  f.scheduler.Advance(milliseconds(200));
+  f.store.RespondToWatch(store_error::history_gone);
+  const timestamp started_at = f.scheduler.Now();
+  while (f.scheduler.Now() < started_at + milliseconds(5000)) {
+    f.scheduler.Advance(milliseconds(100));
+    REQUIRE(f.store.range_done);
+    f.store.RespondToRange(range_page{{}, false, {1, 60}});
+  }
+  CHECK(f.listener.snapshots.size() == 1);
+  CHECK(f.listener.confirmed_at == confirmed_at);
+}
+
+TEST_CASE("pages of two eras are not merged") {
+  fixture f;
+  f.store.RespondToRange(range_page{{{"p/a", "1", {1, 3}}}, true, {1, 10}});
+  f.store.RespondToRange(range_page{{{"p/b", "2", {2, 4}}}, false, {2, 6}});
+  CHECK(f.listener.snapshots.empty());
+  f.scheduler.Advance(milliseconds(100));
+  CHECK(f.store.range_after == std::vector<std::string>{"", "p/a", ""});
+  f.store.RespondToRange(range_page{{{"p/b", "2", {2, 4}}}, false, {2, 6}});
+  REQUIRE(f.listener.snapshots.size() == 1);
+  CHECK(f.listener.snapshots[0].size() == 1);
+}
--- a/src/follower/tests/store_mirror_test.cc
+++ b/src/follower/tests/store_mirror_test.cc
@@ -146,3 +146,49 @@
   REQUIRE(page);
   CHECK(std::get<watch_page>(*page).changes.size() == 1);
 }
+
+namespace {
+
+// Returns a mirror that has read {1, 10}, and then the content of the next era.
+store_mirror MirrorOfSecondEra() {
+  store_mirror mirror;
+  mirror.SetAll({{"a/1", {"a/1", "x", {1, 3}}}, {"b/1", {"b/1", "y", {1, 5}}}});
+  mirror.Confirm({1, 10}, At(1000));
+  mirror.ApplyRemovals({{"a/1", {"a/1", "w", {2, 2}}}}, {2, 4});
+  mirror.Apply({"a/1", "w", {2, 2}});
+  mirror.Confirm({2, 4}, At(2000));
+  return mirror;
+}
+
+}  // namespace
+
+// Guards against readers that keep what the store has lost: revisions of the
+// later era are lower than theirs.
+TEST_CASE("a watch from an earlier era returns the changes to the later one") {
+  const store_mirror mirror = MirrorOfSecondEra();
+  const auto page = std::get<watch_page>(*mirror.Watch("", {1, 10}, At(2000)));
+  CHECK(page.changes == std::vector<store_change>{{"b/1", std::nullopt, {2, 4}},
+                                                  {"a/1", "w", {2, 2}}});
+  CHECK(page.at_revision == store_revision(2, 4));
+  CHECK_FALSE(mirror.Watch("", {2, 4}, At(2000)));
+}
+
+TEST_CASE(
+    "a watch from a revision that the mirror never had reports that the "
+    "history "
+    "is gone") {
+  const store_mirror mirror = MirrorOfSecondEra();
+  for (const store_revision since :
+       {store_revision(1, 11), store_revision(0, 10), store_revision(1, 9)}) {
+    INFO(since.era << " " << since.number);
+    CHECK(std::get<store_error>(*mirror.Watch("", since, At(2000))) ==
+          store_error::history_gone);
+  }
+}
+
+TEST_CASE("a mirror of an earlier era confirms nothing to a later one") {
+  const store_mirror mirror = MirrorOfSecondEra();
+  CHECK_FALSE(mirror.Watch("", {3, 1}, At(2000)));
+  CHECK(std::holds_alternative<store_error>(
+      mirror.EmptyWatchResult({3, 1}, At(2000))));
+}
--- a/src/gateway/internal/gateway_metrics.cc
+++ b/src/gateway/internal/gateway_metrics.cc
@@ -140,6 +140,10 @@
   store_calls_.Add({{"outcome", "behind"}}).Increment();
 }
 
+void gateway_metrics::OnStoreEra() {
+  store_calls_.Add({{"outcome", "new_era"}}).Increment();
+}
+
 void gateway_metrics::SetConfigurationAge(double seconds) {
   state_.Add({{"value", "configuration_age_seconds"}}).Set(seconds);
 }
--- a/src/gateway/internal/gateway_metrics.h
+++ b/src/gateway/internal/gateway_metrics.h
@@ -50,6 +50,8 @@
   void OnStoreHistoryGone();
   // Entries of an earlier revision than a known one were read and rejected.
   void OnStoreBehind();
+  // The store has returned from an older copy.
+  void OnStoreEra();
   void SetConfigurationAge(double seconds);
   void SetQuarantines(std::size_t count);
   void SetDroppedLogLines(std::uint64_t lines);
--- a/src/gateway/internal/quarantine_registry.cc
+++ b/src/gateway/internal/quarantine_registry.cc
@@ -277,8 +277,8 @@
 void quarantine_registry::Write(const std::string& name,
                                 const quarantine_entry& entry) {
   const auto stored = stored_.find(name);
-  const std::int64_t revision =
-      stored == stored_.end() ? 0 : stored->second.revision;
+  const store_revision revision =
+      stored == stored_.end() ? store_revision() : stored->second.revision;
   store_.PutIfUnchanged(
       KeyOf(name), revision, EncodeQuarantineEntry(entry), entry.lease,
       [this, name](put_result) { activities_[name].is_writing = false; });
--- a/src/gateway/internal/quarantine_registry.h
+++ b/src/gateway/internal/quarantine_registry.h
@@ -68,7 +68,7 @@
  private:
   struct stored_entry {
     quarantine_entry entry;
-    std::int64_t revision = 0;
+    store_revision revision;
     // Earliest time of the next trial.
     timestamp trial_due;
   };
--- a/src/gateway/internal/rollout_controller.cc
+++ b/src/gateway/internal/rollout_controller.cc
@@ -75,7 +75,7 @@
   if (const auto service = dialect.RolloutRequestService(change.key)) {
     if (change.value)
       tracker_.OnRequest(*service, dialect.DecodeRolloutRequest(*change.value),
-                         change.revision, Now());
+                         change.revision.number, Now());
     else
       tracker_.OnRequestRemoved(*service);
   } else if (const auto owner = dialect.RolloutStatusService(change.key)) {
@@ -83,9 +83,10 @@
                             ? dialect.DecodeRolloutStatus(*change.value)
                             : std::nullopt;
     if (status)
-      tracker_.OnStatus(*owner, *status, change.revision);
+      tracker_.OnStatus(*owner, *status, change.revision.number);
     else
-      tracker_.OnStatusMissing(*owner, change.value ? change.revision : 0);
+      tracker_.OnStatusMissing(*owner,
+                               change.value ? change.revision.number : 0);
   }
   ScheduleCheck(services_.scheduler.Now() + kChangeDelay);
 }
--- a/src/gateway/internal/store_view.cc
+++ b/src/gateway/internal/store_view.cc
@@ -115,7 +115,7 @@
 }
 
 void store_view::OnSnapshot(const std::map<std::string, store_change>& items,
-                            std::int64_t revision,
+                            store_revision revision,
                             bool after_outage) {
   // After a lost history the mirror records the differences as changes, so that
   // its readers do not have to read everything again.
@@ -125,7 +125,7 @@
   else
     mirror_.ApplyRemovals(items, revision);
   for (const auto& [key, item] : items) {
-    if (!is_first && !mirror_.Contains(item))
+    if (!is_first && !IsKnownToReaders(item))
       mirror_.Apply(item, KindOf(item));
     ApplyChange(item, after_outage);
   }
@@ -137,6 +137,13 @@
   ApplyChange(change, after_outage);
 }
 
+// In a new era all entries have other revisions. Nothing refers to that of the
+// configuration, which is by far the largest value.
+bool store_view::IsKnownToReaders(const store_change& item) const {
+  return mirror_.Contains(item) ||
+         (dialect_.IsConfigurationKey(item.key) && mirror_.ContainsValue(item));
+}
+
 change_kind store_view::KindOf(const store_change& change) const {
   // Only the newest version of the configuration is kept for readers of the
   // mirror, since it is by far the largest value.
@@ -153,7 +160,7 @@
              : change_kind::ordinary;
 }
 
-void store_view::OnConfirmed(std::int64_t revision, timestamp confirmed_at) {
+void store_view::OnConfirmed(store_revision revision, timestamp confirmed_at) {
   services_.latest_configuration.Confirm(
       services_.latest_configuration.version(), confirmed_at);
   mirror_.Confirm(revision, confirmed_at);
@@ -174,20 +181,35 @@
   services_.logger.Write(log_level::info, "store_regained", {});
 }
 
-void store_view::OnHistoryGone(std::int64_t revision) {
+void store_view::OnHistoryGone(store_revision revision) {
   services_.metrics.OnStoreHistoryGone();
-  services_.logger.Write(log_level::warning, "store_history_gone",
-                         {{"revision", revision}});
+  services_.logger.Write(
+      log_level::warning, "store_history_gone",
+      {{"revision", revision.number}, {"era", revision.era}});
 }
 
-void store_view::OnRangeBehind(std::int64_t revision,
-                               std::int64_t latest_revision) {
+void store_view::OnNewEra(store_revision revision,
+                          store_revision latest_revision) {
+  services_.metrics.OnStoreEra();
+  services_.logger.Write(
+      log_level::warning, "store_era",
+      {{"era", revision.era},
+       {"replaces", latest_revision.era},
+       {"revision", revision.number},
+       {"latest_revision", latest_revision.number},
+       {"configuration", services_.latest_configuration.version()}});
+}
+
+void store_view::OnRangeBehind(store_revision revision,
+                               store_revision latest_revision) {
   services_.metrics.OnStoreBehind();
   if (std::exchange(is_behind_logged_, true))
     return;
-  services_.logger.Write(
-      log_level::warning, "store_behind",
-      {{"revision", revision}, {"latest_revision", latest_revision}});
+  services_.logger.Write(log_level::warning, "store_behind",
+                         {{"revision", revision.number},
+                          {"era", revision.era},
+                          {"latest_revision", latest_revision.number},
+                          {"latest_era", latest_revision.era}});
 }
 
 void store_view::ApplyChange(const store_change& change, bool after_outage) {
--- a/src/gateway/internal/store_view.h
+++ b/src/gateway/internal/store_view.h
@@ -65,17 +65,20 @@
  private:
   // i_prefix_listener:
   void OnSnapshot(const std::map<std::string, store_change>& items,
-                  std::int64_t revision,
+                  store_revision revision,
                   bool after_outage) override;
   void OnChange(const store_change& change, bool after_outage) override;
-  void OnConfirmed(std::int64_t revision, timestamp confirmed_at) override;
+  void OnConfirmed(store_revision revision, timestamp confirmed_at) override;
   void OnStoreLost(store_error error) override;
   void OnStoreRegained() override;
-  void OnHistoryGone(std::int64_t revision) override;
-  void OnRangeBehind(std::int64_t revision,
-                     std::int64_t latest_revision) override;
+  void OnHistoryGone(store_revision revision) override;
+  void OnRangeBehind(store_revision revision,
+                     store_revision latest_revision) override;
+  void OnNewEra(store_revision revision,
+                store_revision latest_revision) override;
 
   change_kind KindOf(const store_change& change) const;
+  bool IsKnownToReaders(const store_change& item) const;
   void ApplyChange(const store_change& change, bool after_outage);
   void ApplyConfiguration(const std::string& value);
   void ApplyTarget(const store_change& change, bool after_outage);
--- a/src/gateway/tests/mocks/simulated_store.h
+++ b/src/gateway/tests/mocks/simulated_store.h
@@ -46,7 +46,7 @@
                  const std::string&,
                  std::function<void(range_result)>) override {}
   void Watch(const std::string&,
-             std::int64_t,
+             store_revision,
              milliseconds,
              std::function<void(watch_result)>) override {}
   void ReadRecent(const std::string&,
@@ -87,7 +87,7 @@
   }
 
   void PutIfUnchanged(const std::string& key,
-                      std::int64_t expected_revision,
+                      store_revision expected_revision,
                       const std::string& value,
                       store_lease lease,
                       std::function<void(put_result)> done) override {
@@ -146,8 +146,9 @@
       ++puts;
       for (const auto& condition : conditions) {
         const auto held = items_.find(condition.key);
-        const std::int64_t revision =
-            held == items_.end() ? 0 : held->second.change.revision;
+        const store_revision revision = held == items_.end()
+                                            ? store_revision()
+                                            : held->second.change.revision;
         if (revision != condition.revision)
           return done(put_result::changed);
       }
--- a/src/gateway/tests/store_view_test.cc
+++ b/src/gateway/tests/store_view_test.cc
@@ -53,7 +53,7 @@
     range_done = std::move(done);
   }
   void Watch(const std::string&,
-             std::int64_t,
+             store_revision,
              milliseconds,
              std::function<void(watch_result)> done) override {
     watch_done = std::move(done);
@@ -79,7 +79,7 @@
     put_done = std::move(done);
   }
   void PutIfUnchanged(const std::string&,
-                      std::int64_t,
+                      store_revision,
                       const std::string&,
                       store_lease,
                       std::function<void(put_result)>) override {}
@@ -107,7 +107,7 @@
   }
 
   void DeliverSnapshot(const std::vector<store_change>& items,
-                       std::int64_t revision = 10) {
+                       store_revision revision = 10) {
     std::exchange(store.range_done,
                   nullptr)(range_page{items, false, revision});
   }
@@ -271,6 +271,31 @@
   CHECK(std::get<watch_page>(*page).at_revision == 90);
 }
 
+// Guards against targets whose entries went with the store's latest writes, and
+// against readers of the mirror that keep them.
+TEST_CASE("entries that the store has lost may be written again for a time") {
+  store_view_fixture f;
+  f.DeliverSnapshot({{"operator/configuration", "7", {1, 3}},
+                     {"targets/a", "d1", {1, 5}},
+                     {"targets/b", "d2", {1, 9}}},
+                    {1, 10});
+  std::exchange(f.store.watch_done, nullptr)(store_error::history_gone);
+  f.scheduler.Advance(milliseconds(1));
+  f.DeliverSnapshot(
+      {{"operator/configuration", "7", {2, 3}}, {"targets/a", "d1", {2, 5}}},
+      {2, 6});
+  CHECK(f.AcceptsWork("b"));
+  const auto page = f.view.mirror().Watch("", {1, 10}, f.scheduler.Now());
+  REQUIRE(page);
+  const std::vector<store_change> expected = {
+      {"targets/b", std::nullopt, {2, 6}}};
+  CHECK(std::get<watch_page>(*page).changes == expected);
+  f.scheduler.Advance(milliseconds(3000));
+  f.directory.Expire(f.scheduler.Now());
+  CHECK_FALSE(f.AcceptsWork("b"));
+  CHECK(f.AcceptsWork("a"));
+}
+
 // Guards against a roll-out that is missed, or goes on after its request was
 // removed, because the history of the store was lost.
 TEST_CASE("roll-out keys are passed on from changes and from snapshots") {
--- a/src/peers/internal/mirror_server.cc
+++ b/src/peers/internal/mirror_server.cc
@@ -59,8 +59,13 @@
                     EncodePage(watch_result(store_error::unavailable)));
   pending_read read{channel, parameters["prefix"]};
   read.received_at = scheduler_.Now();
-  if (!is_range)
-    read.since_revision = ParseNumber(parameters["since"]);
+  if (!is_range) {
+    // Instances of earlier versions state no era.
+    read.since_revision = {parameters.contains("era")
+                               ? ParseNumber(parameters["era"])
+                               : mirror_.revision().era,
+                           ParseNumber(parameters["since"])};
+  }
   if (const auto page = Page(read))
     return SendPage(channel, *page);
   // An instance sends one read at a time on a connection.
--- a/src/peers/internal/page_codec.cc
+++ b/src/peers/internal/page_codec.cc
@@ -10,7 +10,7 @@
 json EncodeChanges(const std::vector<store_change>& changes) {
   json list = json::array();
   for (const store_change& change : changes) {
-    json entry = json::array({change.key, change.revision});
+    json entry = json::array({change.key, change.revision.number});
     if (change.value)
       entry.push_back(*change.value);
     list.push_back(std::move(entry));
@@ -23,7 +23,7 @@
   for (const json& entry : list) {
     store_change change;
     change.key = entry.at(0).get<std::string>();
-    change.revision = entry.at(1).get<std::int64_t>();
+    change.revision.number = entry.at(1).get<std::int64_t>();
     if (entry.size() > 2)
       change.value = entry.at(2).get<std::string>();
     changes.push_back(std::move(change));
@@ -31,6 +31,33 @@
   return changes;
 }
 
+// The eras of the changes follow as a list of their own, since earlier versions
+// read the entries of the changes by their size.
+json EncodeEras(const std::vector<store_change>& changes) {
+  json list = json::array();
+  for (const store_change& change : changes)
+    list.push_back(change.revision.era);
+  return list;
+}
+
+void DecodeEras(const json& list, std::vector<store_change>& changes) {
+  for (std::size_t i = 0; i < changes.size(); ++i)
+    changes[i].revision.era = list.at(i).get<std::int64_t>();
+}
+
+json EncodeContent(store_revision at_revision,
+                   microseconds age,
+                   const std::vector<store_change>& changes,
+                   microseconds held) {
+  json page = json::array(
+      {at_revision.number, age.count(), EncodeChanges(changes), held.count()});
+  if (at_revision.era > 0) {
+    page.push_back(at_revision.era);
+    page.push_back(EncodeEras(changes));
+  }
+  return page;
+}
+
 std::string ToMsgpack(const json& page) {
   const auto bytes = json::to_msgpack(page);
   return {bytes.begin(), bytes.end()};
@@ -42,7 +69,7 @@
 
 struct decoded_page {
   std::vector<store_change> changes;
-  std::int64_t at_revision = 0;
+  store_revision at_revision;
   microseconds age{0};
   microseconds held{0};
 };
@@ -56,10 +83,15 @@
                  ? store_error::history_gone
                  : store_error::unavailable;
     }
-    return decoded_page{
+    decoded_page decoded{
         DecodeChanges(page.at(2)), page.at(0).get<std::int64_t>(),
         microseconds(page.at(1).get<std::int64_t>()),
         microseconds(page.size() > 3 ? page.at(3).get<std::int64_t>() : 0)};
+    if (page.size() > 4) {
+      decoded.at_revision.era = page.at(4).get<std::int64_t>();
+      DecodeEras(page.at(5), decoded.changes);
+    }
+    return decoded;
   } catch (const json::exception&) {
     return store_error::unavailable;
   }
@@ -71,8 +103,8 @@
   if (const auto* error = std::get_if<store_error>(&result))
     return EncodeError(*error);
   const auto& page = std::get<range_page>(result);
-  return ToMsgpack(json::array(
-      {page.at_revision, page.age.count(), EncodeChanges(page.items)}));
+  return ToMsgpack(
+      EncodeContent(page.at_revision, page.age, page.items, microseconds(0)));
 }
 
 std::string EncodePage(const watch_result& result) {
@@ -80,8 +112,7 @@
     return EncodeError(*error);
   const auto& page = std::get<watch_page>(result);
   return ToMsgpack(
-      json::array({page.at_revision, page.age.count(),
-                   EncodeChanges(page.changes), page.held.count()}));
+      EncodeContent(page.at_revision, page.age, page.changes, page.held));
 }
 
 range_result DecodeRangePage(const std::string& bytes) {
--- a/src/peers/internal/watch_tree_reader.cc
+++ b/src/peers/internal/watch_tree_reader.cc
@@ -141,6 +141,14 @@
                                         : kFailedRootInterval);
 }
 
+// Returns whether no page of a later era was read before.
+bool watch_tree_reader::AdvanceToEraOf(store_revision revision) {
+  if (revision.era < latest_era_)
+    return false;
+  latest_era_ = revision.era;
+  return true;
+}
+
 void watch_tree_reader::RetryAt(timestamp time, std::function<void()> step) {
   retry_timer_ = scheduler_.RunAt(time, std::move(step));
 }
@@ -187,7 +195,8 @@
         range_result result = encoded ? DecodeRangePage(*encoded)
                                       : range_result(store_error::unavailable);
         const auto* page = std::get_if<range_page>(&result);
-        if (page && page->age <= kMaxMirrorAge) {
+        if (page && page->age <= kMaxMirrorAge &&
+            AdvanceToEraOf(page->at_revision)) {
           OnParentSuccess(name);
           return done(std::move(result));
         }
@@ -207,6 +216,8 @@
   next_direct_watch_at_ = scheduler_.Now() + kMinDirectWatchInterval;
   store_.ReadRange(
       prefix, after_key, [this, done = std::move(done)](range_result result) {
+        if (const auto* page = std::get_if<range_page>(&result))
+          AdvanceToEraOf(page->at_revision);
         OnStoreResponse(std::holds_alternative<store_error>(result),
                         /*patience=*/milliseconds(0));
         done(std::move(result));
@@ -214,7 +225,7 @@
 }
 
 void watch_tree_reader::Watch(const std::string& prefix,
-                              std::int64_t since_revision,
+                              store_revision since_revision,
                               milliseconds wait,
                               std::function<void(watch_result)> done) {
   Watch(watch_call{prefix, since_revision, wait, std::move(done),
@@ -238,11 +249,12 @@
                                        watch_call call) {
   const known_instance& parent = *source.instance;
   const milliseconds parent_wait = std::min(call.wait, kMaxParentWait);
-  const std::string request =
-      EncodeMirrorRequest(parent.address, "/watch",
-                          {{"prefix", call.prefix},
-                           {"since", std::to_string(call.since_revision)},
-                           {"wait_ms", std::to_string(parent_wait.count())}});
+  const std::string request = EncodeMirrorRequest(
+      parent.address, "/watch",
+      {{"prefix", call.prefix},
+       {"since", std::to_string(call.since_revision.number)},
+       {"era", std::to_string(call.since_revision.era)},
+       {"wait_ms", std::to_string(parent_wait.count())}});
   buffered_call::Start(
       caller_, scheduler_, parent.address, request,
       {kConnectTimeout,
@@ -256,7 +268,9 @@
         const std::string* encoded = PageOf(response);
         watch_result result = encoded ? DecodeWatchPage(*encoded)
                                       : watch_result(store_error::unavailable);
-        if (IsUsableResponse(result)) {
+        const auto* page = std::get_if<watch_page>(&result);
+        if (IsUsableResponse(result) &&
+            (!page || AdvanceToEraOf(page->at_revision))) {
           OnParentSuccess(name);
           return call.done(std::move(result));
         }
--- a/src/peers/mirror_server.h
+++ b/src/peers/mirror_server.h
@@ -44,7 +44,7 @@
     std::weak_ptr<i_channel> channel;
     std::string prefix;
     // Not set for a range read.
-    std::optional<std::int64_t> since_revision;
+    std::optional<store_revision> since_revision;
     timestamp received_at;
     std::unique_ptr<i_timer> timer;
   };
--- a/src/peers/tests/instance_announcer_test.cc
+++ b/src/peers/tests/instance_announcer_test.cc
@@ -17,7 +17,7 @@
                  const std::string&,
                  std::function<void(range_result)>) override {}
   void Watch(const std::string&,
-             std::int64_t,
+             store_revision,
              milliseconds,
              std::function<void(watch_result)>) override {}
   void ReadRecent(const std::string&,
@@ -44,7 +44,7 @@
     done(is_available);
   }
   void PutIfUnchanged(const std::string&,
-                      std::int64_t,
+                      store_revision,
                       const std::string&,
                       store_lease,
                       std::function<void(put_result)>) override {}
--- a/src/peers/tests/mirror_server_test.cc
+++ b/src/peers/tests/mirror_server_test.cc
@@ -115,3 +115,31 @@
   const watch_page page{{}, 6, milliseconds(50), milliseconds(300)};
   CHECK(f.TakeResponse() == OkResponse(EncodePage(watch_result(page))));
 }
+
+TEST_CASE("pages name the eras of their revisions") {
+  const watch_page watch{{{"k", "v", {1, 9}}, {"l", std::nullopt, {2, 3}}},
+                         {2, 5},
+                         milliseconds(40),
+                         milliseconds(7)};
+  CHECK(std::get<watch_page>(
+            DecodeWatchPage(EncodePage(watch_result(watch)))) == watch);
+  const range_page range{{{"k", "v", {1, 9}}}, false, {2, 5}, milliseconds(40)};
+  CHECK(std::get<range_page>(
+            DecodeRangePage(EncodePage(range_result(range)))) == range);
+}
+
+// Guards against instances of earlier versions, which state no era, that would
+// read all entries again and again.
+TEST_CASE("a watch that states no era is one of the mirror's era") {
+  mirror_fixture f;
+  f.mirror.SetAll({});
+  f.mirror.Confirm({4, 5}, f.scheduler.Now());
+  f.Get("/watch?prefix=&since=5&wait_ms=400");
+  CHECK(f.TakeResponse().empty());
+  f.mirror.Apply({"k", "v", {4, 6}});
+  f.mirror.Confirm({4, 6}, f.scheduler.Now());
+  CHECK(f.TakeResponse().starts_with("HTTP/1.1 200"));
+  f.Get("/watch?prefix=&since=5&era=3&wait_ms=400");
+  CHECK(f.TakeResponse() ==
+        OkResponse(EncodePage(watch_result(store_error::history_gone))));
+}
--- a/src/peers/tests/watch_sharing_test.cc
+++ b/src/peers/tests/watch_sharing_test.cc
@@ -29,7 +29,7 @@
     done(range_page{{}, false, 5});
   }
   void Watch(const std::string&,
-             std::int64_t,
+             store_revision,
              milliseconds,
              std::function<void(watch_result)> done) override {
     ++calls;
@@ -330,3 +330,31 @@
   CHECK(found.connector.addresses.size() == 1);
   CHECK(found.direct.calls == 0);
 }
+
+// Guards against a parent that has not noticed that the store has returned from
+// an older copy.
+TEST_CASE("a parent of an earlier era is replaced") {
+  fixture f;
+  f.Watch();
+  f.connector.channels[0]->Receive(
+      OkResponse(EncodePage(watch_result(watch_page{{}, {2, 5}}))));
+  CHECK(f.direct.calls == 0);
+  f.Watch();
+  f.connector.channels[0]->Receive(
+      OkResponse(EncodePage(watch_result(watch_page{{}, {1, 90}}))));
+  CHECK(f.direct.calls == 1);
+}
+
+TEST_CASE("a range from a parent of an earlier era is read from the store") {
+  fixture f;
+  f.Watch();
+  f.connector.channels[0]->Receive(
+      OkResponse(EncodePage(watch_result(watch_page{{}, {2, 5}}))));
+  std::optional<range_result> range;
+  f.store.ReadRange("", "",
+                    [&](range_result result) { range = std::move(result); });
+  f.connector.channels[0]->Receive(
+      OkResponse(EncodePage(range_result(range_page{{}, false, {1, 90}}))));
+  CHECK(f.direct.calls == 1);
+  CHECK(range);
+}
--- a/src/peers/watch_tree_reader.h
+++ b/src/peers/watch_tree_reader.h
@@ -48,14 +48,14 @@
                  const std::string& after_key,
                  std::function<void(range_result)> done) override;
   void Watch(const std::string& prefix,
-             std::int64_t since_revision,
+             store_revision since_revision,
              milliseconds wait,
              std::function<void(watch_result)> done) override;
 
  private:
   struct watch_call {
     std::string prefix;
-    std::int64_t since_revision = 0;
+    store_revision since_revision;
     milliseconds wait{0};
     std::function<void(watch_result)> done;
     int parents_tried = 0;
@@ -80,6 +80,7 @@
   bool AwaitsSource(milliseconds patience);
   void OnParentSuccess(const std::string& parent);
   void OnStoreResponse(bool refused, milliseconds patience);
+  bool AdvanceToEraOf(store_revision revision);
 
   i_store_reader& store_;
   i_http_caller& caller_;
@@ -97,6 +98,8 @@
   std::optional<timestamp> without_source_since_;
   // Earliest start of the next direct watch of the store.
   timestamp next_direct_watch_at_{};
+  // Latest era of a page. Mirrors of an earlier one are not read.
+  std::int64_t latest_era_ = 0;
   std::unique_ptr<i_timer> retry_timer_;
 };
 
