Do not take a removed entry that appears again for a return

A target increases the sequence with each entry that it writes, so only a higher one shows that it runs. An entry that is missing after an outage, and not yet taken for removed, may be written again unchanged as before. The test "a removed entry that appears again unchanged is not a return" failed before, and fails without the rule (planted fault).

--- a/src/directory/internal/target_directory.cc
+++ b/src/directory/internal/target_directory.cc
@@ -40,6 +40,9 @@
       held.leaving_since = now;
       return;
     }
+    // The store may have returned from a copy that still has the entry.
+    if (same_start && held.leaving && entry.sequence == held.entry.sequence)
+      return;
     if (!same_start)
       MarkLeaving(held, now);
   }
--- a/src/directory/tests/target_directory_test.cc
+++ b/src/directory/tests/target_directory_test.cc
@@ -130,6 +130,30 @@
   CHECK(observed.AcceptsNewWork("a"));
 }
 
+// Guards against a target that is used after it has left, since the store has
+// returned from an older copy that still has its entry.
+TEST_CASE("a removed entry that appears again unchanged is not a return") {
+  observed_directory observed;
+  target_entry entry = Entry("a", 7);
+  observed.directory.Upsert(entry, At(0));
+  observed.directory.Remove(entry.id, /*during_outage=*/false, At(100));
+  observed.directory.Upsert(entry, At(200));
+  CHECK_FALSE(observed.AcceptsNewWork("a"));
+  entry.sequence = 8;
+  observed.directory.Upsert(entry, At(300));
+  CHECK(observed.AcceptsNewWork("a"));
+}
+
+TEST_CASE("an entry that is written again unchanged after an outage returns") {
+  observed_directory observed;
+  const target_entry entry = Entry("a", 7);
+  observed.directory.Upsert(entry, At(0));
+  observed.directory.Remove(entry.id, /*during_outage=*/true, At(100));
+  observed.directory.Upsert(entry, At(200));
+  observed.directory.Expire(At(5000));
+  CHECK(observed.AcceptsNewWork("a"));
+}
+
 TEST_CASE("an entry that changes nothing but its age is a renewal") {
   observed_directory observed;
   target_entry entry = Entry("a", 1);
