Keep evacuations that the store has lost until they may be written again

Requests could reach the targets of an evacuated domain: an evacuation that is missing in the content of a new era was taken for one that the operator has taken back.

For two seconds from the begin of an era, an evacuation ends neither by the copy's content nor by a removal; the operator writes it again in that time. One that is missing afterwards ends.

--- a/src/gateway/internal/store_view.cc
+++ b/src/gateway/internal/store_view.cc
@@ -198,6 +198,9 @@
        {"revision", revision.number},
        {"latest_revision", latest_revision.number},
        {"configuration", services_.latest_configuration.version()}});
+  era_grace_deadline_ = services_.scheduler.Now() + settings_.outage_grace;
+  era_grace_timer_ = services_.scheduler.RunAt(
+      era_grace_deadline_, [this] { SetEvacuated(stored_evacuations_); });
 }
 
 void store_view::OnRangeBehind(store_revision revision,
@@ -217,7 +220,7 @@
     if (change.value)
       ApplyConfiguration(*change.value);
   } else if (const auto domain = dialect_.EvacuatedDomain(change.key)) {
-    std::set<domain_id> domains = evacuated_;
+    std::set<domain_id> domains = stored_evacuations_;
     if (change.value)
       domains.insert(*domain);
     else
@@ -353,7 +356,11 @@
     instances_handler_();
 }
 
-void store_view::SetEvacuated(std::set<domain_id> domains) {
+void store_view::SetEvacuated(std::set<domain_id> stored) {
+  stored_evacuations_ = std::move(stored);
+  std::set<domain_id> domains = stored_evacuations_;
+  if (services_.scheduler.Now() < era_grace_deadline_)
+    domains.insert(evacuated_.begin(), evacuated_.end());
   if (domains == evacuated_)
     return;
   evacuated_ = std::move(domains);
--- a/src/gateway/internal/store_view.h
+++ b/src/gateway/internal/store_view.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
@@ -88,7 +89,7 @@
   void ApplyRollout(const store_change& change);
   void RemoveMissing(const std::map<std::string, store_change>& items,
                      bool after_outage);
-  void SetEvacuated(std::set<domain_id> domains);
+  void SetEvacuated(std::set<domain_id> stored);
 
   // Handles the list of instances that is read at the start.
   void OnAnnouncedInstances(const std::vector<known_instance>& others);
@@ -106,7 +107,12 @@
   bool is_reachable_ = false;
   // Whether a log line was written since ranges are rejected as behind.
   bool is_behind_logged_ = false;
+  // The evacuated domains according to the store, and those that are treated
+  // so: shortly after the begin of an era also those that the store has lost.
+  std::set<domain_id> stored_evacuations_;
   std::set<domain_id> evacuated_;
+  timestamp era_grace_deadline_{};
+  std::unique_ptr<i_timer> era_grace_timer_;
   std::map<std::string, known_instance> instances_;
   std::set<std::string> quarantine_keys_;
   std::set<std::string> rollout_keys_;
--- a/src/gateway/tests/store_view_test.cc
+++ b/src/gateway/tests/store_view_test.cc
@@ -296,6 +296,30 @@
   CHECK(f.AcceptsWork("a"));
 }
 
+// Guards against requests to the targets of an evacuated domain: the store has
+// returned from a copy that is older than the evacuation.
+TEST_CASE(
+    "an evacuation that the store has lost holds until it may be written") {
+  for (const bool is_written_again : {true, false}) {
+    INFO(is_written_again);
+    store_view_fixture f;
+    f.DeliverSnapshot({{"operator/out/d", "", {1, 9}}}, {1, 10});
+    CHECK(f.directory.IsEvacuated(domain_id("d")));
+    std::exchange(f.store.watch_done, nullptr)(store_error::history_gone);
+    f.scheduler.Advance(milliseconds(1));
+    f.DeliverSnapshot({}, {2, 6});
+    CHECK(f.directory.IsEvacuated(domain_id("d")));
+    if (is_written_again)
+      f.DeliverChange({"operator/out/d", "", {2, 7}});
+    f.scheduler.Advance(milliseconds(1900));
+    CHECK(f.directory.IsEvacuated(domain_id("d")));
+    f.scheduler.Advance(milliseconds(200));
+    CHECK(f.directory.IsEvacuated(domain_id("d")) == is_written_again);
+    f.DeliverChange({"operator/out/d", std::nullopt, {2, 8}});
+    CHECK_FALSE(f.directory.IsEvacuated(domain_id("d")));
+  }
+}
+
 // Guards against a roll-out that is missed, or goes on after its request was
 // removed, because the history of the store was lost.
 TEST_CASE("roll-out keys are passed on from changes and from snapshots") {
