End the grace after an outage at a fixed time

An instance that reads the store again, and one that enters a new era, accepts for two seconds that missing entries are written again; each removal in that time was kept for two seconds more, counted from the removal, so that one late in the grace took the whole bound.

The follower now reports the end of the grace with each change, and a missing entry counts as removed from that time on: two seconds after the store could be read again, whenever its removal was read.

--- a/bench/balance/fleet_model.cc
+++ b/bench/balance/fleet_model.cc
@@ -365,7 +365,7 @@
 
   const fleet_settings settings_;
   const std::int64_t end_us_;
-  target_directory directory_{milliseconds(2000)};
+  target_directory directory_;
   std::vector<engine_model> engines_;
   std::vector<target_id> ids_;
   std::map<target_id, int> index_;
--- a/src/directory/internal/target_directory.cc
+++ b/src/directory/internal/target_directory.cc
@@ -73,15 +73,15 @@
 }
 
 void target_directory::Remove(const target_id& id,
-                              bool during_outage,
+                              std::optional<timestamp> grace_deadline,
                               timestamp now) {
   const auto found = targets_.find(id);
   if (found == targets_.end())
     return;
   known_target& target = found->second;
-  if (during_outage && !target.leaving) {
+  if (grace_deadline && !target.leaving) {
     if (!target.missing_deadline)
-      target.missing_deadline = now + missing_grace_;
+      target.missing_deadline = grace_deadline;
     return;
   }
   MarkLeaving(target, now);
--- a/src/directory/target_directory.h
+++ b/src/directory/target_directory.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -16,11 +17,6 @@
  public:
   using departure_handler = std::function<void(const known_target&)>;
 
-  // An entry that was removed during a store outage is kept for
-  // `missing_grace` so that its target can register again.
-  explicit target_directory(milliseconds missing_grace)
-      : missing_grace_(missing_grace) {}
-
   // Calls `handler` for each target that stops accepting new work.
   void SubscribeToDepartures(departure_handler handler);
 
@@ -32,10 +28,12 @@
   // the remaining warm-up time changed.
   bool IsRenewal(const target_entry& entry, timestamp now) const;
 
-  // Handles the removal of an entry from the store. `during_outage` means that
+  // Handles the removal of an entry from the store. `grace_deadline` is set if
   // the entry may have expired because the store was unavailable, while its
-  // target is still running.
-  void Remove(const target_id& id, bool during_outage, timestamp now);
+  // target is still running, and may register again until then.
+  void Remove(const target_id& id,
+              std::optional<timestamp> grace_deadline,
+              timestamp now);
 
   // Handles that a target said in a response that it is leaving. `entry` is the
   // one under which the request was sent; the current one may still say
@@ -60,7 +58,6 @@
  private:
   void MarkLeaving(known_target& target, timestamp now);
 
-  const milliseconds missing_grace_;
   std::vector<departure_handler> departure_handlers_;
   std::map<target_id, known_target> targets_;
   std::set<domain_id> evacuated_domains_;
--- a/src/directory/tests/target_directory_test.cc
+++ b/src/directory/tests/target_directory_test.cc
@@ -34,7 +34,7 @@
     return target && directory.AcceptsNewWork(*target);
   }
 
-  target_directory directory{kGrace};
+  target_directory directory;
   std::vector<target_id> departed;
 };
 
@@ -91,7 +91,7 @@
 TEST_CASE("a target whose entry was removed accepts no new work") {
   observed_directory observed;
   observed.directory.Upsert(Entry("a", 5), At(0));
-  observed.directory.Remove(target_id("a"), false, At(100));
+  observed.directory.Remove(target_id("a"), std::nullopt, At(100));
   CHECK_FALSE(observed.AcceptsNewWork("a"));
   CHECK(observed.departed.size() == 1);
 }
@@ -101,8 +101,8 @@
   observed_directory observed;
   observed.directory.Upsert(Entry("a", 5), At(0));
   observed.directory.Upsert(Entry("b", 5), At(0));
-  observed.directory.Remove(target_id("a"), true, At(1000));
-  observed.directory.Remove(target_id("b"), true, At(1000));
+  observed.directory.Remove(target_id("a"), At(1000) + kGrace, At(1000));
+  observed.directory.Remove(target_id("b"), At(1000) + kGrace, At(1000));
   CHECK(observed.AcceptsNewWork("a"));
   observed.directory.Upsert(Entry("a", 6), At(2000));
   observed.directory.Expire(At(3100));
@@ -116,7 +116,7 @@
   target_entry entry = Entry("a", 5);
   entry.leaving = true;
   observed.directory.Upsert(entry, At(0));
-  observed.directory.Remove(target_id("a"), true, At(1000));
+  observed.directory.Remove(target_id("a"), At(1000) + kGrace, At(1000));
   CHECK_FALSE(observed.AcceptsNewWork("a"));
 }
 
@@ -136,7 +136,7 @@
   observed_directory observed;
   target_entry entry = Entry("a", 7);
   observed.directory.Upsert(entry, At(0));
-  observed.directory.Remove(entry.id, /*during_outage=*/false, At(100));
+  observed.directory.Remove(entry.id, std::nullopt, At(100));
   observed.directory.Upsert(entry, At(200));
   CHECK_FALSE(observed.AcceptsNewWork("a"));
   entry.sequence = 8;
@@ -148,7 +148,7 @@
   observed_directory observed;
   const target_entry entry = Entry("a", 7);
   observed.directory.Upsert(entry, At(0));
-  observed.directory.Remove(entry.id, /*during_outage=*/true, At(100));
+  observed.directory.Remove(entry.id, At(100) + kGrace, At(100));
   observed.directory.Upsert(entry, At(200));
   observed.directory.Expire(At(5000));
   CHECK(observed.AcceptsNewWork("a"));
@@ -170,7 +170,7 @@
   target_entry cold_again = renewed;
   cold_again.cold_remaining = milliseconds(3000);
   CHECK_FALSE(observed.directory.IsRenewal(cold_again, At(1200)));
-  observed.directory.Remove(target_id("a"), true, At(1300));
+  observed.directory.Remove(target_id("a"), At(1300) + kGrace, At(1300));
   CHECK_FALSE(observed.directory.IsRenewal(renewed, At(1400)));
 }
 
@@ -192,10 +192,10 @@
     }
   }
   SECTION("after its entry was removed and written again") {
-    observed.directory.Remove(target_id("a"), true, At(200));
+    observed.directory.Remove(target_id("a"), At(200) + kGrace, At(200));
     observed.directory.Upsert(Entry("a", 9), At(300));
     CHECK_FALSE(observed.AcceptsNewWork("a"));
-    observed.directory.Remove(target_id("a"), false, At(400));
+    observed.directory.Remove(target_id("a"), std::nullopt, At(400));
     observed.directory.Upsert(Entry("a", 10), At(500));
     CHECK_FALSE(observed.AcceptsNewWork("a"));
   }
--- a/src/follower/internal/prefix_follower.cc
+++ b/src/follower/internal/prefix_follower.cc
@@ -85,7 +85,7 @@
   revision_ = range_revision_;
   latest_revision_ = *range_revision_;
   behind_deadline_.reset();
-  listener_.OnSnapshot(items_, *revision_, IsAfterOutage());
+  listener_.OnSnapshot(items_, *revision_, GraceDeadline());
   items_.clear();
   listener_.OnConfirmed(*revision_, called_at_ - max_page_age_);
   StartWatch();
@@ -125,7 +125,7 @@
   OnSuccess();
   EnterEraOf(page.at_revision);
   for (const store_change& change : page.changes)
-    listener_.OnChange(change, IsAfterOutage());
+    listener_.OnChange(change, GraceDeadline());
   revision_ = std::max(*revision_, page.at_revision);
   latest_revision_ = *revision_;
   if (page.changes.empty()) {
@@ -188,8 +188,10 @@
   listener_.OnNewEra(revision, latest_revision_);
 }
 
-bool prefix_follower::IsAfterOutage() const {
-  return grace_deadline_ && scheduler_.Now() < *grace_deadline_;
+std::optional<timestamp> prefix_follower::GraceDeadline() const {
+  return grace_deadline_ && scheduler_.Now() < *grace_deadline_
+             ? grace_deadline_
+             : std::nullopt;
 }
 
 void prefix_follower::RunAfter(milliseconds pause,
--- a/src/follower/prefix_follower.h
+++ b/src/follower/prefix_follower.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -16,13 +17,14 @@
  public:
   virtual ~i_prefix_listener() = default;
 
-  // `items` are all entries under the prefix at `revision`. `after_outage` says
-  // that the store was unavailable until recently, so that entries may have
-  // expired because they could not be renewed.
+  // `items` are all entries under the prefix at `revision`. `grace_deadline` is
+  // set if the store was unavailable until recently: entries may have expired
+  // because they could not be renewed, and may be written again until then.
   virtual void OnSnapshot(const std::map<std::string, store_change>& items,
                           store_revision revision,
-                          bool after_outage) = 0;
-  virtual void OnChange(const store_change& change, bool after_outage) = 0;
+                          std::optional<timestamp> grace_deadline) = 0;
+  virtual void OnChange(const store_change& change,
+                        std::optional<timestamp> grace_deadline) = 0;
 
   // The snapshot and the changes reported so far are the complete content of
   // the store at `revision`, which was its latest revision at `confirmed_at`.
@@ -84,7 +86,7 @@
   void OnWatchPage(watch_result result);
   void OnError(store_error error);
   void OnSuccess();
-  bool IsAfterOutage() const;
+  std::optional<timestamp> GraceDeadline() const;
   void RunAfter(milliseconds pause, void (prefix_follower::*step)());
 
   const std::string prefix_;
--- a/src/follower/tests/prefix_follower_test.cc
+++ b/src/follower/tests/prefix_follower_test.cc
@@ -42,13 +42,14 @@
 struct recording_listener final : i_prefix_listener {
   void OnSnapshot(const std::map<std::string, store_change>& items,
                   store_revision,
-                  bool after) override {
+                  std::optional<timestamp> deadline) override {
     snapshots.push_back(items);
-    after_outage = after;
+    grace_deadline = deadline;
   }
-  void OnChange(const store_change& change, bool after) override {
+  void OnChange(const store_change& change,
+                std::optional<timestamp> deadline) override {
     changes.push_back(change.key);
-    after_outage = after;
+    grace_deadline = deadline;
   }
   void OnConfirmed(store_revision, timestamp at) override { confirmed_at = at; }
   void OnStoreLost(store_error) override { ++lost; }
@@ -66,7 +67,7 @@
   std::vector<std::map<std::string, store_change>> snapshots;
   std::vector<std::string> changes;
   timestamp confirmed_at{};
-  bool after_outage = false;
+  std::optional<timestamp> grace_deadline;
   int lost = 0;
   int regained = 0;
   store_revision gone_at;
@@ -171,7 +172,7 @@
   f.store.RespondToRange(range_page{{{"p/a", "1", 12}}, false, 12});
   CHECK(f.listener.snapshots.size() == 2);
   CHECK(f.store.watch_since.back() == 12);
-  CHECK_FALSE(f.listener.after_outage);
+  CHECK_FALSE(f.listener.grace_deadline);
 }
 
 TEST_CASE("a source that stays behind what is known is used in the end") {
@@ -213,10 +214,10 @@
   f.scheduler.Advance(milliseconds(200));
   f.store.RespondToWatch(watch_page{{{"p/a", std::nullopt, 11}}, 11});
   CHECK(f.listener.regained == 1);
-  CHECK(f.listener.after_outage);
+  CHECK(f.listener.grace_deadline);
   f.scheduler.Advance(milliseconds(2100));
   f.store.RespondToWatch(watch_page{{{"p/b", std::nullopt, 12}}, 12});
-  CHECK_FALSE(f.listener.after_outage);
+  CHECK_FALSE(f.listener.grace_deadline);
 }
 
 TEST_CASE("a response of a mirror confirms the time for which it was held") {
@@ -246,7 +247,7 @@
   REQUIRE(f.listener.snapshots.size() == 2);
   CHECK(f.listener.eras == std::vector<store_revision>{{2, 12}});
   // Entries that the copy lacks may be written again.
-  CHECK(f.listener.after_outage);
+  CHECK(f.listener.grace_deadline);
   CHECK(f.store.watch_since.back() == store_revision(2, 12));
 }
 
@@ -257,7 +258,7 @@
       watch_page{{{"p/a", std::nullopt, {2, 12}}}, {2, 12}, milliseconds(5)});
   CHECK(f.listener.changes == std::vector<std::string>{"p/a"});
   CHECK(f.listener.eras == std::vector<store_revision>{{2, 12}});
-  CHECK(f.listener.after_outage);
+  CHECK(f.listener.grace_deadline);
   f.scheduler.Advance(milliseconds(40));
   CHECK(f.store.watch_since.back() == store_revision(2, 12));
 }
--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -63,7 +63,6 @@
                                [this](const invalid_response& response) {
                                  OnInvalidResponse(response);
                                })),
-        directory_(settings.outage_grace),
         selector_({settings.domain}, directory_, Seed()),
         services_{settings_,
                   dependencies.loop,
--- a/src/gateway/internal/store_view.cc
+++ b/src/gateway/internal/store_view.cc
@@ -116,7 +116,7 @@
 
 void store_view::OnSnapshot(const std::map<std::string, store_change>& items,
                             store_revision revision,
-                            bool after_outage) {
+                            std::optional<timestamp> grace_deadline) {
   // After a lost history the mirror records the differences as changes, so that
   // its readers do not have to read everything again.
   const bool is_first = !std::exchange(has_snapshot_, true);
@@ -127,14 +127,15 @@
   for (const auto& [key, item] : items) {
     if (!is_first && !IsKnownToReaders(item))
       mirror_.Apply(item, KindOf(item));
-    ApplyChange(item, after_outage);
+    ApplyChange(item, grace_deadline);
   }
-  RemoveMissing(items, after_outage);
+  RemoveMissing(items, grace_deadline);
 }
 
-void store_view::OnChange(const store_change& change, bool after_outage) {
+void store_view::OnChange(const store_change& change,
+                          std::optional<timestamp> grace_deadline) {
   mirror_.Apply(change, KindOf(change));
-  ApplyChange(change, after_outage);
+  ApplyChange(change, grace_deadline);
 }
 
 // In a new era all entries have other revisions. Nothing refers to that of the
@@ -215,7 +216,8 @@
                           {"latest_era", latest_revision.era}});
 }
 
-void store_view::ApplyChange(const store_change& change, bool after_outage) {
+void store_view::ApplyChange(const store_change& change,
+                             std::optional<timestamp> grace_deadline) {
   if (dialect_.IsConfigurationKey(change.key)) {
     if (change.value)
       ApplyConfiguration(*change.value);
@@ -227,7 +229,7 @@
       domains.erase(*domain);
     SetEvacuated(std::move(domains));
   } else if (change.key.starts_with(dialect_.TargetPrefix())) {
-    ApplyTarget(change, after_outage);
+    ApplyTarget(change, grace_deadline);
   } else if (change.key.starts_with(kInstancePrefix)) {
     ApplyInstance(change);
   } else if (change.key.starts_with(kQuarantinePrefix)) {
@@ -284,11 +286,12 @@
   }
 }
 
-void store_view::ApplyTarget(const store_change& change, bool after_outage) {
+void store_view::ApplyTarget(const store_change& change,
+                             std::optional<timestamp> grace_deadline) {
   const timestamp now = services_.scheduler.Now();
   if (!change.value) {
     services_.directory.Remove(dialect_.TargetIdFromKey(change.key),
-                               after_outage, now);
+                               grace_deadline, now);
     return;
   }
   if (const auto entry = dialect_.DecodeTarget(change.key, *change.value)) {
@@ -322,14 +325,14 @@
 }
 
 void store_view::RemoveMissing(const std::map<std::string, store_change>& items,
-                               bool after_outage) {
+                               std::optional<timestamp> grace_deadline) {
   std::vector<target_id> missing;
   for (const auto& [id, target] : services_.directory.targets()) {
     if (!items.contains(dialect_.TargetPrefix() + id.text()))
       missing.push_back(id);
   }
   for (const target_id& id : missing) {
-    services_.directory.Remove(id, after_outage, services_.scheduler.Now());
+    services_.directory.Remove(id, grace_deadline, services_.scheduler.Now());
   }
   const std::set<std::string> quarantine_keys = quarantine_keys_;
   for (const std::string& key : quarantine_keys) {
--- a/src/gateway/internal/store_view.h
+++ b/src/gateway/internal/store_view.h
@@ -67,8 +67,9 @@
   // i_prefix_listener:
   void OnSnapshot(const std::map<std::string, store_change>& items,
                   store_revision revision,
-                  bool after_outage) override;
-  void OnChange(const store_change& change, bool after_outage) override;
+                  std::optional<timestamp> grace_deadline) override;
+  void OnChange(const store_change& change,
+                std::optional<timestamp> grace_deadline) override;
   void OnConfirmed(store_revision revision, timestamp confirmed_at) override;
   void OnStoreLost(store_error error) override;
   void OnStoreRegained() override;
@@ -80,15 +81,17 @@
 
   change_kind KindOf(const store_change& change) const;
   bool IsKnownToReaders(const store_change& item) const;
-  void ApplyChange(const store_change& change, bool after_outage);
+  void ApplyChange(const store_change& change,
+                   std::optional<timestamp> grace_deadline);
   void ApplyConfiguration(const std::string& value);
-  void ApplyTarget(const store_change& change, bool after_outage);
+  void ApplyTarget(const store_change& change,
+                   std::optional<timestamp> grace_deadline);
   void ApplyInstance(const store_change& change);
   void ApplyQuarantine(const store_change& change);
   bool IsRolloutKey(const std::string& key) const;
   void ApplyRollout(const store_change& change);
   void RemoveMissing(const std::map<std::string, store_change>& items,
-                     bool after_outage);
+                     std::optional<timestamp> grace_deadline);
   void SetEvacuated(std::set<domain_id> stored);
 
   // Handles the list of instances that is read at the start.
--- a/src/gateway/tests/configuration_change_test.cc
+++ b/src/gateway/tests/configuration_change_test.cc
@@ -130,7 +130,8 @@
     changing_fixture f;
     f.StartStream();
     f.Apply(apply);
-    f.directory.Remove(target_id(f.TargetName(0)), false, f.scheduler.Now());
+    f.directory.Remove(target_id(f.TargetName(0)), std::nullopt,
+                       f.scheduler.Now());
     // The copy is refused, or there is no receiver under the new version.
     if (f.connector.channels.size() > 1)
       f.target_channel().Receive(f.Response("404 Not Found", ""));
@@ -143,7 +144,8 @@
     INFO(name);
     changing_fixture f;
     f.StartStream();
-    f.directory.Remove(target_id(f.TargetName(0)), false, f.scheduler.Now());
+    f.directory.Remove(target_id(f.TargetName(0)), std::nullopt,
+                       f.scheduler.Now());
     REQUIRE(f.connector.channels.size() == 2);
     f.Apply(apply);
     f.target_channel().Receive(f.Response("200 OK", "first"));
@@ -160,7 +162,8 @@
     INFO(name);
     changing_fixture f;
     f.StartStream();
-    f.directory.Remove(target_id(f.TargetName(0)), false, f.scheduler.Now());
+    f.directory.Remove(target_id(f.TargetName(0)), std::nullopt,
+                       f.scheduler.Now());
     f.target_channel().Receive(f.Response("200 OK", "first"));
     f.Apply(apply);
     f.ConfirmStop();
@@ -177,7 +180,7 @@
   changing_fixture f;
   f.StartStream();
   const std::string source = f.TargetName(0);
-  f.directory.Remove(target_id(source), false, f.scheduler.Now());
+  f.directory.Remove(target_id(source), std::nullopt, f.scheduler.Now());
   f.AddTarget(source, "engines");
   f.target_channel().Receive(f.Response("503 Full", ""));
   f.CheckStreamIsCompleted();
--- a/src/gateway/tests/crash_detector_test.cc
+++ b/src/gateway/tests/crash_detector_test.cc
@@ -126,7 +126,7 @@
   crash_detection_fixture f;
   f.SendRequestFromNewCaller();
   const std::size_t channels = f.connector.channels.size();
-  f.directory.Remove(target_id(f.TargetName(channels - 1)), false,
+  f.directory.Remove(target_id(f.TargetName(channels - 1)), std::nullopt,
                      f.scheduler.Now());
   f.target_channel().End(channel_end::reset);
   CHECK(f.connector.channels.size() == channels);
--- a/src/gateway/tests/exchange_test.cc
+++ b/src/gateway/tests/exchange_test.cc
@@ -253,7 +253,7 @@
 
 TEST_CASE("pooled connections to an unresponsive target are not reused") {
   exchange_fixture f;
-  f.directory.Remove(target_id("p2"), false, f.scheduler.Now());
+  f.directory.Remove(target_id("p2"), std::nullopt, f.scheduler.Now());
   f.SendRequest("/once/x");
   f.target_channel(0).Receive(f.Response("200 OK", "done"));
   f.scheduler.Advance(milliseconds(10));
@@ -319,7 +319,7 @@
 TEST_CASE("a stream always starts on a new connection") {
   exchange_fixture f;
   for (const char* name : {"e2", "e3"})
-    f.directory.Remove(target_id(name), false, f.scheduler.Now());
+    f.directory.Remove(target_id(name), std::nullopt, f.scheduler.Now());
   f.SendStreamRequest();
   f.target_channel(0).Receive(f.StreamHead() + f.Event(1) +
                               std::string(LastChunk()));
--- a/src/gateway/tests/invalid_response_test.cc
+++ b/src/gateway/tests/invalid_response_test.cc
@@ -51,7 +51,7 @@
   f.SendStreamRequest();
   const std::string source = f.TargetName(0);
   f.target_channel().Receive(f.StreamHead() + f.Event(1));
-  f.directory.Remove(target_id(source), false, f.scheduler.Now());
+  f.directory.Remove(target_id(source), std::nullopt, f.scheduler.Now());
   REQUIRE(f.connector.channels.size() == 2);
   REQUIRE(f.target_channel().written.starts_with("POST /move/"));
   return source;
--- a/src/gateway/tests/mocks/exchange_fixture.h
+++ b/src/gateway/tests/mocks/exchange_fixture.h
@@ -157,7 +157,7 @@
                        invalid_responses.push_back(response);
                      });
   configuration_tracker latest_configuration;
-  target_directory directory{milliseconds(2000)};
+  target_directory directory;
   target_selector selector{{domain_id("d")}, directory, 1};
   gateway_services services{
       settings,  scheduler, *caller, dialect, latest_configuration,
--- a/src/gateway/tests/run_handover_test.cc
+++ b/src/gateway/tests/run_handover_test.cc
@@ -23,7 +23,7 @@
 
   // The source leaves, and the first copy is complete.
   void RequestStop() {
-    directory.Remove(target_id(source), false, scheduler.Now());
+    directory.Remove(target_id(source), std::nullopt, scheduler.Now());
     target_channel().Receive(Response("200 OK", "first"));
     stop = connector.channels.back();
     REQUIRE(stop->written.starts_with("POST /stop/"));
@@ -211,7 +211,7 @@
   f.target_channel(0).Receive(
       "HTTP/1.1 200 OK\r\nId: r\r\nSigned: 1\r\nEvents: 1\r\n\r\n"
       "id: 1\ndata: x\n\n");
-  f.directory.Remove(target_id(source), false, f.scheduler.Now());
+  f.directory.Remove(target_id(source), std::nullopt, f.scheduler.Now());
   f.target_channel(1).Receive(f.Response("200 OK", "first"));
   const auto stop = f.connector.channels.back();
   f.target_channel(0).End(channel_end::closed);
@@ -277,7 +277,7 @@
 // got no response, while its source has seconds left.
 TEST_CASE("a copy request without a response is repeated") {
   moving_stream f;
-  f.directory.Remove(target_id(f.source), false, f.scheduler.Now());
+  f.directory.Remove(target_id(f.source), std::nullopt, f.scheduler.Now());
   REQUIRE(f.CountRequests("POST /move/") == 1);
   SECTION("the source accepts no connection") {
     f.target_channel().End(channel_end::connect_failed);
--- a/src/gateway/tests/run_move_test.cc
+++ b/src/gateway/tests/run_move_test.cc
@@ -17,7 +17,7 @@
   }
 
   void RemoveSource() {
-    directory.Remove(target_id(source), false, scheduler.Now());
+    directory.Remove(target_id(source), std::nullopt, scheduler.Now());
   }
 
   // Returns the receiver named in the latest move request.
@@ -90,7 +90,7 @@
   exchange_fixture f;
   f.SendStreamRequest();
   const std::string source = f.TargetName(0);
-  f.directory.Remove(target_id(source), false, f.scheduler.Now());
+  f.directory.Remove(target_id(source), std::nullopt, f.scheduler.Now());
   CHECK(f.connector.channels.size() == 1);
   f.target_channel(0).Receive(f.StreamHead() + f.Event(1));
   CHECK(f.connector.channels.size() == 2);
@@ -162,7 +162,8 @@
   f.target_channel(1).Receive(f.Response("200 OK", "h1"));
   f.ConfirmStop();
   f.target_channel(3).Receive(f.StreamHead() + f.Event(3));
-  f.directory.Remove(target_id(f.TargetName(3)), false, f.scheduler.Now());
+  f.directory.Remove(target_id(f.TargetName(3)), std::nullopt,
+                     f.scheduler.Now());
   f.target_channel().Receive(f.Response("200 OK", "h2"));
   f.ConfirmStop();
   CHECK(f.target_channel().written.find("Memory: h2\r\nAfter: 3\r\n") !=
@@ -219,7 +220,7 @@
                  {f.scheduler.Now() + milliseconds(300)}, {});
   f.target_channel().Receive(f.Response("200 OK", ""));
   const std::size_t channels = f.connector.channels.size();
-  f.directory.Remove(target_id(source), false, f.scheduler.Now());
+  f.directory.Remove(target_id(source), std::nullopt, f.scheduler.Now());
   REQUIRE(f.connector.channels.size() == channels + 1);
   CHECK(f.target_channel().written.starts_with("POST /move/"));
 }
@@ -254,7 +255,7 @@
   running_stream f;
   f.RemoveSource();
   const std::string first = f.ReceiverHost();
-  f.directory.Remove(target_id(first), false, f.scheduler.Now());
+  f.directory.Remove(target_id(first), std::nullopt, f.scheduler.Now());
   f.target_channel(1).Receive(f.Response("200 OK", "h1"));
   REQUIRE(f.connector.channels.size() == 3);
   CHECK(f.TargetName(2) == f.source);
@@ -280,7 +281,7 @@
   f.RemoveSource();
   f.target_channel(1).Receive(f.Response("200 OK", "h1"));
   const std::string receiver = f.StopReceiverHost();
-  f.directory.Remove(target_id(receiver), false, f.scheduler.Now());
+  f.directory.Remove(target_id(receiver), std::nullopt, f.scheduler.Now());
   f.ConfirmStop();
   REQUIRE(f.TargetName(3) == receiver);
   f.target_channel(3).Receive(f.StreamHead() + f.Event(3));
@@ -294,7 +295,8 @@
   running_stream f;
   f.RemoveSource();
   f.target_channel(1).Receive(f.Response("200 OK", "h1"));
-  f.directory.Remove(target_id(f.StopReceiverHost()), false, f.scheduler.Now());
+  f.directory.Remove(target_id(f.StopReceiverHost()), std::nullopt,
+                     f.scheduler.Now());
   f.scheduler.Pause(milliseconds(3000));
   f.ConfirmStop();
   REQUIRE(f.connector.channels.size() == 4);
--- a/src/gateway/tests/run_stop_test.cc
+++ b/src/gateway/tests/run_stop_test.cc
@@ -18,7 +18,7 @@
   }
 
   void MoveFromSource() {
-    directory.Remove(target_id(source), false, scheduler.Now());
+    directory.Remove(target_id(source), std::nullopt, scheduler.Now());
     target_channel().Receive(Response("200 OK", "copy"));
   }
 
--- a/src/gateway/tests/store_view_test.cc
+++ b/src/gateway/tests/store_view_test.cc
@@ -135,7 +135,7 @@
   gateway_metrics metrics;
   recorded_logger logger;
   configuration_tracker latest_configuration;
-  target_directory directory{milliseconds(2000)};
+  target_directory directory;
   target_selector selector{{domain_id("d")}, directory, 1};
   struct unused_caller final : i_http_caller {
     std::shared_ptr<i_http_call> Call(const http_address&,
@@ -201,6 +201,21 @@
   CHECK_FALSE(f.AcceptsWork("b"));
 }
 
+// Guards against requests to a target for the whole grace after it has left: an
+// outage has ended shortly before.
+TEST_CASE("the grace of an entry counts from the end of the outage") {
+  store_view_fixture f;
+  f.DeliverSnapshot({{"targets/a", "d1", 5}});
+  f.FailWatch();
+  f.DeliverChange({"targets/b", "d1", 20});
+  f.scheduler.Advance(milliseconds(1500));
+  f.DeliverChange({"targets/a", std::nullopt, 21});
+  CHECK(f.AcceptsWork("a"));
+  f.scheduler.Advance(milliseconds(500));
+  f.directory.Expire(f.scheduler.Now());
+  CHECK_FALSE(f.AcceptsWork("a"));
+}
+
 TEST_CASE("a snapshot after lost history removes deleted targets") {
   store_view_fixture f;
   f.DeliverSnapshot({{"targets/a", "d1", 5}, {"targets/b", "d1", 6}});
--- a/src/gateway/tests/target_signals_test.cc
+++ b/src/gateway/tests/target_signals_test.cc
@@ -58,7 +58,7 @@
 TEST_CASE(
     "the last target of a domain that leaves is replaced by another domain") {
   exchange_fixture f;
-  f.directory.Remove(target_id("p2"), false, f.scheduler.Now());
+  f.directory.Remove(target_id("p2"), std::nullopt, f.scheduler.Now());
   f.AddTarget("p3", "desk", "other");
   f.SendRequest("/once/x");
   REQUIRE(f.TargetName(0) == "p1");
@@ -105,7 +105,8 @@
   exchange_fixture f;
   f.SendStreamRequest();
   f.target_channel().Receive(f.StreamHead() + f.Event(1));
-  f.directory.Remove(target_id(f.TargetName(0)), false, f.scheduler.Now());
+  f.directory.Remove(target_id(f.TargetName(0)), std::nullopt,
+                     f.scheduler.Now());
   REQUIRE(f.connector.channels.size() == 2);
   f.target_channel(1).Receive(
       "HTTP/1.1 503 Full\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n");
--- a/src/selection/tests/even_load_test.cc
+++ b/src/selection/tests/even_load_test.cc
@@ -79,7 +79,7 @@
   }
 
  private:
-  target_directory directory_{milliseconds(2000)};
+  target_directory directory_;
   std::vector<std::unique_ptr<target_selector>> selectors_;
 };
 
--- a/src/selection/tests/target_selector_test.cc
+++ b/src/selection/tests/target_selector_test.cc
@@ -64,7 +64,7 @@
     return id ? id->text() : "";
   }
 
-  target_directory directory{milliseconds(2000)};
+  target_directory directory;
   target_selector selector{{domain_id("here")}, directory, 1};
 };
 
@@ -126,7 +126,7 @@
   CHECK(f.Choose(f.Generation(100)).empty());
   f.directory.SetEvacuated({});
   CHECK(f.Choose(f.Generation(100)) == "a");
-  f.directory.Remove(target_id("a"), false, At(0));
+  f.directory.Remove(target_id("a"), std::nullopt, At(0));
   CHECK(f.Choose(f.Generation(100)).empty());
 }
 
@@ -210,7 +210,7 @@
   constexpr int kEngines = 10;
   std::map<std::string, int> chosen;
   for (int instance = 0; instance < kInstances; ++instance) {
-    target_directory directory{milliseconds(2000)};
+    target_directory directory;
     target_selector selector{{domain_id("here")},
                              directory,
                              static_cast<std::uint32_t>(instance + 1)};
@@ -422,9 +422,9 @@
     CHECK(f.Choose(suspect) == "idle");
   // The last engine of a domain and one that warms up are taken if nothing else
   // is left.
-  f.directory.Remove(target_id("idle"), false, At(0));
+  f.directory.Remove(target_id("idle"), std::nullopt, At(0));
   CHECK(f.Choose(suspect) == "busy");
-  f.directory.Remove(target_id("busy"), false, At(0));
+  f.directory.Remove(target_id("busy"), std::nullopt, At(0));
   CHECK_FALSE(f.Choose(suspect).empty());
 }
 
--- a/src/selection/tests/version_selection_test.cc
+++ b/src/selection/tests/version_selection_test.cc
@@ -60,7 +60,7 @@
   }
 
   const timestamp now{milliseconds(1000)};
-  target_directory directory{milliseconds(2000)};
+  target_directory directory;
   target_selector selector{{domain_id("here")}, directory, 1};
 };
 
