Reset the channel of a cancelled call

A request could reach a target seconds after it had been cancelled and tried elsewhere, when the target had left (rule DRAIN): closing a socket in the usual way lets the kernel go on delivering what was sent, for as long as the network holds it up.

A channel that this side has opened is now reset when it is aborted, so that the kernel discards what was not delivered. Accepted channels are closed as before, since callers still get what they were sent.

The unit test "what an aborted channel has sent is not delivered any more" failed before (the remote end read all bytes and an orderly end) and fails without the rule (planted fault).

--- a/src/framework/net/i_channel.h
+++ b/src/framework/net/i_channel.h
@@ -46,8 +46,8 @@
   // Sends the queued bytes, then closes the connection in an orderly way.
   virtual void Close() = 0;
 
-  // Closes the connection immediately and discards queued bytes. The remote
-  // end may see a reset.
+  // Closes the connection immediately and discards queued bytes. If this side
+  // has opened it, it is reset, and bytes on their way are not delivered.
   virtual void Abort() = 0;
 };
 
--- a/src/framework/net/internal/tcp_channel.cc
+++ b/src/framework/net/internal/tcp_channel.cc
@@ -71,6 +71,7 @@
                           asio::steady_timer::duration limit,
                           channel_callbacks callbacks) {
   callbacks_ = std::move(callbacks);
+  is_outgoing_ = true;
   boost::system::error_code error;
   if (endpoint)
     socket_.open(endpoint->protocol(), error);
@@ -260,8 +261,14 @@
       });
 }
 
+// The kernel would go on delivering what this side has sent. What callers were
+// sent, which is on accepted channels, is still delivered.
 void tcp_channel::Abort() {
   callbacks_ = {};
+  if (is_outgoing_) {
+    boost::system::error_code error;
+    socket_.set_option(asio::socket_base::linger(true, 0), error);
+  }
   CloseSocket();
 }
 
--- a/src/framework/net/internal/tcp_channel.h
+++ b/src/framework/net/internal/tcp_channel.h
@@ -58,6 +58,7 @@
   const std::shared_ptr<const handler_guard> guard_;
   channel_callbacks callbacks_;
   state state_ = state::connecting;
+  bool is_outgoing_ = false;
   bool reading_ = false;
   bool has_sent_bytes_ = false;
   bool write_pending_ = false;
--- a/src/framework/net/tests/tcp_channel_test.cc
+++ b/src/framework/net/tests/tcp_channel_test.cc
@@ -236,3 +236,38 @@
   CHECK(received == kAnswerBytes);
   CHECK(server.expired());
 }
+
+// Guards against a request that reaches its target after it was cancelled, for
+// example since the network had held it up: the target may have left by then.
+TEST_CASE("what an aborted channel has sent is not delivered any more") {
+  const auto loop = MakeEventLoop(MakeSystemClock());
+  constexpr std::size_t kRequestBytes = 32'000'000;
+  std::shared_ptr<i_channel> server;
+  std::size_t received = 0;
+  std::optional<channel_end> end;
+  const auto hang_timer =
+      loop->RunAt(loop->Now() + kHangLimit, [&] { loop->Stop(); });
+  std::shared_ptr<i_channel> client;
+  std::unique_ptr<i_timer> abort_timer;
+  std::unique_ptr<i_timer> read_timer;
+  // The server does not read before the client has aborted the channel.
+  loop->Listen({"127.0.0.1", kPort}, [&](std::shared_ptr<i_channel> channel) {
+    server = std::move(channel);
+    abort_timer = loop->RunAt(loop->Now() + milliseconds(20), [&] {
+      client->Abort();
+      read_timer = loop->RunAt(loop->Now() + milliseconds(20), [&] {
+        server->SetCallbacks(
+            {[&](std::string_view bytes) { received += bytes.size(); },
+             [&](channel_end how) {
+               end = how;
+               loop->Stop();
+             }});
+      });
+    });
+  });
+  client = loop->Connect({"127.0.0.1", kPort}, loop->Now() + kHangLimit, {});
+  client->Write(std::string(kRequestBytes, 'x'));
+  loop->Run();
+  CHECK(end == channel_end::reset);
+  CHECK(received < kRequestBytes);
+}
