Let readers between two contents of a mirror read again

Cause: the instance reads the new era from the store at a revision before the one at which its parent enters the era. The parent recorded the differences between its own two contents only, and served every revision of the new era: what it did not have before nor has after was never passed on, nor what it had before and has again. Second cause of the same kind: a change was compared with the reader's revision by the entry's own revision, which may be of an earlier era.

A mirror now keeps the gap between its two contents, and readers inside it read everything again; so do those in the gap of a lost history within one era. A logged change has the position at which the mirror received it. Left: the gap within one era is not passed down to the mirror's readers, which are mirrors themselves (read, not seen).

--- a/src/follower/internal/store_mirror.cc
+++ b/src/follower/internal/store_mirror.cc
@@ -41,7 +41,8 @@
     }
   }
   const auto last = last_logged_.find(change.key);
-  logged_change logged{change, kind == change_kind::renewal, std::nullopt};
+  logged_change logged{change, kind == change_kind::renewal, std::nullopt,
+                       std::max(change.revision, next_position_)};
   if (last != last_logged_.end() && last->second->is_renewal) {
     // A reader that missed the last renewal before a removal could not tell
     // whether a later entry is older than the removed one.
@@ -55,13 +56,15 @@
       std::max(kMinLogEntries, kLogEntriesPerItem * items_.size()))
     return;
   log_start_revision_ = std::max(log_start_revision_.value_or(store_revision()),
-                                 change_log_.front().change.revision);
+                                 change_log_.front().position);
   EraseLogged(change_log_.begin());
 }
 
 void store_mirror::ApplyRemovals(
     const std::map<std::string, store_change>& items,
     store_revision revision) {
+  AddGap(revision);
+  next_position_ = revision;
   std::vector<store_change> removals;
   for (const auto& [key, item] : items_) {
     if (!items.contains(key))
@@ -91,9 +94,10 @@
 void store_mirror::Confirm(store_revision revision, timestamp confirmed_at) {
   if (!log_start_revision_)
     log_start_revision_ = revision;
-  if (confirmed_at_ && revision.era > revision_.era)
-    previous_era_end_ = revision_;
+  if (revision.era > revision_.era)
+    AddGap(revision);
   revision_ = std::max(revision_, revision);
+  next_position_ = {revision_.era, revision_.number + 1};
   confirmed_at_ =
       confirmed_at_ ? std::max(*confirmed_at_, confirmed_at) : confirmed_at;
   if (update_handler_)
@@ -131,7 +135,7 @@
   page.at_revision = revision_;
   page.age = ContentAge(now);
   for (const logged_change& logged : change_log_) {
-    if (logged.is_renewal || logged.change.revision <= since_revision ||
+    if (logged.is_renewal || logged.position <= since_revision ||
         !logged.change.key.starts_with(prefix))
       continue;
     if (logged.preceding_renewal)
@@ -143,18 +147,28 @@
   return page;
 }
 
-// The log leads from the last revision of the earlier era to the later one. A
-// reader that has seen later revisions of the earlier era, which the store has
-// lost, would keep their changes.
+// A reader at a revision that the mirror never had, since it read elsewhere,
+// may have entries that the mirror did not have before nor has now.
 bool store_mirror::HasChangesSince(store_revision revision) const {
   if (log_start_revision_ && revision < *log_start_revision_)
     return false;
-  if (revision.era == revision_.era)
-    return true;
   // Revisions without an era may be those of different eras.
-  return revision.era > 0 && previous_era_end_ &&
-         revision.era == previous_era_end_->era &&
-         revision <= *previous_era_end_;
+  if (revision.era == 0 && revision_.era > 0)
+    return false;
+  return std::none_of(gaps_.begin(), gaps_.end(), [&](const revision_gap& gap) {
+    return gap.from < revision && revision < gap.to;
+  });
+}
+
+void store_mirror::AddGap(store_revision to) {
+  if (!confirmed_at_ || to <= revision_ ||
+      (!gaps_.empty() && gaps_.back().to == to))
+    return;
+  // The log does not reach back to gaps that end before its start.
+  std::erase_if(gaps_, [&](const revision_gap& gap) {
+    return log_start_revision_ && gap.to <= *log_start_revision_;
+  });
+  gaps_.push_back({revision_, to});
 }
 
 watch_result store_mirror::EmptyWatchResult(store_revision since_revision,
--- a/src/follower/store_mirror.h
+++ b/src/follower/store_mirror.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "follower/i_async_store.h"
 
@@ -37,8 +38,9 @@
   void Apply(const store_change& change,
              change_kind kind = change_kind::ordinary);
 
-  // Applies the removal of all entries that are not in `items`, the content at
-  // `revision`.
+  // Begins to apply the content at `revision`, of which the changes that led to
+  // it are not known: applies the removal of all entries that are not in
+  // `items`. The entries that differ follow with Apply().
   void ApplyRemovals(const std::map<std::string, store_change>& items,
                      store_revision revision);
 
@@ -75,10 +77,20 @@
     bool is_renewal = false;
     // The last renewal of the key before this change.
     std::optional<store_change> preceding_renewal;
+    // Passed on to readers of earlier revisions. May be later than that of the
+    // change, which may be of an earlier era.
+    store_revision position;
+  };
+
+  // The changes between two revisions, which the mirror has had, are not known.
+  struct revision_gap {
+    store_revision from;
+    store_revision to;
   };
 
   microseconds ContentAge(timestamp now) const;
   bool HasChangesSince(store_revision revision) const;
+  void AddGap(store_revision to);
   void EraseLogged(std::list<logged_change>::iterator entry);
 
   std::function<void()> update_handler_;
@@ -92,8 +104,9 @@
   // known yet.
   std::optional<store_revision> log_start_revision_ = store_revision();
   store_revision revision_;
-  // The last revision that was confirmed in the era before that of `revision_`.
-  std::optional<store_revision> previous_era_end_;
+  // Earliest position of the next logged change.
+  store_revision next_position_;
+  std::vector<revision_gap> gaps_;
   std::optional<timestamp> confirmed_at_;
 };
 
--- a/src/follower/tests/store_mirror_test.cc
+++ b/src/follower/tests/store_mirror_test.cc
@@ -192,3 +192,15 @@
   CHECK(std::holds_alternative<store_error>(
       mirror.EmptyWatchResult({3, 1}, At(2000))));
 }
+
+// Two eras further: the numbers of {1, x} and {2, x} have nothing in common.
+TEST_CASE("a reader two eras behind has lost its history") {
+  store_mirror mirror;
+  mirror.SetAll({});
+  mirror.Confirm({1, 10}, At(1000));
+  mirror.Confirm({2, 30}, At(2000));
+  mirror.Apply({"a", "x", {3, 4}});
+  mirror.Confirm({3, 5}, At(3000));
+  CHECK(std::get<store_error>(*mirror.Watch("", {1, 20}, At(3000))) ==
+        store_error::history_gone);
+}
--- a/src/gateway/tests/store_view_test.cc
+++ b/src/gateway/tests/store_view_test.cc
@@ -362,3 +362,82 @@
   f.DeliverChange({"targets/a", "d1", 21});
   CHECK(seen.size() == 2);
 }
+
+namespace {
+
+void ReadAgain(store_view_fixture& f) {
+  std::exchange(f.store.watch_done, nullptr)(store_error::history_gone);
+  f.scheduler.Advance(milliseconds(1));
+}
+
+// Returns what a reader of the mirror at `since` receives: the changes, or the
+// empty page at the end of its wait.
+std::string ReaderReceives(store_view_fixture& f, store_revision since) {
+  auto result = f.view.mirror().Watch("", since, f.scheduler.Now());
+  if (!result)
+    result = f.view.mirror().EmptyWatchResult(since, f.scheduler.Now());
+  if (const auto* error = std::get_if<store_error>(&*result))
+    return std::string(StoreErrorName(*error));
+  const auto& page = std::get<watch_page>(*result);
+  std::string text = "at " + std::to_string(page.at_revision.era) + "." +
+                     std::to_string(page.at_revision.number) + ":";
+  for (const auto& change : page.changes)
+    text += " " + change.key + "=" + change.value.value_or("-");
+  return text;
+}
+
+}  // namespace
+
+// Guards against an older configuration and targets that have left, which an
+// instance keeps that has started while the store returned: its revision lies
+// between the two contents that its parent has had.
+// The reader read {2, 50} from the store itself (v6). This instance had v7 in
+// era 1 and reads {2, 65}, after the operator has written v7 again at {2, 60}.
+TEST_CASE(
+    "a reader of the new era receives a configuration that is written again") {
+  store_view_fixture f;
+  f.DeliverSnapshot({{"operator/configuration", "7", {1, 95}}}, {1, 100});
+  ReadAgain(f);
+  f.DeliverSnapshot({{"operator/configuration", "7", {2, 60}}}, {2, 65});
+  CHECK(ReaderReceives(f, {2, 50}) == "history_gone");
+}
+
+// The copy has targets/t, which was removed at {1, 90}; the reader read it at
+// {2, 50}. It is removed again at {2, 60}.
+TEST_CASE("a reader of the new era receives the removal of an entry") {
+  store_view_fixture f;
+  f.DeliverSnapshot({{"targets/a", "d1", {1, 3}}}, {1, 100});
+  ReadAgain(f);
+  f.DeliverSnapshot({{"targets/a", "d1", {2, 3}}}, {2, 65});
+  CHECK(ReaderReceives(f, {2, 50}) == "history_gone");
+}
+
+// targets/t was lost with the copy (the reader read {2, 50} without it) and
+// written again at {2, 60}.
+TEST_CASE("a reader of the new era receives an entry that is written again") {
+  store_view_fixture f;
+  f.DeliverSnapshot({{"targets/t", "d1", {1, 95}}}, {1, 100});
+  ReadAgain(f);
+  f.DeliverSnapshot({{"targets/t", "d1", {2, 60}}}, {2, 65});
+  CHECK(ReaderReceives(f, {2, 50}) == "history_gone");
+}
+
+// The same within one era: the store has discarded its history.
+TEST_CASE("a reader between two contents of an era receives a removal") {
+  store_view_fixture f;
+  f.DeliverSnapshot({{"targets/a", "d1", 3}}, 100);
+  ReadAgain(f);
+  // targets/t was written at 140, read by the reader at 150, removed at 160.
+  f.DeliverSnapshot({{"targets/a", "d1", 3}}, 165);
+  CHECK(ReaderReceives(f, 150) == "history_gone");
+}
+
+// This instance read {3, 23} with v2. It reads again, from a mirror that had v3
+// since {2, 26} and found it unchanged at {3, 29}.
+TEST_CASE("a change whose revision is of an earlier era is passed on") {
+  store_view_fixture f;
+  f.DeliverSnapshot({{"operator/configuration", "2", {2, 5}}}, {3, 23});
+  ReadAgain(f);
+  f.DeliverSnapshot({{"operator/configuration", "3", {2, 26}}}, {3, 40});
+  CHECK(ReaderReceives(f, {3, 23}) == "at 3.40: operator/configuration=3");
+}
