Count the grace after a short outage from the last confirmation

Requests reached a target for up to 2,100 ms after its removal (rule DRAIN, bound 2,000 ms) where a single watch of the instance, or of its parent, had been cut 100 ms before: the two seconds in which removals count as entries that could not be renewed began when the store was read again, although the removal may have been acknowledged since the last confirmation.

An outage of less than a second lets no entry expire, since owners write more often; the grace then counts from the last confirmation, so that no removal that was acknowledged since can last longer than it. After longer outages it counts from the end as before.

--- a/src/follower/internal/prefix_follower.cc
+++ b/src/follower/internal/prefix_follower.cc
@@ -87,7 +87,7 @@
   behind_deadline_.reset();
   listener_.OnSnapshot(items_, *revision_, GraceDeadline());
   items_.clear();
-  listener_.OnConfirmed(*revision_, called_at_ - max_page_age_);
+  Confirm(called_at_ - max_page_age_);
   StartWatch();
 }
 
@@ -138,14 +138,19 @@
                         scheduler_.Now() >= called_at_ + settings_.watch_wait;
     const timestamp confirmed_at =
         waited ? called_at_ + settings_.watch_wait : called_at_;
-    listener_.OnConfirmed(*revision_, confirmed_at + page.held - page.age);
+    Confirm(confirmed_at + page.held - page.age);
     return StartWatch();
   }
   // The page was created no sooner than its source held the call.
-  listener_.OnConfirmed(*revision_, called_at_ + page.held - page.age);
+  Confirm(called_at_ + page.held - page.age);
   RunAfter(settings_.change_pause, &prefix_follower::StartWatch);
 }
 
+void prefix_follower::Confirm(timestamp confirmed_at) {
+  confirmed_at_ = std::max(confirmed_at_, confirmed_at);
+  listener_.OnConfirmed(*revision_, confirmed_at);
+}
+
 void prefix_follower::OnError(store_error error) {
   if (error == store_error::history_gone) {
     listener_.OnHistoryGone(revision_.value_or(store_revision()));
@@ -175,7 +180,13 @@
   if (!store_lost_)
     return;
   store_lost_ = false;
-  grace_deadline_ = scheduler_.Now() + settings_.outage_grace;
+  // After a short outage a removal may have been acknowledged at any time since
+  // the last confirmation, and its target be used no longer than the grace.
+  const timestamp now = scheduler_.Now();
+  const bool is_short = now < confirmed_at_ + settings_.shortest_outage;
+  grace_deadline_ =
+      std::max(grace_deadline_.value_or(timestamp()),
+               (is_short ? confirmed_at_ : now) + settings_.outage_grace);
   listener_.OnStoreRegained();
 }
 
--- a/src/follower/prefix_follower.h
+++ b/src/follower/prefix_follower.h
@@ -58,9 +58,12 @@
   milliseconds change_pause{40};
   milliseconds initial_retry_pause{100};
   milliseconds max_retry_pause{1000};
-  // Time after an outage, or after the begin of an era, within which missing
+  // Time after an outage, or after the start of an era, within which missing
   // entries may still be written again by their owners.
   milliseconds outage_grace{2000};
+  // Owners write their entries at least this often. A shorter outage lets none
+  // expire.
+  milliseconds shortest_outage{1000};
 };
 
 // Follows all keys under one prefix: reads them once, then watches for changes.
@@ -84,6 +87,7 @@
   void EnterEraOf(store_revision revision);
   void StartWatch();
   void OnWatchPage(watch_result result);
+  void Confirm(timestamp confirmed_at);
   void OnError(store_error error);
   void OnSuccess();
   std::optional<timestamp> GraceDeadline() const;
@@ -108,6 +112,8 @@
   store_revision latest_revision_;
   // Until when ranges of earlier revisions are rejected.
   std::optional<timestamp> behind_deadline_;
+  // Latest time at which the listener had the store's content.
+  timestamp confirmed_at_{};
   bool store_lost_ = false;
   int consecutive_errors_ = 0;
   std::optional<timestamp> grace_deadline_;
--- a/src/gateway/tests/store_view_test.cc
+++ b/src/gateway/tests/store_view_test.cc
@@ -441,3 +441,20 @@
   f.DeliverSnapshot({{"operator/configuration", "3", {2, 26}}}, {3, 40});
   CHECK(ReaderReceives(f, {3, 23}) == "at 3.40: operator/configuration=3");
 }
+
+// Guards against requests to a target that has left: a single watch is cut, and
+// the removal is acknowledged right after it.
+TEST_CASE("a removal beside one cut watch ends the use of its target in time") {
+  store_view_fixture f;
+  f.DeliverSnapshot({{"targets/a", "d1", 5}});
+  std::exchange(f.store.watch_done, nullptr)(store_error::unavailable);
+  const timestamp removed_at = f.scheduler.Now();
+  f.scheduler.Advance(milliseconds(100));
+  f.DeliverChange({"targets/a", std::nullopt, 21});
+  while (f.AcceptsWork("a")) {
+    f.scheduler.Advance(milliseconds(1));
+    f.directory.Expire(f.scheduler.Now());
+  }
+  const auto used_ms = (f.scheduler.Now() - removed_at).count() / 1000;
+  CHECK(used_ms <= 2000);
+}
