Let a second return of the store prolong the grace of missing entries

A sound target could look removed 0.5 s after the second of two returns of the store within two seconds: the grace of its missing entry kept the deadline of the first. Found by the review. The test "a second era prolongs the grace of a missing entry" failed before.

--- a/src/directory/internal/target_directory.cc
+++ b/src/directory/internal/target_directory.cc
@@ -80,8 +80,8 @@
     return;
   known_target& target = found->second;
   if (grace_deadline && !target.leaving) {
-    if (!target.missing_deadline)
-      target.missing_deadline = grace_deadline;
+    // The store may have returned again since the entry went missing.
+    target.missing_deadline = std::max(target.missing_deadline, grace_deadline);
     return;
   }
   MarkLeaving(target, now);
--- a/src/gateway/tests/store_view_test.cc
+++ b/src/gateway/tests/store_view_test.cc
@@ -458,3 +458,18 @@
   const auto used_ms = (f.scheduler.Now() - removed_at).count() / 1000;
   CHECK(used_ms <= 2000);
 }
+
+// Guards against sound targets that look removed. Two eras within the grace:
+// the owner of a lost entry has two seconds from the second return.
+TEST_CASE("a second era prolongs the grace of a missing entry") {
+  store_view_fixture f;
+  f.DeliverSnapshot({{"targets/a", "d1", {1, 5}}}, {1, 10});
+  ReadAgain(f);
+  f.DeliverSnapshot({}, {2, 6});
+  f.scheduler.Advance(milliseconds(1900));
+  ReadAgain(f);
+  f.DeliverSnapshot({}, {3, 6});
+  f.scheduler.Advance(milliseconds(500));
+  f.directory.Expire(f.scheduler.Now());
+  CHECK(f.AcceptsWork("a"));
+}
