Write an own entry again that the store has lost, whoever reads it

An instance could be missing for the others for up to 90 s, so that it had no readers and got no reports: its entry had been written after the copy from which the store returned, and its parent in the watch tree never had it, so that the differences between the eras contained no removal. Found by the review; rare.

When the content enters a new era, the instance looks for its own entry in it. The test "an own entry that is lost with the store is written again" failed before.

--- a/src/follower/store_mirror.h
+++ b/src/follower/store_mirror.h
@@ -50,6 +50,10 @@
   // The same with any revision.
   bool ContainsValue(const store_change& entry) const;
 
+  bool ContainsKey(const std::string& key) const {
+    return items_.contains(key);
+  }
+
   // Records that the content is that of the store at `revision`, which was its
   // latest revision at `confirmed_at`.
   void Confirm(store_revision revision, timestamp confirmed_at);
--- a/src/gateway/internal/store_view.cc
+++ b/src/gateway/internal/store_view.cc
@@ -169,6 +169,9 @@
   is_behind_logged_ = false;
 }
 
+  if (mirror_.HasContent() && revision.era > mirror_.revision().era &&
+      !mirror_.ContainsKey(std::string(kInstancePrefix) + settings_.instance))
+    announcer_.OnEntryMissing();
 void store_view::OnStoreLost(store_error error) {
   is_reachable_ = false;
   services_.metrics.OnStoreLost();
--- a/src/gateway/tests/store_view_test.cc
+++ b/src/gateway/tests/store_view_test.cc
@@ -473,3 +473,17 @@
   f.directory.Expire(f.scheduler.Now());
   CHECK(f.AcceptsWork("a"));
 }
+
+// Guards against an instance that the others don't know: its parent, through
+// which it enters the era, never had its entry.
+TEST_CASE("an own entry that is lost with the store is written again") {
+  store_view_fixture f;
+  f.DeliverSnapshot({}, {1, 100});
+  REQUIRE(f.store.put_done);
+  f.store.put_done(true);
+  const std::size_t puts = f.store.puts.size();
+  std::exchange(f.store.watch_done,
+                nullptr)(watch_page{{}, {2, 60}, milliseconds(5)});
+  f.scheduler.Advance(milliseconds(2500));
+  CHECK(f.store.puts.size() == puts + 1);
+}
