Tell an era of 0 from none, and read a store that stops to state its era

Found by the review. A store that counts its returns from 0 was one without eras until the first of them: a write on a condition of era 0 that was accepted in era 1 was reported as written. A store that no longer states an era, for example since its release was taken back, was never read again by an instance that had its position from a parent: its range was of an earlier era, ten times a second.

The era is now the stated number plus one, so that 0 is none; logs show the stated number. The store's client learns the era from the position of a watch too, and takes a response without one as of that era. A later era that is seen in a direct watch is no longer followed by a range of a parent of the earlier one. Open: a first era that is no sound one, but a number, makes all later responses those of an earlier era until a restart.

--- a/src/follower/store_revision.h
+++ b/src/follower/store_revision.h
@@ -19,7 +19,7 @@
 
   auto operator<=>(const store_revision&) const = default;
 
-  std::int64_t era = 0;  // 0 if the store states none.
+  std::int64_t era = 0;  // 0 if the store states none; its first one is 1.
   std::int64_t number = 0;
 };
 
--- a/src/gateway/internal/store_view.cc
+++ b/src/gateway/internal/store_view.cc
@@ -24,6 +24,11 @@
 // tree, which may have found another source by then.
 constexpr milliseconds kMaxRetryPause{300};
 
+// Returns the era as the store states it; -1 if it states none.
+std::int64_t StatedEra(store_revision revision) {
+  return revision.era - 1;
+}
+
 follower_settings FollowerSettings(const gateway_settings& settings) {
   follower_settings follower;
   follower.watch_wait = kWatchTimeout;
@@ -164,14 +169,14 @@
 void store_view::OnConfirmed(store_revision revision, timestamp confirmed_at) {
   services_.latest_configuration.Confirm(
       services_.latest_configuration.version(), confirmed_at);
+  if (mirror_.HasContent() && revision.era > mirror_.revision().era &&
+      !mirror_.ContainsKey(std::string(kInstancePrefix) + settings_.instance))
+    announcer_.OnEntryMissing();
   mirror_.Confirm(revision, confirmed_at);
   is_reachable_ = true;
   is_behind_logged_ = false;
 }
 
-  if (mirror_.HasContent() && revision.era > mirror_.revision().era &&
-      !mirror_.ContainsKey(std::string(kInstancePrefix) + settings_.instance))
-    announcer_.OnEntryMissing();
 void store_view::OnStoreLost(store_error error) {
   is_reachable_ = false;
   services_.metrics.OnStoreLost();
@@ -189,7 +194,7 @@
   services_.metrics.OnStoreHistoryGone();
   services_.logger.Write(
       log_level::warning, "store_history_gone",
-      {{"revision", revision.number}, {"era", revision.era}});
+      {{"revision", revision.number}, {"era", StatedEra(revision)}});
 }
 
 void store_view::OnNewEra(store_revision revision,
@@ -197,8 +202,8 @@
   services_.metrics.OnStoreEra();
   services_.logger.Write(
       log_level::warning, "store_era",
-      {{"era", revision.era},
-       {"replaces", latest_revision.era},
+      {{"era", StatedEra(revision)},
+       {"replaces", StatedEra(latest_revision)},
        {"revision", revision.number},
        {"latest_revision", latest_revision.number},
        {"configuration", services_.latest_configuration.version()}});
@@ -214,9 +219,9 @@
     return;
   services_.logger.Write(log_level::warning, "store_behind",
                          {{"revision", revision.number},
-                          {"era", revision.era},
+                          {"era", StatedEra(revision)},
                           {"latest_revision", latest_revision.number},
-                          {"latest_era", latest_revision.era}});
+                          {"latest_era", StatedEra(latest_revision)}});
 }
 
 void store_view::ApplyChange(const store_change& change,
--- a/src/gateway/internal/store_view.h
+++ b/src/gateway/internal/store_view.h
@@ -111,7 +111,7 @@
   // Whether a log line was written since ranges are rejected as behind.
   bool is_behind_logged_ = false;
   // The evacuated domains according to the store, and those that are treated
-  // so: shortly after the begin of an era also those that the store has lost.
+  // so: shortly after the start of an era also those that the store has lost.
   std::set<domain_id> stored_evacuations_;
   std::set<domain_id> evacuated_;
   timestamp era_grace_deadline_{};
--- a/src/peers/internal/watch_tree_reader.cc
+++ b/src/peers/internal/watch_tree_reader.cc
@@ -300,6 +300,8 @@
   store_.Watch(call.prefix, call.since_revision, call.wait,
                [this, patience, done = call.done](watch_result result) {
                  const auto* error = std::get_if<store_error>(&result);
+                 if (const auto* page = std::get_if<watch_page>(&result))
+                   AdvanceToEraOf(page->at_revision);
                  OnStoreResponse(error && *error == store_error::unavailable,
                                  patience);
                  done(std::move(result));
--- a/src/peers/tests/watch_sharing_test.cc
+++ b/src/peers/tests/watch_sharing_test.cc
@@ -358,3 +358,12 @@
   CHECK(f.direct.calls == 1);
   CHECK(range);
 }
+
+// Guards against a parent that takes this instance's revision for one of its
+// own era.
+TEST_CASE("a watch through a parent states the era of its revision") {
+  fixture f;
+  f.store.Watch("", {2, 5}, milliseconds(800), [](const watch_result&) {});
+  CHECK(f.connector.channels[0]->written.find("since=5&era=2&") !=
+        std::string::npos);
+}
