--- a/src/peers/internal/watch_plan.cc
+++ b/src/peers/internal/watch_plan.cc
@@ -12,7 +12,9 @@
                                std::int64_t lease) {
   return instance.address.host + ":" + std::to_string(instance.address.port) +
          " " + instance.domain.text() + " " +
-         std::to_string(instance.link_mbps) + " " + std::to_string(lease);
+         std::to_string(instance.link_mbps) + " " + std::to_string(lease) +
+         (instance.relay_port != 0 ? " " + std::to_string(instance.relay_port)
+                                   : std::string());
 }
 
 std::optional<announcement> DecodeAnnouncement(const std::string& name,
@@ -22,17 +24,21 @@
   std::string domain;
   std::int64_t link_rate = 0;
   std::int64_t lease = 0;
+  std::uint16_t relay_port = 0;
   if (!(fields >> address >> domain))
     return std::nullopt;
-  // Announcements of earlier versions contain no link rate or no lease.
+  // Announcements of earlier versions contain no link rate, lease or relay
+  // port. A later one may contain further fields.
   if (!(fields >> link_rate))
     link_rate = 0;
   if (!(fields >> lease))
     lease = 0;
+  if (!(fields >> relay_port))
+    relay_port = 0;
   try {
-    return announcement{
-        {name, domain_id(domain), ParseHttpAddress(address), link_rate},
-        lease > 0 ? std::optional(lease) : std::nullopt};
+    return announcement{{name, domain_id(domain), ParseHttpAddress(address),
+                         link_rate, relay_port},
+                        lease > 0 ? std::optional(lease) : std::nullopt};
   } catch (const std::invalid_argument&) {
     return std::nullopt;
   }
--- a/src/peers/tests/watch_plan_test.cc
+++ b/src/peers/tests/watch_plan_test.cc
@@ -127,6 +127,13 @@
   fast.link_mbps = 200;
   CHECK(DecodeAnnouncement("i3", EncodeAnnouncement(fast, 7)) ==
         announcement{fast, 7});
+  known_instance relaying = fast;
+  relaying.relay_port = 7201;
+  CHECK(EncodeAnnouncement(relaying, 7) == "10.0.0.3:7200 d 200 7 7201");
+  CHECK(DecodeAnnouncement("i3", "10.0.0.3:7200 d 200 7 7201 later") ==
+        announcement{relaying, 7});
+  CHECK(DecodeAnnouncement("i3", "10.0.0.3:7200 d 200 7 70000") ==
+        announcement{fast, 7});
   CHECK(DecodeAnnouncement("i3", "10.0.0.3:7200 d") ==
         announcement{Instance(3), std::nullopt});
   CHECK(DecodeAnnouncement("i3", "10.0.0.3:7200 d 200") ==
--- a/src/peers/watch_plan.h
+++ b/src/peers/watch_plan.h
@@ -19,6 +19,8 @@
   http_address address;
   // Rate of the instance's network link, in Mbit/s.
   std::int64_t link_mbps = 0;
+  // Port that accepts relayed requests; 0 if the instance has none.
+  std::uint16_t relay_port = 0;
 
   auto operator<=>(const known_instance&) const = default;
 };
