Relay requests through another instance while paths are lost

Cause: while an instance had no path to any target, its callers' requests were refused or waited for connections that hang, although other instances reached the targets (RECOVER).

Change: such an instance sends the requests to another instance, on a port that handles them like those of callers. What is sent on once is not sent on again; another instance is used only if nothing was sent or the first one states that the request did not run; a broken relay ends as 502 or as a broken stream.

--- a/src/framework/net/i_http_caller.h
+++ b/src/framework/net/i_http_caller.h
@@ -57,6 +57,9 @@
 
   // Whether the server may have received any byte of the request.
   virtual bool MayHaveBeenSent() const = 0;
+
+  // Whether the call was made on a channel that was open before.
+  virtual bool IsOnReusedChannel() const = 0;
 };
 
 // Makes non-blocking HTTP calls and reuses idle channels. Each channel carries
--- a/src/framework/net/internal/http_caller.cc
+++ b/src/framework/net/internal/http_caller.cc
@@ -182,6 +182,8 @@
     return reused_ || (channel_ && channel_->HasSentBytes());
   }
 
+  bool IsOnReusedChannel() const override { return reused_; }
+
  private:
   channel_callbacks Callbacks() {
     // The callbacks keep the call alive as long as the channel. Cancel and the
--- a/src/gateway/gateway_types.h
+++ b/src/gateway/gateway_types.h
@@ -35,6 +35,9 @@
   std::optional<generation_parameters> generation;
   // Parts of the prompt that other requests may share, in order. Bounded.
   std::vector<std::string> shared_prompt_parts;
+  // Sent by an instance that has no path to the targets. It is not relayed
+  // again.
+  bool is_relayed = false;
   http_request_message message;
 };
 
@@ -112,8 +115,14 @@
   error_code code = error_code::internal;
   run_verdict verdict = run_verdict::not_run;
   std::optional<milliseconds> retry_after;
+  // Tells an instance that relayed the request that another one may take it.
+  bool other_instance_may_serve = false;
 };
 
+// Header of a refusal after which a relayed request may be sent to another
+// instance: it did not run, and the cause is one of the refusing instance.
+inline constexpr char kTryOtherInstanceHeader[] = "Wist-Try-Other-Instance";
+
 // Settings of the gateway, from the operators' settings file.
 struct gateway_settings {
   std::string instance;
@@ -122,6 +131,8 @@
   http_address ready_listen;
   std::optional<http_address> metrics_listen;
   http_address peer_listen;
+  // Accepts the requests that other instances relay.
+  std::optional<http_address> relay_listen;
   // Maximum time for which a revoked key may still be accepted.
   milliseconds key_validity{5000};
   // Maximum time from the stop signal to the end of the process.
--- a/src/gateway/i_dialect.h
+++ b/src/gateway/i_dialect.h
@@ -30,6 +30,11 @@
   virtual std::string EncodeDispatch(const caller_request& request,
                                      const target_dispatch& dispatch) const = 0;
 
+  // Encodes the caller's request for another instance, with the time that is
+  // left of its deadline.
+  virtual std::string EncodeRelay(const caller_request& request,
+                                  milliseconds time_left) const = 0;
+
   // Whether the response belongs to the request with this id. `may_be_old` says
   // that it may be a repetition of an earlier response on the same connection.
   virtual bool IsResponseTo(const http_response_head& head,
--- a/src/gateway/internal/caller_connection.cc
+++ b/src/gateway/internal/caller_connection.cc
@@ -33,10 +33,12 @@
 
 caller_connection::caller_connection(gateway_services& services,
                                      std::shared_ptr<i_channel> channel,
-                                     end_handler on_end)
+                                     end_handler on_end,
+                                     bool is_relay)
     : services_(services),
       channel_(std::move(channel)),
-      on_end_(std::move(on_end)) {}
+      on_end_(std::move(on_end)),
+      is_relay_(is_relay) {}
 
 caller_limits caller_connection::Limits() const {
   const auto table = services_.latest_configuration.table();
@@ -137,10 +139,12 @@
         "", {*code, run_verdict::not_run, std::nullopt}, false));
     return CloseChannel();
   }
+  auto& request = std::get<caller_request>(decoded);
+  request.is_relayed = is_relay_;
   const auto self = shared_from_this();
-  exchange_ = std::make_shared<exchange>(
-      services_, std::move(std::get<caller_request>(decoded)), *this,
-      [self] { self->OnExchangeFinished(); });
+  exchange_ =
+      std::make_shared<exchange>(services_, std::move(request), *this,
+                                 [self] { self->OnExchangeFinished(); });
   const auto started = exchange_;
   started->Start();
 }
@@ -198,7 +202,8 @@
 void caller_connection::RefuseUnheld(const std::string& request_id) {
   channel_->Write(services_.dialect.EncodeRefusal(
       request_id,
-      {error_code::overloaded, run_verdict::not_run, kNoRoomRetryAfter},
+      {error_code::overloaded, run_verdict::not_run, kNoRoomRetryAfter,
+       is_relay_},
       false));
   CloseChannel();
 }
--- a/src/gateway/internal/caller_connection.h
+++ b/src/gateway/internal/caller_connection.h
@@ -18,9 +18,11 @@
  public:
   using end_handler = std::function<void(caller_connection*)>;
 
+  // `is_relay` says that another instance sends requests of its callers.
   caller_connection(gateway_services& services,
                     std::shared_ptr<i_channel> channel,
-                    end_handler on_end);
+                    end_handler on_end,
+                    bool is_relay = false);
 
   void Start();
 
@@ -85,6 +87,7 @@
   gateway_services& services_;
   std::shared_ptr<i_channel> channel_;
   end_handler on_end_;
+  const bool is_relay_;
   std::unique_ptr<i_http_request_reader> reader_;
   std::shared_ptr<exchange> exchange_;
   // Memory of the request that is arriving or in progress, and of those that
--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -10,6 +10,10 @@
 // time is unreachable or overloaded.
 constexpr milliseconds kConnectTimeout{300};
 
+// The same while the paths to the targets count as lost, so that the request
+// can still be served through another instance in time.
+constexpr milliseconds kDirectTryConnectTimeout{150};
+
 // Maximum idle time of a pooled connection that a request may reuse. A pooled
 // connection may be dead without this instance knowing, and a request sent on
 // it has to be treated as if it had run. Requests that must not be repeated
@@ -78,7 +82,9 @@
   if (const auto* code = std::get_if<error_code>(&routed))
     return Refuse(*code, run_verdict::not_run);
   routed_ = std::move(std::get<routed_request>(routed));
-  services_.RetryBudgetOf(routed_.service).OnRequest(received_at_);
+  // The instance that dispatches the request counts it.
+  if (!services_.RelaysRequests())
+    services_.RetryBudgetOf(routed_.service).OnRequest(received_at_);
   deadline_timer_ = services_.scheduler.RunAt(
       routed_.deadline, [self = shared_from_this()] { self->OnDeadline(); });
   if (const auto refusing = FindQuarantine())
@@ -114,6 +120,14 @@
                                                ? run_verdict::may_have_run
                                                : run_verdict::not_run);
   }
+  if (services_.RelaysRequests() && !is_direct_try_) {
+    const timestamp now = services_.scheduler.Now();
+    is_direct_try_ = !request_.is_relayed && dispatch_count_ == 0 &&
+                     services_.paths.TryConsumeDirectTry(now);
+    if (!is_direct_try_)
+      return RefuseOverloaded(
+          services_.selector.RetryAfter(SelectionRequest(), now));
+  }
   const selection chosen =
       services_.Choose(SelectionRequest(), VersionConstraints());
   if (const auto* error = std::get_if<selection_error>(&chosen))
@@ -128,7 +142,7 @@
   const timestamp now = services_.scheduler.Now();
   const timestamp wait_deadline =
       received_at_ + Route().first_byte_objective / kCapacityWaitDivisor;
-  if (!error.targets_at_capacity || dispatch_count_ > 0 ||
+  if (!error.targets_at_capacity || dispatch_count_ > 0 || is_direct_try_ ||
       now + kCapacityPollInterval >= wait_deadline)
     return RefuseOverloaded(error.retry_after);
   capacity_timer_ = services_.scheduler.RunAt(
@@ -203,8 +217,11 @@
   };
   attempt_->call = services_.caller.Call(
       target.address, services_.dialect.EncodeDispatch(request_, dispatch),
-      {std::min(routed_.deadline, now + kConnectTimeout),
-       MaxIdle(Route().kind),
+      {std::min(
+           routed_.deadline,
+           now + (is_direct_try_ ? kDirectTryConnectTimeout : kConnectTimeout)),
+       services_.paths.IsSuspected(now) ? milliseconds(0)
+                                        : MaxIdle(Route().kind),
        MaxBodyBytes(Route().kind),
        {target.id.text(), request_.id}},
       std::move(callbacks));
@@ -219,8 +236,7 @@
 void exchange::OnInternalError() {
   if (finished_)
     return;
-  if (attempt_ && attempt_->call)
-    attempt_->call->Cancel();
+  CancelCalls();
   EndAttempt(run_end::broken);
   may_have_run_ = true;
   Refuse(error_code::internal, run_verdict::may_have_run);
@@ -242,6 +258,7 @@
     // and further attempts there would fail as well.
     failed_abroad_ =
         failed_abroad_ || attempt_->target.domain != services_.settings.domain;
+    services_.OnTargetUnreachable(attempt_->target, attempt_->sent_at);
     EndAttempt(run_end::unreachable);
     if (stream_started_ && (handover_ || !IsRepeatable()))
       return OnCopyUnusable("receiver_unreachable");
@@ -292,6 +309,8 @@
     return Refuse(error_code::target_failed, run_verdict::may_have_run);
   if (!reached_target)
     ++connect_failure_count_;
+  if (!reached_target && services_.paths.IsLost())
+    is_direct_try_ = false;
   if (!MayDispatchAgain(now) ||
       (reached_target && !services_.RetryBudgetOf(routed_.service)
                               .TryConsumeRetry(services_.instance_count, now)))
@@ -378,10 +397,8 @@
                              const std::string& stream_reason) {
   if (finished_)
     return;
-  const bool sent =
-      attempt_ && attempt_->call && attempt_->call->MayHaveBeenSent();
-  if (attempt_ && attempt_->call)
-    attempt_->call->Cancel();
+  const bool sent = MayHaveBeenSent();
+  CancelCalls();
   if (attempt_) {
     attempt_->counts = attempt_->counts && code != error_code::stopping;
     EndAttempt(run_end::timed_out);
@@ -414,10 +431,8 @@
 void exchange::OnCallerGone() {
   if (finished_)
     return;
-  const bool sent =
-      attempt_ && attempt_->call && attempt_->call->MayHaveBeenSent();
-  if (attempt_ && attempt_->call)
-    attempt_->call->Cancel();
+  const bool sent = MayHaveBeenSent();
+  CancelCalls();
   EndAttempt(run_end::cancelled);
   Finish(
       "caller_gone", "",
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -47,6 +47,20 @@
   bool counts = true;
 };
 
+// One dispatch of a request to another instance, since this one has no path to
+// the targets.
+struct relay_attempt {
+  std::string instance;
+  timestamp sent_at;
+  std::shared_ptr<i_http_call> call;
+  std::optional<http_response_head> head;
+  // Set if the response is not a stream, which is forwarded as it arrives.
+  bool is_buffered = false;
+  std::string body;
+  // Memory of `body`. Null until there is any.
+  std::unique_ptr<response_buffer> buffer;
+};
+
 // A run on its way from one target to another: from the request to stop it
 // until its first event from elsewhere.
 struct run_handover {
@@ -175,9 +189,26 @@
   bool ResumeFromOtherCopy();
   bool ResumeWithNewRun();
 
-  std::string EncodeResponse() const;
+  // Sends the request through another instance. Returns false if it can't be,
+  // which leaves the exchange unchanged.
+  bool TryRelay();
+  void SendRelay(const known_instance& instance);
+  void OnRelayHead(const http_response_head& head);
+  void OnRelayBody(const std::string& bytes);
+  void OnRelayEnd(call_outcome outcome);
+  // The instance did not take the request.
+  void OnRelayRejected();
+  void OnRelayBroken();
+  void ForwardRelayedResponse();
+  void EndRelay(const std::string& outcome);
+  bool MayHaveBeenSent() const;
+  void CancelCalls();
+
+  std::string EncodeResponse(const http_response_head& head,
+                             const std::string& body) const;
   void ForwardResponse();
   void Refuse(error_code code, run_verdict verdict);
+  bool IsRefusedByInstanceOnly(error_code code) const;
   void RefuseOverloaded(milliseconds retry_after);
   void Finish(const std::string& outcome,
               const std::string& reason,
@@ -203,6 +234,11 @@
   // A target in another failure domain could not be reached.
   bool failed_abroad_ = false;
   bool may_have_run_ = false;
+  std::optional<relay_attempt> relay_;
+  // Instances to which the request was sent, in order.
+  std::vector<std::string> relay_instances_;
+  // Sent to a target although the paths to the targets count as lost.
+  bool is_direct_try_ = false;
   // The request failed on a target. It is not sent to the new version again.
   bool avoids_new_version_ = false;
   // Let through a quarantine, to see whether it still crashes targets.
--- a/src/gateway/internal/exchange_end.cc
+++ b/src/gateway/internal/exchange_end.cc
@@ -32,10 +32,14 @@
 void exchange::RefuseOverloaded(milliseconds retry_after) {
   if (may_have_run_)
     return Refuse(error_code::target_failed, run_verdict::may_have_run);
+  if (TryRelay())
+    return;
   refusal refused{error_code::overloaded, run_verdict::not_run, std::nullopt};
   const milliseconds base = std::max(
       retry_after, milliseconds(std::chrono::duration_cast<milliseconds>(
                        Route().first_byte_objective / kRetryAfterDivisor)));
+  refused.other_instance_may_serve =
+      IsRefusedByInstanceOnly(error_code::overloaded);
   refused.retry_after = milliseconds(static_cast<std::int64_t>(
       static_cast<double>(base.count()) *
       (1 +
@@ -56,6 +60,8 @@
     refused.retry_after = kQuarantineRetryAfter;
   if (stream_started_)
     return AbortStream(std::string(ErrorCodeName(code)));
+  refused.other_instance_may_serve =
+      verdict == run_verdict::not_run && IsRefusedByInstanceOnly(code);
   response_writer_->Send(services_.dialect.EncodeRefusal(
       request_.id, refused, response_writer_->KeepsConnection()));
   Finish(verdict == run_verdict::not_run ? "refused" : "failed",
@@ -69,8 +75,7 @@
     return;
   finished_ = true;
   Log(outcome, reason, verdict);
-  if (attempt_ && attempt_->call)
-    attempt_->call->Cancel();
+  CancelCalls();
   EndAttempt(run_end::cancelled);
   if (mover_)
     std::exchange(mover_, nullptr)->Cancel();
@@ -95,6 +100,9 @@
     targets += (targets.empty() ? "" : ",") + target.text();
   if (attempt_)
     targets += (targets.empty() ? "" : ",") + attempt_->target.id.text();
+  std::string relay_instances;
+  for (const std::string& instance : relay_instances_)
+    relay_instances += (relay_instances.empty() ? "" : ",") + instance;
   const auto age = services_.latest_configuration.ConfirmationAge(now);
   services_.logger.Write(
       log_level::info, "request",
@@ -106,6 +114,8 @@
        {"verdict", std::string(VerdictName(verdict))},
        {"targets", targets},
        {"sends", static_cast<std::int64_t>(dispatch_count_)},
+       {"relayed_to", relay_instances},
+       {"is_relayed", request_.is_relayed},
        {"target_runs", static_cast<std::int64_t>(load_at_dispatch_.runs)},
        {"target_tokens", load_at_dispatch_.tokens},
        {"target_unread_tokens", load_at_dispatch_.pending_prefill_tokens},
--- a/src/gateway/internal/exchange_response.cc
+++ b/src/gateway/internal/exchange_response.cc
@@ -33,6 +33,8 @@
 void exchange::OnHead(const http_response_head& head) {
   attempt_->classification = services_.dialect.ClassifyResponse(head);
   attempt_->head = head;
+  if (!attempt_->call->IsOnReusedChannel())
+    services_.OnTargetResponse(attempt_->sent_at);
   services_.OnTargetSignals(attempt_->target,
                             services_.dialect.DecodeSignals(head), request_.id);
 }
@@ -127,11 +129,11 @@
           attempt_->head.EndsWithChannel() && !has_events);
 }
 
-std::string exchange::EncodeResponse() const {
-  const http_response_head& head = attempt_->head;
+std::string exchange::EncodeResponse(const http_response_head& head,
+                                     const std::string& body) const {
   auto headers = services_.dialect.CallerHeaders(head);
   if (request_.message.method != "HEAD" && StatusPermitsBody(head.status))
-    return EncodeHttpResponse(head.status, headers, attempt_->body);
+    return EncodeHttpResponse(head.status, headers, body);
   // The length of the body that is left out.
   const std::string_view length = head.Header("Content-Length");
   if (!length.empty() && head.status != kNoContent)
@@ -153,7 +155,7 @@
     response_writer_->FinishStream(std::string(LastChunk()));
     return Finish("answered", "", run_verdict::ran);
   }
-  std::string bytes = EncodeResponse();
+  std::string bytes = EncodeResponse(attempt_->head, attempt_->body);
   EndAttempt(succeeded ? run_end::completed : run_end::failed);
   services_.metrics.OnFirstByte(CallKindName(Route().kind),
                                 services_.scheduler.Now() - received_at_);
--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -183,6 +183,13 @@
         settings_.listen,
         [this](std::shared_ptr<i_channel> channel) { Accept(channel); },
         {ReceiveBufferBytes(settings_)});
+    if (settings_.relay_listen) {
+      dependencies_.loop.Listen(*settings_.relay_listen,
+                                [this](std::shared_ptr<i_channel> channel) {
+                                  Accept(channel, /*is_relay=*/true);
+                                },
+                                {ReceiveBufferBytes(settings_)});
+    }
     peer_port_ = dependencies_.loop.OpenDatagramPort(
         settings_.peer_listen,
         [this](std::string_view bytes, const http_address& sender) {
@@ -263,6 +270,8 @@
 
   void OnInstancesChanged() {
     load_exchange_.SetInstances(store_view_.OtherInstances());
+    services_.relays.SetInstances(settings_.domain,
+                                  store_view_.OtherInstances());
     services_.instance_count = store_view_.OtherInstances().size() + 1;
     selector_.SetInstanceCount(services_.instance_count);
   }
@@ -342,15 +351,16 @@
     return metrics_.Text();
   }
 
-  void Accept(const std::shared_ptr<i_channel>& channel) {
+  void Accept(const std::shared_ptr<i_channel>& channel,
+              bool is_relay = false) {
     if (caller_channels_.count() >= settings_.max_connections && !MakeRoom()) {
       OnShed(kNoDescriptor);
       return channel->Abort();
     }
     caller_channels_.Add(channel);
     const auto connection = std::make_shared<caller_connection>(
-        services_, channel,
-        [this](caller_connection* ended) { Remove(ended); });
+        services_, channel, [this](caller_connection* ended) { Remove(ended); },
+        is_relay);
     connections_.insert(connection);
     if (services_.stop_deadline)
       connection->StartDraining();
--- a/src/gateway/internal/gateway_metrics.cc
+++ b/src/gateway/internal/gateway_metrics.cc
@@ -35,6 +35,10 @@
                           .Help("Streams that ended without their last event, "
                                 "by reason")
                           .Register(*registry_)),
+      relays_(prometheus::BuildCounter()
+                  .Name("wist_gateway_relays_total")
+                  .Help("Requests sent to other instances, by outcome")
+                  .Register(*registry_)),
       given_up_responses_(
           prometheus::BuildCounter()
               .Name("wist_gateway_responses_given_up_total")
@@ -108,6 +112,10 @@
   broken_streams_.Add({{"reason", reason}}).Increment();
 }
 
+void gateway_metrics::OnRelay(const std::string& outcome) {
+  relays_.Add({{"outcome", outcome}}).Increment();
+}
+
 void gateway_metrics::OnResponseGivenUp() {
   given_up_responses_.Add({}).Increment();
 }
--- a/src/gateway/internal/gateway_metrics.h
+++ b/src/gateway/internal/gateway_metrics.h
@@ -38,6 +38,8 @@
   void OnMove(const std::string& outcome);
   // A stream ended without its last event; not counted if its caller left.
   void OnStreamBroken(const std::string& reason);
+  // A request was sent to another instance, by how that ended.
+  void OnRelay(const std::string& outcome);
   void OnResponseGivenUp();
   // A response broke the rule with this name.
   void OnInvalidResponse(const std::string& rule);
@@ -66,6 +68,7 @@
   prometheus::Family<prometheus::Counter>& requests_;
   prometheus::Family<prometheus::Counter>& moves_;
   prometheus::Family<prometheus::Counter>& broken_streams_;
+  prometheus::Family<prometheus::Counter>& relays_;
   prometheus::Family<prometheus::Counter>& given_up_responses_;
   prometheus::Family<prometheus::Counter>& invalid_responses_;
   prometheus::Family<prometheus::Counter>& shed_requests_;
--- a/src/gateway/internal/gateway_services.cc
+++ b/src/gateway/internal/gateway_services.cc
@@ -54,6 +54,32 @@
   directory.OnLeavingStated(target, now);
 }
 
+void gateway_services::OnTargetUnreachable(const target_entry& target,
+                                           timestamp started_at) {
+  const auto& targets = directory.targets();
+  const auto target_count = static_cast<std::size_t>(
+      std::count_if(targets.begin(), targets.end(), [&](const auto& known) {
+        return directory.AcceptsNewWork(known.second);
+      }));
+  if (!paths.OnUnreachable(target.id, started_at, scheduler.Now(),
+                           target_count))
+    return;
+  std::string unreachable;
+  for (const target_id& id : paths.UnreachableTargets())
+    unreachable += (unreachable.empty() ? "" : ",") + id.text();
+  logger.Write(log_level::warning, "target_paths_lost",
+               {{"unreachable", unreachable},
+                {"targets", static_cast<std::int64_t>(target_count)}});
+  // A request on a connection whose path is gone would wait for its deadline.
+  for (const auto& [id, known] : targets)
+    caller.CloseIdleChannels(known.entry.address);
+}
+
+void gateway_services::OnTargetResponse(timestamp started_at) {
+  if (paths.OnResponse(started_at, scheduler.Now()))
+    logger.Write(log_level::info, "target_paths_restored", {});
+}
+
 std::vector<version_constraint> gateway_services::VersionConstraints(
     const service_id& service,
     const std::string& request_id,
--- a/src/gateway/internal/gateway_services.h
+++ b/src/gateway/internal/gateway_services.h
@@ -18,6 +18,8 @@
 #include "gateway/internal/response_buffers.h"
 #include "limits/crash_ledger.h"
 #include "limits/window_retry_budget.h"
+#include "relay/path_monitor.h"
+#include "relay/relay_selector.h"
 #include "routing/configuration_tracker.h"
 #include "selection/target_selector.h"
 
@@ -77,6 +79,18 @@
   // and requests in progress are aborted at `stop_deadline`.
   std::optional<timestamp> accept_deadline;
   std::optional<timestamp> stop_deadline;
+  path_monitor paths{};
+  relay_selector relays{};
+
+  // Record the outcome of a new connection to a target, begun at `started_at`.
+  void OnTargetUnreachable(const target_entry& target, timestamp started_at);
+  void OnTargetResponse(timestamp started_at);
+
+  // Whether requests are sent through other instances, since this one has no
+  // path to the targets.
+  bool RelaysRequests() const {
+    return paths.IsLost() && relays.HasInstances();
+  }
 
   // Applies what a target stated in the head of a response.
   void OnTargetSignals(const target_entry& target,
--- a/src/gateway/internal/store_view.cc
+++ b/src/gateway/internal/store_view.cc
@@ -101,8 +101,10 @@
 }
 
 known_instance store_view::Self() const {
-  return {settings_.instance, settings_.domain, settings_.peer_listen,
-          settings_.link_mbps};
+  return {
+      settings_.instance, settings_.domain, settings_.peer_listen,
+      settings_.link_mbps,
+      settings_.relay_listen ? settings_.relay_listen->port : std::uint16_t{0}};
 }
 
 std::vector<known_instance> store_view::OtherInstances() const {
--- a/src/gateway/tests/mocks/plain_dialect.h
+++ b/src/gateway/tests/mocks/plain_dialect.h
@@ -45,9 +45,21 @@
       headers.push_back(
           {"Again", std::to_string(refused.retry_after->count())});
     }
+    if (refused.other_instance_may_serve)
+      headers.push_back({kTryOtherInstanceHeader, "1"});
     return EncodeHttpResponse(status, headers, "");
   }
 
+  std::string EncodeRelay(const caller_request& request,
+                          milliseconds time_left) const override {
+    http_request_message sent = request.message;
+    std::erase_if(sent.headers, [](const http_header& header) {
+      return header.name == "Content-Length" || header.name == "Time";
+    });
+    sent.headers.push_back({"Time", std::to_string(time_left.count())});
+    return EncodeHttpRequest(sent);
+  }
+
   std::string EncodeDispatch(const caller_request& request,
                              const target_dispatch& dispatch) const override {
     http_request_message sent = request.message;
--- /dev/null
+++ b/src/gateway/tests/relay_test.cc
@@ -0,0 +1,276 @@
+#include "gateway/tests/mocks/exchange_fixture.h"
+
+// Tests an instance that is cut off from all targets, while its callers, the
+// store and the other instances reach it.
+
+using namespace wist;
+
+namespace {
+
+struct relay_fixture : exchange_fixture {
+  relay_fixture() {
+    std::vector<known_instance> others;
+    for (const char* name : {"i1", "i2", "i3", "i4"}) {
+      known_instance instance;
+      instance.name = name;
+      instance.domain = domain_id("d");
+      instance.address = {name, 7200};
+      instance.relay_port = 7201;
+      others.push_back(instance);
+    }
+    services.relays.SetInstances(domain_id("d"), others);
+  }
+
+  bool IsRelay(std::size_t index) const {
+    return connector.addresses.at(index).port == 7201;
+  }
+
+  // Fails the connections to targets until a request is relayed or answered.
+  void FailTargets() {
+    while (!connector.channels.empty() &&
+           !IsRelay(connector.channels.size() - 1) && response().empty()) {
+      const std::size_t count = connector.channels.size();
+      target_channel().connected = false;
+      target_channel().End(channel_end::connect_failed);
+      if (connector.channels.size() == count)
+        return;
+    }
+  }
+
+  // A request shows that the paths are lost, and is answered by another
+  // instance.
+  void LosePaths() {
+    SendRequest("/once/x");
+    FailTargets();
+    REQUIRE(services.paths.IsLost());
+    target_channel().Receive(Response("200 OK", "lost"));
+    caller_channel->written.clear();
+  }
+
+  std::shared_ptr<caller_connection> AcceptRelay(
+      const std::shared_ptr<scripted_channel>& channel) {
+    auto accepted = std::make_shared<caller_connection>(
+        services, channel, [](caller_connection*) {}, /*is_relay=*/true);
+    accepted->Start();
+    return accepted;
+  }
+
+  static std::string RefusalOfInstance() {
+    return Response("503 Service Unavailable", "",
+                    std::string(kTryOtherInstanceHeader) + ": 1\r\n");
+  }
+};
+
+}  // namespace
+
+TEST_CASE("a request that reaches no target is sent through another instance") {
+  relay_fixture f;
+  f.SendRequest("/once/x", "Time: 3000\r\n");
+  f.scheduler.Advance(milliseconds(100));
+  f.FailTargets();
+  REQUIRE(f.IsRelay(f.connector.channels.size() - 1));
+  CHECK(f.logger.Count("target_paths_lost") == 1);
+  const std::string& sent = f.target_channel().written;
+  CHECK(sent.starts_with("POST /once/x HTTP/1.1\r\n"));
+  CHECK(sent.find("Key: k\r\n") != std::string::npos);
+  CHECK(sent.find("Time: 2900\r\n") != std::string::npos);
+  CHECK(sent.ends_with("\r\n\r\nhi"));
+  f.target_channel().Receive(f.Response("200 OK", "hello"));
+  CHECK(f.ResponseContains("200 OK"));
+  CHECK(f.response().ends_with("hello"));
+  CHECK(f.caller_channel->open());
+}
+
+TEST_CASE("while paths are lost requests are relayed at once") {
+  relay_fixture f;
+  f.LosePaths();
+  const std::size_t count = f.connector.channels.size();
+  f.SendStreamRequest();
+  REQUIRE(f.connector.channels.size() == count + 1);
+  CHECK(f.IsRelay(count));
+}
+
+TEST_CASE("a relayed stream is forwarded as it arrives") {
+  relay_fixture f;
+  f.LosePaths();
+  f.SendStreamRequest();
+  f.target_channel().Receive(f.StreamHead() + f.Event(1));
+  CHECK(f.response().find("id: 1") != std::string::npos);
+
+  SECTION("it is complete") {
+    f.target_channel().Receive(f.Event(2) + "0\r\n\r\n");
+    CHECK(f.response().find("id: 2") != std::string::npos);
+    CHECK(f.response().ends_with("0\r\n\r\n"));
+    CHECK(f.caller_channel->open());
+  }
+  SECTION("the other instance breaks it off") {
+    const std::size_t count = f.connector.channels.size();
+    f.target_channel().End(channel_end::reset);
+    CHECK_FALSE(f.response().ends_with("0\r\n\r\n"));
+    CHECK(f.caller_channel->aborted);
+    CHECK(f.connector.channels.size() == count);
+  }
+  SECTION("its caller leaves") {
+    f.caller_channel->End(channel_end::closed);
+    CHECK(f.target_channel().aborted);
+  }
+  SECTION("the deadline passes") {
+    f.scheduler.Advance(milliseconds(5000));
+    CHECK(f.target_channel().aborted);
+    CHECK(f.caller_channel->aborted);
+  }
+  SECTION("this instance stops") {
+    f.connection->OnStopDeadline();
+    CHECK(f.target_channel().aborted);
+    CHECK(f.caller_channel->aborted);
+  }
+}
+
+TEST_CASE("a refusal that other instances do not share is followed by a try") {
+  relay_fixture f;
+  f.LosePaths();
+  f.SendRequest("/once/x");
+  const std::size_t first = f.connector.channels.size() - 1;
+  f.target_channel().Receive(f.RefusalOfInstance());
+  REQUIRE(f.connector.channels.size() == first + 2);
+  f.target_channel().connected = false;
+  f.target_channel().End(channel_end::connect_failed);
+  REQUIRE(f.connector.channels.size() == first + 3);
+  CHECK(f.TargetName(first) != f.TargetName(first + 1));
+  CHECK(f.TargetName(first) != f.TargetName(first + 2));
+  CHECK(f.TargetName(first + 1) != f.TargetName(first + 2));
+
+  SECTION("the third instance takes it") {
+    f.target_channel().Receive(f.Response("200 OK", "third"));
+    CHECK(f.response().ends_with("third"));
+  }
+  SECTION("no further one is tried") {
+    f.target_channel().Receive(f.RefusalOfInstance());
+    CHECK(f.connector.channels.size() == first + 3);
+    CHECK(f.ResponseContains("503"));
+    CHECK(f.ResponseContains("Again: "));
+    CHECK_FALSE(f.ResponseContains(kTryOtherInstanceHeader));
+  }
+}
+
+TEST_CASE("a relayed request that may have run is not sent again") {
+  relay_fixture f;
+  f.LosePaths();
+  for (const char* path : {"/once/x", "/again/x"}) {
+    f.SendRequest(path);
+    const std::size_t count = f.connector.channels.size();
+    REQUIRE(f.IsRelay(count - 1));
+    f.target_channel().End(channel_end::reset);
+    CHECK(f.connector.channels.size() == count);
+    CHECK(f.ResponseContains("502"));
+    f.scheduler.Advance(milliseconds(0));
+    f.caller_channel->written.clear();
+  }
+}
+
+TEST_CASE("the response of the other instance is passed on as it is") {
+  relay_fixture f;
+  f.LosePaths();
+  for (const char* status : {"503 Service Unavailable", "502 Bad Gateway",
+                             "504 Gateway Timeout", "404 Not Found"}) {
+    f.SendRequest("/once/x");
+    const std::size_t count = f.connector.channels.size();
+    f.target_channel().Receive(f.Response(status, "text"));
+    CHECK(f.connector.channels.size() == count);
+    CHECK(f.ResponseContains(std::string("HTTP/1.1 ") + status));
+    CHECK(f.response().ends_with("text"));
+    f.scheduler.Advance(milliseconds(0));
+    f.caller_channel->written.clear();
+  }
+}
+
+TEST_CASE("a request that was relayed is not relayed again") {
+  relay_fixture f;
+  f.LosePaths();
+  const auto channel = std::make_shared<scripted_channel>();
+  const auto accepted = f.AcceptRelay(channel);
+  const std::size_t count = f.connector.channels.size();
+  channel->Receive(
+      "POST /once/x HTTP/1.1\r\nHost: h\r\nId: r\r\nKey: k\r\n"
+      "Content-Length: 2\r\n\r\nhi");
+  CHECK(f.connector.channels.size() == count);
+  CHECK(channel->written.starts_with("HTTP/1.1 503"));
+  CHECK(channel->written.find(kTryOtherInstanceHeader) != std::string::npos);
+}
+
+TEST_CASE("a relayed request is served like one of the own callers") {
+  relay_fixture f;
+  const auto channel = std::make_shared<scripted_channel>();
+  const auto accepted = f.AcceptRelay(channel);
+
+  SECTION("with a valid key") {
+    channel->Receive(
+        "POST /once/x HTTP/1.1\r\nHost: h\r\nId: r\r\nKey: k\r\n"
+        "Content-Length: 2\r\n\r\nhi");
+    REQUIRE(f.connector.channels.size() == 1);
+    f.target_channel().Receive(f.Response("200 OK", "done"));
+    CHECK(channel->written.ends_with("done"));
+  }
+  SECTION("without one") {
+    channel->Receive(
+        "POST /once/x HTTP/1.1\r\nHost: h\r\nId: r\r\nKey: other\r\n"
+        "Content-Length: 2\r\n\r\nhi");
+    CHECK(f.connector.channels.empty());
+    CHECK(channel->written.find("Code: unknown_key") != std::string::npos);
+    CHECK(channel->written.find(kTryOtherInstanceHeader) == std::string::npos);
+  }
+}
+
+TEST_CASE("paths are used again once targets respond") {
+  relay_fixture f;
+  f.LosePaths();
+  f.scheduler.Advance(milliseconds(4000));
+  for (int i = 0; i < 2; ++i) {
+    f.SendRequest("/once/x");
+    REQUIRE_FALSE(f.IsRelay(f.connector.channels.size() - 1));
+    f.target_channel().Receive(f.Response("200 OK", "back"));
+    f.scheduler.Advance(milliseconds(0));
+  }
+  CHECK_FALSE(f.services.paths.IsLost());
+  CHECK(f.logger.Count("target_paths_restored") == 1);
+}
+
+TEST_CASE("a direct try that fails is relayed") {
+  relay_fixture f;
+  f.LosePaths();
+  f.scheduler.Advance(milliseconds(4000));
+  f.SendRequest("/once/x");
+  const std::size_t count = f.connector.channels.size();
+  REQUIRE_FALSE(f.IsRelay(count - 1));
+  f.target_channel().connected = false;
+  f.target_channel().End(channel_end::connect_failed);
+  REQUIRE(f.connector.channels.size() == count + 1);
+  CHECK(f.IsRelay(count));
+}
+
+TEST_CASE("connections that were open before the cut are not used") {
+  relay_fixture f;
+  f.SendRequest("/again/x");
+  const auto open = f.connector.channels.back();
+  open->Receive(f.Response("200 OK", "open"));
+  // Requests that must not be repeated use a new connection from now on.
+  f.scheduler.Advance(milliseconds(3000));
+  f.caller_channel->written.clear();
+  f.LosePaths();
+  CHECK_FALSE(open->open());
+}
+
+TEST_CASE("without other instances nothing changes") {
+  relay_fixture f;
+  f.services.relays.SetInstances(domain_id("d"), {});
+  f.SendRequest("/once/x");
+  f.FailTargets();
+  REQUIRE(f.services.paths.IsLost());
+  CHECK(f.ResponseContains("503"));
+  CHECK(f.ResponseContains("Again: "));
+  f.scheduler.Advance(milliseconds(4000));
+  f.caller_channel->written.clear();
+  const std::size_t count = f.connector.channels.size();
+  f.SendRequest("/once/x");
+  CHECK(f.connector.channels.size() == count + 1);
+}
