Prefer instances that did not refuse, and find false losses soon

And where many targets end at once, all instances may consider their paths lost, refuse each other's requests, and try one target a second.

Change: an instance that refused comes after all others for 10 s. A request that no instance takes tries a target, ten a second at most. A request that is refused for want of capacity, without a failed connection, is not relayed.

Result: unit tests of five cut off instances of eight and of requests that nobody takes.

--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -121,12 +121,14 @@
                                                : run_verdict::not_run);
   }
   if (services_.RelaysRequests() && !is_direct_try_) {
-    const timestamp now = services_.scheduler.Now();
-    is_direct_try_ = !request_.is_relayed && dispatch_count_ == 0 &&
-                     services_.paths.TryConsumeDirectTry(now);
+    is_direct_try_ = MayTryDirectly(/*is_taken_by_others=*/true);
+    if (!is_direct_try_ && TryRelay())
+      return;
+    is_direct_try_ =
+        is_direct_try_ || MayTryDirectly(/*is_taken_by_others=*/false);
     if (!is_direct_try_)
-      return RefuseOverloaded(
-          services_.selector.RetryAfter(SelectionRequest(), now));
+      return RefuseOverloaded(services_.selector.RetryAfter(
+          SelectionRequest(), services_.scheduler.Now()));
   }
   const selection chosen =
       services_.Choose(SelectionRequest(), VersionConstraints());
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -189,6 +189,8 @@
   bool ResumeFromOtherCopy();
   bool ResumeWithNewRun();
 
+  bool MayTryDirectly(bool is_taken_by_others);
+
   // Sends the request through another instance. Returns false if it can't be,
   // which leaves the exchange unchanged.
   bool TryRelay();
--- a/src/gateway/internal/exchange_relay.cc
+++ b/src/gateway/internal/exchange_relay.cc
@@ -36,12 +36,24 @@
 
 }  // namespace
 
+// Whether the request is sent to a target although the paths to the targets
+// count as lost. One that may have run on a target can't be relayed.
+bool exchange::MayTryDirectly(bool is_taken_by_others) {
+  if (request_.is_relayed || connect_failure_count_ > 0)
+    return false;
+  return may_have_run_ || (dispatch_count_ == 0 &&
+                           services_.paths.TryConsumeDirectTry(
+                               services_.scheduler.Now(), is_taken_by_others));
+}
+
 bool exchange::TryRelay() {
   if (request_.is_relayed || may_have_run_ || stream_started_ ||
       relay_instances_.size() >= kMaxRelays)
     return false;
   const timestamp now = services_.scheduler.Now();
-  if (!services_.paths.IsSuspected(now) || TimeLeft(now) <= milliseconds(0))
+  // A service without capacity here has none for other instances either.
+  if ((!services_.paths.IsLost() && connect_failure_count_ == 0) ||
+      !services_.paths.IsSuspected(now) || TimeLeft(now) <= milliseconds(0))
     return false;
   const auto instance = services_.relays.Choose(
       request_.id, {relay_instances_.begin(), relay_instances_.end()}, now);
@@ -146,6 +158,8 @@
 
 void exchange::OnRelayRejected() {
   EndRelay("rejected");
+  if (services_.RelaysRequests())
+    return Dispatch();
   RefuseOverloaded(services_.selector.RetryAfter(SelectionRequest(),
                                                  services_.scheduler.Now()));
 }
--- a/src/gateway/internal/gateway_services.cc
+++ b/src/gateway/internal/gateway_services.cc
@@ -76,7 +76,7 @@
 }
 
 void gateway_services::OnTargetResponse(timestamp started_at) {
-  if (paths.OnResponse(started_at, scheduler.Now()))
+  if (paths.OnResponse(started_at))
     logger.Write(log_level::info, "target_paths_restored", {});
 }
 
--- a/src/gateway/tests/relay_test.cc
+++ b/src/gateway/tests/relay_test.cc
@@ -153,6 +153,31 @@
   }
 }
 
+TEST_CASE("a request that no instance takes is sent to a target") {
+  relay_fixture f;
+  f.LosePaths();
+  // The targets that could not be reached may be used again.
+  f.scheduler.Advance(milliseconds(900));
+  f.SendRequest("/once/x");
+  for (int i = 0; i < 3; ++i) {
+    REQUIRE(f.IsRelay(f.connector.channels.size() - 1));
+    f.target_channel().Receive(f.RefusalOfInstance());
+  }
+  REQUIRE_FALSE(f.IsRelay(f.connector.channels.size() - 1));
+
+  SECTION("it responds") {
+    f.target_channel().Receive(f.Response("200 OK", "direct"));
+    CHECK(f.response().ends_with("direct"));
+  }
+  SECTION("it can't be reached") {
+    const std::size_t count = f.connector.channels.size();
+    f.target_channel().connected = false;
+    f.target_channel().End(channel_end::connect_failed);
+    CHECK(f.connector.channels.size() == count);
+    CHECK(f.ResponseContains("503"));
+  }
+}
+
 TEST_CASE("a relayed request that may have run is not sent again") {
   relay_fixture f;
   f.LosePaths();
--- a/src/relay/internal/path_monitor.cc
+++ b/src/relay/internal/path_monitor.cc
@@ -17,6 +17,7 @@
 constexpr int kResponsesToRestore = 2;
 
 constexpr milliseconds kDirectTryInterval{1000};
+constexpr milliseconds kShortDirectTryInterval{100};
 
 }  // namespace
 
@@ -35,17 +36,17 @@
       std::clamp<std::size_t>(target_count, 1, kUnreachableTargets))
     return false;
   is_lost_ = true;
-  next_direct_try_ = now + kDirectTryInterval;
+  last_direct_try_ = now;
   return true;
 }
 
-bool path_monitor::OnResponse(timestamp started_at, timestamp now) {
+bool path_monitor::OnResponse(timestamp started_at) {
   std::erase_if(unreachable_, [&](const auto& entry) {
     return entry.second.started_at <= started_at;
   });
   if (!is_lost_ || !unreachable_.empty())
     return false;
-  next_direct_try_ = now;
+  last_direct_try_.reset();
   if (++response_count_ < kResponsesToRestore)
     return false;
   is_lost_ = false;
@@ -61,10 +62,14 @@
                      });
 }
 
-bool path_monitor::TryConsumeDirectTry(timestamp now) {
-  if (!is_lost_ || now < *next_direct_try_)
+bool path_monitor::TryConsumeDirectTry(timestamp now, bool is_taken_by_others) {
+  if (!is_lost_)
     return false;
-  next_direct_try_ = now + kDirectTryInterval;
+  const milliseconds interval =
+      is_taken_by_others ? kDirectTryInterval : kShortDirectTryInterval;
+  if (last_direct_try_ && now < *last_direct_try_ + interval)
+    return false;
+  last_direct_try_ = now;
   return true;
 }
 
--- a/src/relay/internal/relay_selector.cc
+++ b/src/relay/internal/relay_selector.cc
@@ -15,6 +15,10 @@
 // Time for which an instance that refused a request is not used.
 constexpr milliseconds kRefusalTime{1000};
 
+// Time for which it comes after all others, unless it responds before. A cut
+// lasts for seconds, and instances that serve need no substitute.
+constexpr milliseconds kRefusalMemory{10'000};
+
 // Time for which an instance that failed is not used; doubles with each further
 // failure. Instances that ended stay announced for minutes.
 constexpr milliseconds kFailureTime{1000};
@@ -49,6 +53,8 @@
 }
 
 int relay_selector::Tier(const relay_state& relay, timestamp now) const {
+  if (relay.refused_until && now < *relay.refused_until)
+    return 3;
   const auto refusing = refusing_domains_.find(relay.instance.domain);
   if (refusing != refusing_domains_.end() && now < refusing->second)
     return 2;
@@ -97,6 +103,7 @@
     return;
   found->second.failure_count = 0;
   found->second.unusable_until.reset();
+  found->second.refused_until.reset();
   refusing_domains_.erase(found->second.instance.domain);
 }
 
@@ -115,6 +122,7 @@
   if (found == instances_.end())
     return;
   found->second.unusable_until = now + kRefusalTime;
+  found->second.refused_until = now + kRefusalMemory;
   refusing_domains_[found->second.instance.domain] = now + kRefusalTime;
 }
 
--- a/src/relay/path_monitor.h
+++ b/src/relay/path_monitor.h
@@ -28,7 +28,7 @@
 
   // A target responded to a request that was sent on a new connection, begun at
   // `started_at`. Returns whether the paths are usable again from now on.
-  bool OnResponse(timestamp started_at, timestamp now);
+  bool OnResponse(timestamp started_at);
 
   bool IsLost() const { return is_lost_; }
 
@@ -36,8 +36,10 @@
   bool IsSuspected(timestamp now) const;
 
   // While the paths are lost, a request is sent to a target in each interval,
-  // to find out whether they still are. Returns whether this one is.
-  bool TryConsumeDirectTry(timestamp now);
+  // to find out whether they still are. Returns whether this one is. The
+  // interval is shorter for requests that no other instance takes: where many
+  // targets end at once, all instances may consider their paths lost.
+  bool TryConsumeDirectTry(timestamp now, bool is_taken_by_others);
 
   // Targets that could not be reached since a target last responded.
   std::vector<target_id> UnreachableTargets() const;
@@ -53,7 +55,7 @@
   // Responses on new connections since the last one that failed, while the
   // paths are lost.
   int response_count_ = 0;
-  std::optional<timestamp> next_direct_try_;
+  std::optional<timestamp> last_direct_try_;
 };
 
 }  // namespace wist
--- a/src/relay/relay_selector.h
+++ b/src/relay/relay_selector.h
@@ -48,6 +48,7 @@
     int open_count = 0;
     int failure_count = 0;  // Since its last response.
     std::optional<timestamp> unusable_until;
+    std::optional<timestamp> refused_until;  // Comes last until then.
   };
 
   bool IsUsable(const relay_state& relay, timestamp now) const;
--- a/src/relay/tests/path_monitor_test.cc
+++ b/src/relay/tests/path_monitor_test.cc
@@ -58,9 +58,9 @@
   path_monitor paths;
   for (int ms = 0; ms < 10'000; ms += 1000) {
     CHECK_FALSE(Hang(paths, "a", ms));
-    CHECK_FALSE(paths.OnResponse(At(ms + 400), At(ms + 450)));
+    CHECK_FALSE(paths.OnResponse(At(ms + 400)));
     CHECK_FALSE(Hang(paths, "b", ms + 500));
-    CHECK_FALSE(paths.OnResponse(At(ms + 900), At(ms + 950)));
+    CHECK_FALSE(paths.OnResponse(At(ms + 900)));
   }
   CHECK_FALSE(paths.IsSuspected(At(10'000)));
 }
@@ -75,10 +75,10 @@
 TEST_CASE("a response on a connection from before the cut shows no path") {
   path_monitor paths;
   Hang(paths, "a", 1000);
-  CHECK_FALSE(paths.OnResponse(At(900), At(1400)));
+  CHECK_FALSE(paths.OnResponse(At(900)));
   CHECK(Hang(paths, "b", 1400));
-  CHECK_FALSE(paths.OnResponse(At(900), At(1800)));
-  CHECK_FALSE(paths.OnResponse(At(900), At(1900)));
+  CHECK_FALSE(paths.OnResponse(At(900)));
+  CHECK_FALSE(paths.OnResponse(At(900)));
   CHECK(paths.IsLost());
 }
 
@@ -86,27 +86,37 @@
   path_monitor paths = LostPaths();
   int tries = 0;
   for (int ms = 600; ms < 10'600; ms += 10)
-    tries += paths.TryConsumeDirectTry(At(ms)) ? 1 : 0;
+    tries += paths.TryConsumeDirectTry(At(ms), true) ? 1 : 0;
   CHECK(tries == 9);
 }
 
+// Half of the targets end at once: all instances may reach two of them first.
+TEST_CASE("requests that nobody takes show soon that other targets respond") {
+  path_monitor paths = LostPaths();
+  CHECK_FALSE(paths.TryConsumeDirectTry(At(690), false));
+  REQUIRE(paths.TryConsumeDirectTry(At(700), false));
+  CHECK_FALSE(paths.OnResponse(At(700)));
+  REQUIRE(paths.TryConsumeDirectTry(At(720), false));
+  CHECK(paths.OnResponse(At(720)));
+}
+
 TEST_CASE("paths are usable again after two responses in a row") {
   path_monitor paths = LostPaths();
-  REQUIRE(paths.TryConsumeDirectTry(At(1600)));
-  CHECK_FALSE(paths.OnResponse(At(1600), At(1700)));
+  REQUIRE(paths.TryConsumeDirectTry(At(1600), true));
+  CHECK_FALSE(paths.OnResponse(At(1600)));
   CHECK(paths.IsLost());
   // The next try is made at once.
-  CHECK(paths.TryConsumeDirectTry(At(1710)));
+  CHECK(paths.TryConsumeDirectTry(At(1710), true));
 
   SECTION("a second response") {
-    CHECK(paths.OnResponse(At(1710), At(1800)));
+    CHECK(paths.OnResponse(At(1710)));
     CHECK_FALSE(paths.IsLost());
     CHECK_FALSE(paths.IsSuspected(At(1800)));
   }
   SECTION("a failure in between") {
     CHECK_FALSE(Hang(paths, "c", 1710));
-    CHECK_FALSE(paths.OnResponse(At(2100), At(2200)));
+    CHECK_FALSE(paths.OnResponse(At(2100)));
     CHECK(paths.IsLost());
-    CHECK(paths.OnResponse(At(2200), At(2300)));
+    CHECK(paths.OnResponse(At(2200)));
   }
 }
--- a/src/relay/tests/relay_selector_test.cc
+++ b/src/relay/tests/relay_selector_test.cc
@@ -68,6 +68,38 @@
       Choose(relays, "r", {}, kStart + milliseconds(1000)).starts_with("i1-"));
 }
 
+TEST_CASE("instances that are cut off too refuse a request once") {
+  // Five of eight instances have no path, and each request may be refused
+  // three times.
+  relay_selector relays;
+  std::vector<known_instance> others;
+  for (int i = 0; i < 7; ++i)
+    others.push_back(Instance("i" + std::to_string(i), i < 3 ? "d0" : "d1"));
+  relays.SetInstances(domain_id("d0"), others);
+  int unserved = 0;
+  int refusals = 0;
+  for (int ms = 0; ms < 9000; ms += 100) {
+    const timestamp now = kStart + milliseconds(ms);
+    std::set<std::string> tried;
+    bool is_served = false;
+    while (!is_served && tried.size() < 3) {
+      const std::string name = Choose(relays, std::to_string(ms), tried, now);
+      if (name.empty())
+        break;
+      tried.insert(name);
+      is_served = name >= "i4";
+      refusals += is_served ? 0 : 1;
+      if (is_served)
+        relays.OnResponse(name);
+      else
+        relays.OnRefusal(name, now);
+    }
+    unserved += is_served ? 0 : 1;
+  }
+  CHECK(unserved <= 1);
+  CHECK(refusals <= 4);
+}
+
 TEST_CASE("an instance of a refusing domain is used if there is no other") {
   relay_selector relays;
   relays.SetInstances(domain_id("d0"), Domains(1, 2));
