Do not take connections that targets reset for lost paths

Cause: a connection that was opened and reset before anything was sent counted like one that could not be opened. Targets reset the connections that they have no room for, at all instances, which would then relay to each other.

Change: only connections that could not be opened are evidence.

--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -260,7 +260,9 @@
     // and further attempts there would fail as well.
     failed_abroad_ =
         failed_abroad_ || attempt_->target.domain != services_.settings.domain;
-    services_.OnTargetUnreachable(attempt_->target, attempt_->sent_at);
+    // A target may reset connections that it has no room for.
+    if (!connected)
+      services_.OnTargetUnreachable(attempt_->target, attempt_->sent_at);
     EndAttempt(run_end::unreachable);
     if (stream_started_ && (handover_ || !IsRepeatable()))
       return OnCopyUnusable("receiver_unreachable");
--- a/src/gateway/tests/relay_test.cc
+++ b/src/gateway/tests/relay_test.cc
@@ -81,6 +81,18 @@
   CHECK(f.caller_channel->open());
 }
 
+TEST_CASE("targets that reset connections for want of room are no cut") {
+  relay_fixture f;
+  f.SendRequest("/once/x");
+  while (f.response().empty()) {
+    REQUIRE_FALSE(f.IsRelay(f.connector.channels.size() - 1));
+    f.target_channel().connected = false;  // Nothing was sent yet.
+    f.target_channel().End(channel_end::reset);
+  }
+  CHECK(f.ResponseContains("503"));
+  CHECK_FALSE(f.services.paths.IsSuspected(f.scheduler.Now()));
+}
+
 TEST_CASE("while paths are lost requests are relayed at once") {
   relay_fixture f;
   f.LosePaths();
