--- a/src/gateway/gateway_types.h
+++ b/src/gateway/gateway_types.h
@@ -115,7 +115,8 @@
   error_code code = error_code::internal;
   run_verdict verdict = run_verdict::not_run;
   std::optional<milliseconds> retry_after;
-  // Tells an instance that relayed the request that another one may take it.
+  // States to the instance that relayed the request that another one may serve
+  // it.
   bool other_instance_may_serve = false;
 };
 
--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -121,11 +121,10 @@
                                                : run_verdict::not_run);
   }
   if (services_.RelaysRequests() && !is_direct_try_) {
-    is_direct_try_ = MayTryDirectly(/*is_taken_by_others=*/true);
+    is_direct_try_ = MayTryDirectly(/*others_accept=*/true);
     if (!is_direct_try_ && TryRelay())
       return;
-    is_direct_try_ =
-        is_direct_try_ || MayTryDirectly(/*is_taken_by_others=*/false);
+    is_direct_try_ = is_direct_try_ || MayTryDirectly(/*others_accept=*/false);
     if (!is_direct_try_)
       return RefuseOverloaded(services_.selector.RetryAfter(
           SelectionRequest(), services_.scheduler.Now()));
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -189,7 +189,7 @@
   bool ResumeFromOtherCopy();
   bool ResumeWithNewRun();
 
-  bool MayTryDirectly(bool is_taken_by_others);
+  bool MayTryDirectly(bool others_accept);
 
   // Sends the request through another instance. Returns false if it can't be,
   // which leaves the exchange unchanged.
@@ -198,7 +198,7 @@
   void OnRelayHead(const http_response_head& head);
   void OnRelayBody(const std::string& bytes);
   void OnRelayEnd(call_outcome outcome);
-  // The instance did not take the request.
+  // The instance did not accept the request.
   void OnRelayRejected();
   void OnRelayBroken();
   void ForwardRelayedResponse();
--- a/src/gateway/tests/relay_test.cc
+++ b/src/gateway/tests/relay_test.cc
@@ -152,7 +152,7 @@
   CHECK(f.TargetName(first) != f.TargetName(first + 2));
   CHECK(f.TargetName(first + 1) != f.TargetName(first + 2));
 
-  SECTION("the third instance takes it") {
+  SECTION("the third instance accepts it") {
     f.target_channel().Receive(f.Response("200 OK", "third"));
     CHECK(f.response().ends_with("third"));
   }
@@ -165,7 +165,7 @@
   }
 }
 
-TEST_CASE("a request that no instance takes is sent to a target") {
+TEST_CASE("a request that no instance accepts is sent to a target") {
   relay_fixture f;
   f.LosePaths();
   // The targets that could not be reached may be used again.
--- a/src/relay/internal/path_monitor.cc
+++ b/src/relay/internal/path_monitor.cc
@@ -62,11 +62,11 @@
                      });
 }
 
-bool path_monitor::TryConsumeDirectTry(timestamp now, bool is_taken_by_others) {
+bool path_monitor::TryConsumeDirectTry(timestamp now, bool others_accept) {
   if (!is_lost_)
     return false;
   const milliseconds interval =
-      is_taken_by_others ? kDirectTryInterval : kShortDirectTryInterval;
+      others_accept ? kDirectTryInterval : kShortDirectTryInterval;
   if (last_direct_try_ && now < *last_direct_try_ + interval)
     return false;
   last_direct_try_ = now;
--- a/src/relay/path_monitor.h
+++ b/src/relay/path_monitor.h
@@ -37,9 +37,9 @@
 
   // While the paths are lost, a request is sent to a target in each interval,
   // to find out whether they still are. Returns whether this one is. The
-  // interval is shorter for requests that no other instance takes: where many
+  // interval is shorter for requests that no other instance accepts: where many
   // targets end at once, all instances may consider their paths lost.
-  bool TryConsumeDirectTry(timestamp now, bool is_taken_by_others);
+  bool TryConsumeDirectTry(timestamp now, bool others_accept);
 
   // Targets that could not be reached since a target last responded.
   std::vector<target_id> UnreachableTargets() const;
--- a/src/relay/relay_selector.h
+++ b/src/relay/relay_selector.h
@@ -38,8 +38,8 @@
   void OnResponse(const std::string& instance);
   // The instance could not be reached, or ended a relayed request.
   void OnFailure(const std::string& instance, timestamp now);
-  // The instance does not take requests, for example since it has no path to
-  // the targets either. Other instances of its domain may share the cause.
+  // The instance refuses requests, for example since it has no path to the
+  // targets either. Other instances of its domain may share the cause.
   void OnRefusal(const std::string& instance, timestamp now);
 
  private:
--- a/src/relay/tests/path_monitor_test.cc
+++ b/src/relay/tests/path_monitor_test.cc
@@ -91,7 +91,7 @@
 }
 
 // Half of the targets end at once: all instances may reach two of them first.
-TEST_CASE("requests that nobody takes show soon that other targets respond") {
+TEST_CASE("requests that no instance accepts show that other targets respond") {
   path_monitor paths = LostPaths();
   CHECK_FALSE(paths.TryConsumeDirectTry(At(690), false));
   REQUIRE(paths.TryConsumeDirectTry(At(700), false));
