--- a/src/gateway/tests/relay_test.cc
+++ b/src/gateway/tests/relay_test.cc
@@ -221,6 +221,50 @@
   }
 }
 
+TEST_CASE("the response to a relayed HEAD request has no body") {
+  relay_fixture f;
+  f.LosePaths();
+  f.caller_channel->Receive(
+      "HEAD /again/x HTTP/1.1\r\nHost: h\r\nId: r\r\nKey: k\r\n\r\n");
+  CHECK(f.target_channel().written.starts_with("HEAD /again/x "));
+  f.target_channel().Receive(
+      "HTTP/1.1 200 OK\r\nId: r\r\nContent-Length: 5\r\n\r\n");
+  CHECK(f.ResponseContains("Content-Length: 5\r\n"));
+  CHECK(f.response().ends_with("\r\n\r\n"));
+}
+
+TEST_CASE("a relayed response that exceeds the memory is not sent in part") {
+  relay_fixture f;
+  f.services.buffers.SetLimit(1'000'000);
+  f.LosePaths();
+  f.SendRequest("/once/x");
+  f.target_channel().Receive(
+      "HTTP/1.1 200 OK\r\nId: r\r\n"
+      "Content-Length: 4000000\r\n\r\n" +
+      std::string(2'000'000, 'x'));
+  CHECK(f.target_channel().aborted);
+  CHECK(f.ResponseContains("502"));
+  CHECK_FALSE(f.ResponseContains("xxx"));
+}
+
+TEST_CASE("an instance that does not respond is left out") {
+  relay_fixture f;
+  f.LosePaths();
+  f.SendRequest("/once/x", "Time: 1000\r\n");
+  const std::size_t first = f.connector.channels.size() - 1;
+  REQUIRE(f.IsRelay(first));
+  f.scheduler.Advance(milliseconds(1000));
+  CHECK(f.target_channel().aborted);
+  CHECK(f.ResponseContains("502"));
+  f.SendRequest("/once/x");
+  // The request tries a target first, since a second has passed.
+  f.target_channel().connected = false;
+  f.target_channel().End(channel_end::connect_failed);
+  REQUIRE(f.connector.channels.size() == first + 3);
+  REQUIRE(f.IsRelay(first + 2));
+  CHECK(f.TargetName(first + 2) != f.TargetName(first));
+}
+
 TEST_CASE("a request that was relayed is not relayed again") {
   relay_fixture f;
   f.LosePaths();
