Limit the runs and refusals of brittle targets

Cause: a target may state Server-Brittle: N, and from contact_ms later it fails if it has to refuse more than N requests in a second, from all instances together. The header was not read, and nothing limited the runs on targets of plain calls.

Change: the dialect decodes the header into target_signals::tolerated_refusals. While a service is brittle, the slots of its targets are assigned to the instances (selection/brittle_targets), so that all together use no more than there are, whatever the age of the loads. Free slots of others are used by a random share of the requests. An instance leaves a target out after its share of the refusals, or when half of N are known from all. Reports of loads carry refusals and statements where there are any.

--- a/src/gateway/gateway_types.h
+++ b/src/gateway/gateway_types.h
@@ -84,6 +84,13 @@
   bool is_leaving = false;
   // Time for which it accepts no requests from this instance.
   std::optional<milliseconds> pause;
+  // It refused the request for want of room.
+  bool is_full = false;
+  // Set if it fails when it has to refuse more requests than this in a second,
+  // from all instances together.
+  std::optional<std::int32_t> tolerated_refusals;
+  // It states such a number, which can't be read.
+  bool has_invalid_tolerance = false;
 
   auto operator<=>(const target_signals&) const = default;
 };
--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -263,8 +263,13 @@
 
   void OnInstancesChanged() {
     load_exchange_.SetInstances(store_view_.OtherInstances());
-    services_.instance_count = store_view_.OtherInstances().size() + 1;
-    selector_.SetInstanceCount(services_.instance_count);
+    const std::vector<known_instance> others = store_view_.OtherInstances();
+    services_.instance_count = others.size() + 1;
+    const auto ordinal = std::count_if(
+        others.begin(), others.end(),
+        [&](const auto& other) { return other.name < settings_.instance; });
+    selector_.SetPosition(
+        {services_.instance_count, static_cast<std::size_t>(ordinal)});
   }
 
   local_report CollectLocalReport() {
--- a/src/gateway/internal/gateway_metrics.cc
+++ b/src/gateway/internal/gateway_metrics.cc
@@ -52,6 +52,11 @@
               .Help("Requests refused or connections closed for want of memory "
                     "or descriptors, by reason")
               .Register(*registry_)),
+      brittle_refusals_(
+          prometheus::BuildCounter()
+              .Name("wist_gateway_brittle_refusals_total")
+              .Help("Requests that brittle targets refused for want of room")
+              .Register(*registry_)),
       handler_failures_(
           prometheus::BuildCounter()
               .Name("wist_gateway_handler_failures_total")
@@ -112,6 +117,10 @@
   given_up_responses_.Add({}).Increment();
 }
 
+void gateway_metrics::OnBrittleRefusal() {
+  brittle_refusals_.Add({}).Increment();
+}
+
 void gateway_metrics::OnInvalidResponse(const std::string& rule) {
   invalid_responses_.Add({{"rule", rule}}).Increment();
 }
--- a/src/gateway/internal/gateway_metrics.h
+++ b/src/gateway/internal/gateway_metrics.h
@@ -44,6 +44,8 @@
   // A request was refused, or a connection closed, because of `reason`.
   void OnShed(const std::string& reason);
   void OnHandlerFailure();
+  // A brittle target refused a request for want of room.
+  void OnBrittleRefusal();
   void OnStoreCall(const std::string& cause);
   void OnStoreLost();
   // The source of this instance no longer has the changes that it watches.
@@ -69,6 +71,7 @@
   prometheus::Family<prometheus::Counter>& given_up_responses_;
   prometheus::Family<prometheus::Counter>& invalid_responses_;
   prometheus::Family<prometheus::Counter>& shed_requests_;
+  prometheus::Family<prometheus::Counter>& brittle_refusals_;
   prometheus::Family<prometheus::Counter>& handler_failures_;
   prometheus::Family<prometheus::Counter>& store_calls_;
   prometheus::Family<prometheus::Histogram>& first_byte_time_;
--- a/src/gateway/internal/gateway_services.cc
+++ b/src/gateway/internal/gateway_services.cc
@@ -46,6 +46,7 @@
                   {"pause_ms", ToMilliseconds(*signals.pause)}});
     selector.OnPauseRequested(target.id, now + *signals.pause);
   }
+  OnBrittleSignals(target, signals, request_id);
   const known_target* known = directory.Find(target.id);
   if (!signals.is_leaving || !known || known->stated_leaving)
     return;
@@ -54,6 +55,28 @@
   directory.OnLeavingStated(target, now);
 }
 
+void gateway_services::OnBrittleSignals(const target_entry& target,
+                                        const target_signals& signals,
+                                        const std::string& request_id) {
+  const timestamp now = scheduler.Now();
+  if (signals.has_invalid_tolerance)
+    on_invalid_response({{target.id.text(), request_id}, "tolerated_refusals"});
+  if (signals.tolerated_refusals &&
+      selector.OnBrittleStated(target, *signals.tolerated_refusals, now)) {
+    logger.Write(log_level::info, "targets_brittle",
+                 {{"target", target.id.text()},
+                  {"request_id", request_id},
+                  {"service", target.service.text()},
+                  {"tolerated_refusals",
+                   static_cast<std::int64_t>(*signals.tolerated_refusals)}});
+  }
+  if (!signals.is_full)
+    return;
+  selector.OnRefusedForRoom(target, now);
+  if (selector.IsBrittle(target.service, now))
+    metrics.OnBrittleRefusal();
+}
+
 std::vector<version_constraint> gateway_services::VersionConstraints(
     const service_id& service,
     const std::string& request_id,
--- a/src/gateway/internal/gateway_services.h
+++ b/src/gateway/internal/gateway_services.h
@@ -82,6 +82,9 @@
   void OnTargetSignals(const target_entry& target,
                        const target_signals& signals,
                        const std::string& request_id);
+  void OnBrittleSignals(const target_entry& target,
+                        const target_signals& signals,
+                        const std::string& request_id);
 
   // Returns the constraints on the versions that may run a request, to be tried
   // one after another.
--- a/src/gateway/tests/mocks/plain_dialect.h
+++ b/src/gateway/tests/mocks/plain_dialect.h
@@ -91,6 +91,12 @@
     const std::string pause(head.Header("Pause"));
     if (!pause.empty())
       signals.pause = milliseconds(std::stoi(pause));
+    signals.is_full = head.status == 503 && !head.Header("Not-Run").empty();
+    const std::string tolerated(head.Header("Brittle"));
+    signals.has_invalid_tolerance = tolerated == "unreadable";
+    if (!tolerated.empty())
+      signals.tolerated_refusals =
+          signals.has_invalid_tolerance ? 0 : std::stoi(tolerated);
     return signals;
   }
 
--- a/src/gateway/tests/target_signals_test.cc
+++ b/src/gateway/tests/target_signals_test.cc
@@ -3,8 +3,8 @@
 #include "gateway/tests/mocks/exchange_fixture.h"
 
 // Guards against requests to targets that said in a response that they are
-// leaving, while the store still calls them ready, and to targets that turned a
-// request away and asked for a pause.
+// leaving, while the store still calls them ready, to targets that turned a
+// request away and requested a pause, and to brittle targets without room.
 
 using namespace wist;
 
@@ -113,3 +113,65 @@
   REQUIRE(source);
   CHECK(source->stated_leaving);
 }
+
+TEST_CASE("a brittle target gets no more requests than it has slots") {
+  exchange_fixture f;
+  f.SendRequest("/once/x");
+  f.target_channel().Receive(
+      f.Response("200 OK", "done", "Signed: 1\r\nBrittle: 3\r\n"));
+  CHECK(f.logger.LastField("targets_brittle", "service") == "desk");
+  std::vector<std::shared_ptr<caller_connection>> connections;
+  for (int i = 0; i < 30; ++i) {
+    NextTarget(f, "/once/x");
+    connections.push_back(f.connection);
+  }
+  const int slots = 8;
+  CHECK(f.selector.TotalLoad(target_id("p1")).runs == slots);
+  CHECK(f.selector.TotalLoad(target_id("p2")).runs == slots);
+  f.scheduler.Advance(milliseconds(50));
+  CHECK(f.response().starts_with("HTTP/1.1 503"));
+}
+
+TEST_CASE("a brittle target that refused its share is left out") {
+  exchange_fixture f;
+  f.settings.retry_slack = 100;
+  f.services.instance_count = 1;
+  f.SendRequest("/once/x");
+  const std::string full = f.TargetName(0);
+  f.target_channel().Receive(
+      f.Response("503 Busy", "", "Not-Run: 1\r\nBrittle: 1\r\n"));
+  REQUIRE(f.connector.channels.size() == 2);
+  CHECK(f.TargetName(1) != full);
+  f.target_channel().Receive(f.Response("200 OK", "done"));
+  for (int i = 0; i < 9; ++i) {
+    f.scheduler.Advance(milliseconds(100));
+    CHECK(NextTarget(f, "/once/x") != full);
+    f.target_channel().Receive(f.Response("200 OK", "done"));
+  }
+  CHECK(f.metrics.Text().find("wist_gateway_brittle_refusals_total 1") !=
+        std::string::npos);
+}
+
+TEST_CASE("callers are refused at once while all targets are left out") {
+  exchange_fixture f;
+  f.settings.retry_slack = 100;
+  f.SendRequest("/once/x");
+  const std::string refusal = "Not-Run: 1\r\nBrittle: 1\r\n";
+  f.target_channel().Receive(f.Response("503 Busy", "", refusal));
+  f.target_channel().Receive(f.Response("503 Busy", "", refusal));
+  CHECK(NextTarget(f, "/once/x").empty());
+  CHECK(f.response().starts_with("HTTP/1.1 503"));
+  const std::size_t at = f.response().find("Again: ");
+  REQUIRE(at != std::string::npos);
+  CHECK(std::stoi(f.response().substr(at + 7)) >= 1000);
+}
+
+TEST_CASE("a tolerance that can't be read is reported and the response used") {
+  exchange_fixture f;
+  f.SendRequest("/once/x");
+  f.target_channel().Receive(
+      f.Response("200 OK", "done", "Signed: 1\r\nBrittle: unreadable\r\n"));
+  CHECK(f.ResponseContains("done"));
+  REQUIRE(f.invalid_responses.size() == 1);
+  CHECK(f.invalid_responses[0].rule == "tolerated_refusals");
+}
--- a/src/peers/internal/load_exchange.cc
+++ b/src/peers/internal/load_exchange.cc
@@ -41,7 +41,7 @@
 
 void load_exchange::ScheduleReport() {
   const bool has_new_notices = CollectOwn();
-  ScheduleSend(table_.TakePrefillAdded() || has_new_notices);
+  ScheduleSend(table_.TakeUrgentChange() || has_new_notices);
 }
 
 bool load_exchange::CollectOwn() {
@@ -122,7 +122,7 @@
       SendDetachment(dropped);
   }
   if (DistributeChanges())
-    ScheduleSend(table_.TakePrefillAdded());
+    ScheduleSend(table_.TakeUrgentChange());
 }
 
 // Removes the state of instances that were tried as neighbors and never
@@ -161,7 +161,7 @@
     return;
   const timestamp now = scheduler_.Now();
   CollectOwn();
-  table_.TakePrefillAdded();
+  table_.TakeUrgentChange();
   for (const tree_neighbor& neighbor : neighbors_.Current()) {
     neighbor_state& state = states_[neighbor.name];
     const std::vector<target_load> loads = TakeLoadsFor(neighbor, state);
@@ -289,7 +289,7 @@
   if (collect_rollouts_)
     rollouts_.SetReported(report->instance, *role, report->rollouts, now);
   const bool has_changes = DistributeChanges(report->instance);
-  const bool is_urgent = table_.TakePrefillAdded() || is_new;
+  const bool is_urgent = table_.TakeUrgentChange() || is_new;
   if (has_changes || is_new)
     ScheduleSend(is_urgent);
 }
--- a/src/peers/internal/load_table.cc
+++ b/src/peers/internal/load_table.cc
@@ -11,7 +11,8 @@
 
 bool IsZero(const target_load& load) {
   return load.runs == 0 && load.tokens == 0 &&
-         load.pending_prefill_tokens == 0 && load.failing_instances == 0;
+         load.pending_prefill_tokens == 0 && load.failing_instances == 0 &&
+         load.recent_refusals == 0 && load.brittle_instances == 0;
 }
 
 void Add(target_load& sum, const target_load& load) {
@@ -19,6 +20,13 @@
   sum.tokens += load.tokens;
   sum.pending_prefill_tokens += load.pending_prefill_tokens;
   sum.failing_instances += load.failing_instances;
+  sum.recent_refusals += load.recent_refusals;
+  sum.brittle_instances += load.brittle_instances;
+}
+
+bool IsUrgent(const target_load& earlier, const target_load& load) {
+  return load.pending_prefill_tokens > earlier.pending_prefill_tokens ||
+         load.recent_refusals > earlier.recent_refusals;
 }
 
 }  // namespace
@@ -36,8 +44,7 @@
     row& held = entry->second;
     if (held.own == load)
       continue;
-    prefill_added_ = prefill_added_ || load.pending_prefill_tokens >
-                                           held.own.pending_prefill_tokens;
+    has_urgent_change_ = has_urgent_change_ || IsUrgent(held.own, load);
     held.own = load;
     changed_.insert(target);
     if (IsEmpty(held))
@@ -56,8 +63,7 @@
     const bool is_known = found != held.reported.end();
     const target_load earlier =
         is_known ? found->second.load : target_load{load.target};
-    prefill_added_ = prefill_added_ || load.pending_prefill_tokens >
-                                           earlier.pending_prefill_tokens;
+    has_urgent_change_ = has_urgent_change_ || IsUrgent(earlier, load);
     if (load != earlier || (is_known && found->second.role != role))
       changed_.insert(load.target);
     if (IsZero(load))
@@ -141,8 +147,8 @@
   return std::exchange(changed_, {});
 }
 
-bool load_table::TakePrefillAdded() {
-  return std::exchange(prefill_added_, false);
+bool load_table::TakeUrgentChange() {
+  return std::exchange(has_urgent_change_, false);
 }
 
 }  // namespace wist
--- a/src/peers/internal/peer_report.cc
+++ b/src/peers/internal/peer_report.cc
@@ -16,11 +16,27 @@
 // Position of the roll-outs in a report.
 constexpr std::size_t kRolloutsField = 8;
 
+// Position of the refusals in a load.
+constexpr std::size_t kRefusalsField = 5;
+
 // Older reports are of no use to anyone.
 constexpr std::uint64_t kMaxAgeUs = 3'600'000'000;
 
 constexpr std::uint64_t kMaxRevision = std::numeric_limits<std::int64_t>::max();
 
+target_load DecodeLoad(const json& fields) {
+  target_load load{
+      target_id(fields.at(0).get<std::string>()),
+      fields.at(1).get<std::int32_t>(), fields.at(2).get<std::int64_t>(),
+      fields.at(3).get<std::int64_t>(), fields.at(4).get<std::int32_t>()};
+  // Instances of earlier versions ignore these fields and don't send them.
+  if (fields.size() > kRefusalsField + 1) {
+    load.recent_refusals = fields.at(kRefusalsField).get<std::int32_t>();
+    load.brittle_instances = fields.at(kRefusalsField + 1).get<std::int32_t>();
+  }
+  return load;
+}
+
 crash_notice DecodeCrash(const json& fields) {
   crash_notice notice;
   notice.subject = fields.at(0).get<suspect_digest>();
@@ -122,9 +138,14 @@
 std::string EncodePeerReport(const peer_report& report) {
   json loads = json::array();
   for (const target_load& load : report.loads) {
-    loads.push_back(
+    json load_fields =
         json::array({load.target.text(), load.runs, load.tokens,
-                     load.pending_prefill_tokens, load.failing_instances}));
+                     load.pending_prefill_tokens, load.failing_instances});
+    if (load.recent_refusals != 0 || load.brittle_instances != 0) {
+      load_fields.push_back(load.recent_refusals);
+      load_fields.push_back(load.brittle_instances);
+    }
+    loads.push_back(std::move(load_fields));
   }
   json crashes = json::array();
   for (const crash_notice& notice : report.crashes) {
@@ -164,10 +185,7 @@
     report.receiver_role = *role;
     report.detaches = fields.at(5).get<bool>();
     for (const json& load : fields.at(6)) {
-      report.loads.push_back(
-          {target_id(load.at(0).get<std::string>()),
-           load.at(1).get<std::int32_t>(), load.at(2).get<std::int64_t>(),
-           load.at(3).get<std::int64_t>(), load.at(4).get<std::int32_t>()});
+      report.loads.push_back(DecodeLoad(load));
     }
     for (const json& crash_fields : fields.at(7))
       report.crashes.push_back(DecodeCrash(crash_fields));
--- a/src/peers/load_table.h
+++ b/src/peers/load_table.h
@@ -47,9 +47,10 @@
   // Returns the targets whose loads changed since the last call.
   std::set<target_id> TakeChanged();
 
-  // Returns whether prompts were added to any target since the last call. Other
-  // instances that don't know of them yet send their own to the same target.
-  bool TakePrefillAdded();
+  // Returns whether prompts were added to any target, or one has refused more
+  // requests, since the last call. Other instances that have no report of it
+  // yet send their own to the same target.
+  bool TakeUrgentChange();
 
  private:
   struct reported_load {
@@ -71,7 +72,7 @@
 
   std::map<target_id, row> rows_;
   std::set<target_id> changed_;
-  bool prefill_added_ = false;
+  bool has_urgent_change_ = false;
 };
 
 }  // namespace wist
--- a/src/peers/tests/load_table_test.cc
+++ b/src/peers/tests/load_table_test.cc
@@ -78,3 +78,31 @@
   table.SetReported("b", neighbor_role::child, {failing}, At(0));
   CHECK(table.OthersLoad(target_id("t")).failing_instances == 2);
 }
+
+TEST_CASE("refusals are added and sent at once") {
+  load_table table;
+  target_load load{target_id("t")};
+  load.recent_refusals = 1;
+  load.brittle_instances = 1;
+  table.SetReported("a", neighbor_role::child, {load}, At(0));
+  CHECK(table.TakeUrgentChange());
+  table.SetReported("b", neighbor_role::child, {load}, At(0));
+  CHECK(table.OthersLoad(target_id("t")).recent_refusals == 2);
+  CHECK(table.OthersLoad(target_id("t")).brittle_instances == 2);
+  CHECK(table.TakeUrgentChange());
+  load.recent_refusals = 0;
+  table.SetReported("b", neighbor_role::child, {load}, At(10));
+  CHECK_FALSE(table.TakeUrgentChange());
+}
+
+TEST_CASE("reports contain refusals only where there are any") {
+  peer_report report{"i", 1, 1, neighbor_role::parent};
+  target_load plain{target_id("t"), 3, 0, 0, 0};
+  report.loads = {plain};
+  const std::size_t plain_bytes = EncodePeerReport(report).size();
+  CHECK(DecodePeerReport(EncodePeerReport(report)) == report);
+  report.loads[0].recent_refusals = 2;
+  report.loads[0].brittle_instances = 5;
+  CHECK(DecodePeerReport(EncodePeerReport(report)) == report);
+  CHECK(EncodePeerReport(report).size() == plain_bytes + 2);
+}
--- a/src/selection/internal/target_selector.cc
+++ b/src/selection/internal/target_selector.cc
@@ -1,6 +1,7 @@
 #include "selection/target_selector.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <utility>
 
@@ -46,8 +47,9 @@
   table_ = std::move(table);
 }
 
-void target_selector::SetInstanceCount(std::size_t count) {
-  instance_count_ = std::max<std::size_t>(count, 1);
+void target_selector::SetPosition(const fleet_position& position) {
+  position_ = position;
+  position_.instance_count = std::max<std::size_t>(position_.instance_count, 1);
 }
 
 selection target_selector::Choose(const selection_request& request,
@@ -56,32 +58,38 @@
       table_ ? table_->FindService(request.service) : nullptr;
   if (!service)
     return selection_error{false, kNoTargetRetryAfter};
-  const known_target* chosen = FindTarget(*service, request, true, now);
+  const bool is_brittle = brittle_targets_.IsBrittle(request.service, now);
   // The failures that peers report may not affect this instance.
-  if (!chosen)
-    chosen = FindTarget(*service, request, false, now);
+  constexpr std::array kPeerReportUses = {true, false};
+  const known_target* chosen = nullptr;
+  for (const bool uses_peer_reports : kPeerReportUses) {
+    if (!chosen)
+      chosen =
+          FindTarget(*service, request, {uses_peer_reports, !is_brittle}, now);
+  }
+  if (!chosen && is_brittle && DrawFreeSlot(request, *service, now))
+    chosen = FindTarget(*service, request, {true, true}, now);
   if (chosen)
     return chosen->entry.id;
   return Unavailable(request, now);
 }
 
-// Why no target can take the request. While all targets want none, a caller is
-// told when the first of them does again.
+// Why no target can take the request. While none is to be used, the caller
+// receives the time until the first of them is again.
 selection_error target_selector::Unavailable(const selection_request& request,
                                              timestamp now) const {
-  std::optional<timestamp> first_pause_end;
+  std::optional<timestamp> first_use_at;
   for (const auto& [id, target] : directory_.targets()) {
     if (!IsEligible(target, request))
       continue;
-    const auto pause_end = PausedUntil(id, now);
-    if (!pause_end)
+    const auto use_at = NotUsedUntil(target, request, now);
+    if (!use_at)
       return {true, milliseconds(0)};
-    first_pause_end =
-        std::min(*pause_end, first_pause_end.value_or(*pause_end));
+    first_use_at = std::min(*use_at, first_use_at.value_or(*use_at));
   }
-  if (!first_pause_end)
+  if (!first_use_at)
     return {false, kNoTargetRetryAfter};
-  return {false, std::chrono::ceil<milliseconds>(*first_pause_end - now)};
+  return {false, std::chrono::ceil<milliseconds>(*first_use_at - now)};
 }
 
 void target_selector::OnPauseRequested(const target_id& target,
@@ -106,7 +114,7 @@
 const known_target* target_selector::FindTarget(
     const routed_service& service,
     const selection_request& request,
-    bool use_peer_reports,
+    const choice_rules& rules,
     timestamp now) {
   std::vector<choice_candidate> candidates;
   const bool avoids_other_domains =
@@ -119,12 +127,12 @@
   double targets = 0;
   for (const auto& [id, target] : directory_.targets()) {
     if (!IsEligible(target, request) ||
-        (use_peer_reports && IsReportedFailing(id)))
+        (rules.uses_peer_reports && IsReportedFailing(id)))
       continue;
     const bool is_near = target.entry.domain == preferred;
     targets += 1;
     near_targets += is_near ? 1 : 0;
-    auto candidate = MakeCandidate(target, service, request, now);
+    auto candidate = MakeCandidate(target, service, request, rules, now);
     if (!candidate)
       continue;
     candidate->is_near = is_near;
@@ -154,8 +162,9 @@
   const unseen_starts_estimator none;
   const unseen_starts_estimator& estimator =
       found == unseen_starts_.end() ? none : found->second;
-  return estimator.Estimate(instance_count_,
-                            report_age_.Age(instance_count_, now), now);
+  return estimator.Estimate(position_.instance_count,
+                            report_age_.Age(position_.instance_count, now),
+                            now);
 }
 
 bool target_selector::IsBorderSuspect(timestamp now) const {
@@ -192,6 +201,7 @@
     const known_target& target,
     const routed_service& service,
     const selection_request& request,
+    const choice_rules& rules,
     timestamp now) const {
   if (!IsWithinColdLimit(target, service, now))
     return std::nullopt;
@@ -199,6 +209,8 @@
   const target_state* state = FindState(id);
   if (state && !state->health.AllowsStart(now))
     return std::nullopt;
+  if (!HasBrittleRoom(target, service, request, rules, now))
+    return std::nullopt;
   target_candidate candidate{target, TotalLoad(id),
                              state ? &state->health : nullptr};
   const auto speeds = prefill_speeds_.find(request.service);
@@ -251,7 +263,7 @@
     return true;
   const double share =
       std::max(1.0, std::floor(service.max_cold_requests_per_second /
-                               static_cast<double>(instance_count_)));
+                               static_cast<double>(position_.instance_count)));
   const auto recent =
       std::count_if(state->recent_starts.begin(), state->recent_starts.end(),
                     [&](timestamp started_at) {
@@ -395,11 +407,16 @@
   std::vector<target_load> loads;
   for (const auto& [id, state] : states_) {
     const bool is_failing = state.health.IsFailing(now);
-    if (state.own_load.runs == 0 && state.own_load.tokens == 0 && !is_failing)
+    const std::int32_t refusals = brittle_targets_.RecentRefusals(id, now);
+    const bool is_brittle = brittle_targets_.IsStatedRecently(id, now);
+    if (state.own_load.runs == 0 && state.own_load.tokens == 0 && !is_failing &&
+        refusals == 0 && !is_brittle)
       continue;
     target_load load = state.own_load;
     load.target = id;
     load.failing_instances = is_failing ? 1 : 0;
+    load.recent_refusals = refusals;
+    load.brittle_instances = is_brittle ? 1 : 0;
     loads.push_back(load);
   }
   return loads;
@@ -411,6 +428,9 @@
   const std::int32_t added_runs =
       load.runs - (former == others_loads_.end() ? 0 : former->second.runs);
   const known_target* target = directory_.Find(load.target);
+  if (target)
+    brittle_targets_.SetStatedToOthers(target->entry,
+                                       load.brittle_instances > 0, now);
   if (target && added_runs > 0)
     unseen_starts_[target->entry.service].OnReportedStarts(added_runs, now);
   const target_load none{load.target};
@@ -444,6 +464,8 @@
 void target_selector::PruneRemovedTargets() {
   for (auto& [service, speeds] : prefill_speeds_)
     speeds.Prune([&](const target_id& id) { return !directory_.Find(id); });
+  brittle_targets_.Prune(
+      [&](const target_id& id) { return !directory_.Find(id); });
   std::erase_if(unreachable_abroad_, [&](const auto& entry) {
     return !directory_.Find(entry.first);
   });
--- a/src/selection/selection_types.h
+++ b/src/selection/selection_types.h
@@ -97,6 +97,11 @@
   // Number of instances whose runs on the target break before their first
   // output.
   std::int32_t failing_instances = 0;
+  // Requests that the target refused for want of room in the last second.
+  std::int32_t recent_refusals = 0;
+  // Number of instances to which the target stated in the last second that it
+  // is brittle.
+  std::int32_t brittle_instances = 0;
 
   auto operator<=>(const target_load&) const = default;
 };
--- a/src/selection/target_selector.h
+++ b/src/selection/target_selector.h
@@ -8,6 +8,7 @@
 
 #include "directory/target_directory.h"
 #include "routing/route_table.h"
+#include "selection/brittle_targets.h"
 #include "selection/prefill_estimator.h"
 #include "selection/prefill_speeds.h"
 #include "selection/selection_types.h"
@@ -29,8 +30,9 @@
   void ApplyConfiguration(std::shared_ptr<const route_table> table);
 
   // Sets the number of instances that send to the same targets, including this
-  // one.
-  void SetInstanceCount(std::size_t count);
+  // one, and its position among them.
+  void SetInstanceCount(std::size_t count) { SetPosition({count, 0}); }
+  void SetPosition(const fleet_position& position);
 
   selection Choose(const selection_request& request, timestamp now);
 
@@ -49,6 +51,21 @@
   std::optional<timestamp> PausedUntil(const target_id& target,
                                        timestamp now) const;
 
+  // A response of the target stated how many refusals in a second it tolerates,
+  // over all instances. Returns whether its service was not brittle before.
+  bool OnBrittleStated(const target_entry& target,
+                       std::int32_t tolerated_refusals,
+                       timestamp now) {
+    return brittle_targets_.OnStated(target, tolerated_refusals, now);
+  }
+
+  bool IsBrittle(const service_id& service, timestamp now) const {
+    return brittle_targets_.IsBrittle(service, now);
+  }
+
+  // The target refused a request for want of room.
+  void OnRefusedForRoom(const target_entry& target, timestamp now);
+
   // Chooses a target to which a run on `from` can be moved.
   selection ChooseReceiver(const target_id& from,
                            const selection_request& request,
@@ -106,6 +123,13 @@
     timestamp started_at;
   };
 
+  struct choice_rules {
+    // Whether targets are avoided that other instances report as failing.
+    bool uses_peer_reports = true;
+    // Whether slots of brittle targets are used that are assigned to others.
+    bool uses_free_slots = true;
+  };
+
   struct target_state {
     target_load own_load;
     target_health health;
@@ -118,8 +142,14 @@
                     timestamp now);
   const known_target* FindTarget(const routed_service& service,
                                  const selection_request& request,
-                                 bool use_peer_reports,
+                                 const choice_rules& rules,
                                  timestamp now);
+  // Whether the request may use a slot of a brittle target that is assigned to
+  // another instance. Drawn so that the instances together take no more slots
+  // than are free.
+  bool DrawFreeSlot(const selection_request& request,
+                    const routed_service& service,
+                    timestamp now);
   // Returns how many requests other instances are expected to have sent to the
   // service since the loads were reported.
   double UnseenStarts(const selection_request& request, timestamp now) const;
@@ -133,9 +163,20 @@
       const known_target& target,
       const routed_service& service,
       const selection_request& request,
+      const choice_rules& rules,
       timestamp now) const;
   void ObserveBacklog(const target_id& target, timestamp now);
   bool IsLastOfDomain(const known_target& target) const;
+  bool HasBrittleRoom(const known_target& target,
+                      const routed_service& service,
+                      const selection_request& request,
+                      const choice_rules& rules,
+                      timestamp now) const;
+  brittle_load BrittleLoad(const known_target& target,
+                           const routed_service& service) const;
+  std::optional<timestamp> NotUsedUntil(const known_target& target,
+                                        const selection_request& request,
+                                        timestamp now) const;
   bool IsWithinColdLimit(const known_target& target,
                          const routed_service& service,
                          timestamp now) const;
@@ -153,8 +194,11 @@
   std::unordered_map<service_id, prefill_speeds> prefill_speeds_;
   std::unordered_map<service_id, unseen_starts_estimator> unseen_starts_;
   report_age_estimator report_age_;
+  brittle_targets brittle_targets_;
   run_number next_run_number_ = 1;
-  std::size_t instance_count_ = 1;
+  fleet_position position_;
+  // Attempts to choose a target, while the service is brittle.
+  std::unordered_map<service_id, unseen_starts_estimator> attempts_;
   // When targets in other failure domains could not be reached last.
   std::unordered_map<target_id, timestamp> unreachable_abroad_;
   std::minstd_rand random_generator_;
