--- a/src/selection/tests/brittle_targets_test.cc
+++ b/src/selection/tests/brittle_targets_test.cc
@@ -72,11 +72,11 @@
 TEST_CASE("a target is left out once its share of refusals is used up") {
   brittle_targets targets;
   const target_entry entry = Entry("t");
-  const fleet_position position{2, 0};
+  const fleet_position position{3, 0};
   targets.OnStated(entry, 6, At(0));
-  for (int i = 0; i < 3; ++i) {
-    CHECK_FALSE(targets.LeftOutUntil(entry, Load(0, 0), position, At(10 * i)));
-    targets.OnRefusal(entry, At(10 * i));
+  for (const std::int64_t ms : {0, 10}) {
+    CHECK_FALSE(targets.LeftOutUntil(entry, Load(0, 0), position, At(ms)));
+    targets.OnRefusal(entry, At(ms));
   }
   CHECK(targets.LeftOutUntil(entry, Load(0, 0), position, At(30)));
   CHECK_FALSE(targets.AllowsOwnSlot(entry, Load(0, 0), position, At(30)));
