--- a/src/gateway/internal/gateway.cc
+++ b/src/gateway/internal/gateway.cc
@@ -268,8 +268,8 @@
   }
 
   void OnInstancesChanged() {
-    load_exchange_.SetInstances(store_view_.OtherInstances());
     const std::vector<known_instance> others = store_view_.OtherInstances();
+    load_exchange_.SetInstances(others);
     services_.relays.SetInstances(settings_.domain, others);
     services_.instance_count = others.size() + 1;
     const auto ordinal = std::count_if(
