--- a/src/directory/target_directory.h
+++ b/src/directory/target_directory.h
@@ -35,8 +35,8 @@
               std::optional<timestamp> grace_deadline,
               timestamp now);
 
-  // Handles that a target said in a response that it is leaving. `entry` is the
-  // one under which the request was sent; the current one may still say
+  // Handles that a target stated in a response that it is leaving. `entry` is
+  // the one under which the request was sent; the current one may still state
   // otherwise.
   void OnLeavingStated(const target_entry& entry, timestamp now);
 
--- a/src/follower/internal/store_mirror.cc
+++ b/src/follower/internal/store_mirror.cc
@@ -44,7 +44,7 @@
   logged_change logged{change, kind == change_kind::renewal, std::nullopt,
                        std::max(change.revision, next_position_)};
   if (last != last_logged_.end() && last->second->is_renewal) {
-    // A reader that missed the last renewal before a removal could not tell
+    // A reader that missed the last renewal before a removal cannot find out
     // whether a later entry is older than the removed one.
     if (kind == change_kind::ordinary)
       logged.preceding_renewal = last->second->change;
--- a/src/framework/net/i_http_caller.h
+++ b/src/framework/net/i_http_caller.h
@@ -51,7 +51,7 @@
  public:
   virtual ~i_http_call() = default;
 
-  // Cancels the call and closes its channel, so that the server notices the
+  // Cancels the call and closes its channel, so that the server detects the
   // cancellation immediately.
   virtual void Cancel() = 0;
 
--- a/src/gateway/i_dialect.h
+++ b/src/gateway/i_dialect.h
@@ -35,8 +35,9 @@
   virtual std::string EncodeRelay(const caller_request& request,
                                   milliseconds time_left) const = 0;
 
-  // Whether the response belongs to the request with this id. `may_be_old` says
-  // that it may be a repetition of an earlier response on the same connection.
+  // Whether the response belongs to the request with this id. `may_be_old`
+  // means that it may be a repetition of an earlier response on the same
+  // connection.
   virtual bool IsResponseTo(const http_response_head& head,
                             const std::string& request_id,
                             bool may_be_old) const = 0;
--- a/src/gateway/internal/caller_connection.h
+++ b/src/gateway/internal/caller_connection.h
@@ -18,7 +18,7 @@
  public:
   using end_handler = std::function<void(caller_connection*)>;
 
-  // `is_relay` says that another instance sends requests of its callers.
+  // `is_relay` means that another instance sends requests of its callers.
   caller_connection(gateway_services& services,
                     std::shared_ptr<i_channel> channel,
                     end_handler on_end,
--- a/src/gateway/internal/quarantine_registry.h
+++ b/src/gateway/internal/quarantine_registry.h
@@ -44,7 +44,7 @@
 class quarantine_registry {
  public:
   // `is_publisher` returns whether this instance writes quarantines that it
-  // only learned from its peers.
+  // only received from its peers.
   quarantine_registry(crash_ledger& ledger,
                       i_async_store& store,
                       i_scheduler& scheduler,
--- a/src/gateway/tests/exchange_test.cc
+++ b/src/gateway/tests/exchange_test.cc
@@ -365,7 +365,7 @@
 }
 
 // Guards against a Retry-After that is too long: a burst fills all engines for
-// a moment, and refused callers come back too late to be served in time.
+// a moment, and refused callers return too late to be served in time.
 TEST_CASE("a refused generation can be retried within its objective") {
   exchange_fixture f;
   selection_request large;
--- a/src/gateway/tests/run_handover_test.cc
+++ b/src/gateway/tests/run_handover_test.cc
@@ -221,7 +221,7 @@
         std::string::npos);
 }
 
-// A malformed response does not say whether the run goes on.
+// A malformed response does not state whether the run goes on.
 TEST_CASE("a source that sends malformed bytes is stopped before the move") {
   moving_stream f;
   f.RequestStop();
--- a/src/gateway/tests/run_stop_test.cc
+++ b/src/gateway/tests/run_stop_test.cc
@@ -103,7 +103,7 @@
   CHECK(f.CountRequests("POST /stop/r/") == 3);
 }
 
-// A refusal without a handle does not say that the run was stopped.
+// A refusal without a handle does not mean that the run was stopped.
 TEST_CASE("a refused stop is requested again, but not without end") {
   stopped_stream f;
   f.MoveFromSource();
--- a/src/gateway/tests/store_view_test.cc
+++ b/src/gateway/tests/store_view_test.cc
@@ -474,7 +474,7 @@
   CHECK(f.AcceptsWork("a"));
 }
 
-// Guards against an instance that the others don't know: its parent, through
+// Guards against an instance that the others lack: its parent, through
 // which it enters the era, never had its entry.
 TEST_CASE("an own entry that is lost with the store is written again") {
   store_view_fixture f;
--- a/src/gateway/tests/target_signals_test.cc
+++ b/src/gateway/tests/target_signals_test.cc
@@ -2,7 +2,7 @@
 
 #include "gateway/tests/mocks/exchange_fixture.h"
 
-// Guards against requests to targets that said in a response that they are
+// Guards against requests to targets that stated in a response that they are
 // leaving, while the store still calls them ready, to targets that turned a
 // request away and requested a pause, and to brittle targets without room.
 
@@ -35,7 +35,7 @@
   CHECK(f.ResponseContains("done"));
   CHECK(f.logger.LastField("target_states_leaving", "target") == left);
   for (int i = 0; i < 20; ++i) {
-    // Its entry in the store says that it is ready.
+    // Its entry in the store states that it is ready.
     f.AddTarget(left, "desk");
     CHECK(NextTarget(f, "/once/x") != left);
     f.target_channel().Receive(f.Response("200 OK", "done"));
@@ -92,8 +92,8 @@
   CHECK(f.response().starts_with("HTTP/1.1 503"));
   CHECK(NextTarget(f, "/once/x").empty());
   CHECK(f.response().starts_with("HTTP/1.1 503"));
-  // The first target wants requests again in 1.5 s; callers return spread over
-  // half of that time more.
+  // The first target accepts requests again in 1.5 s; callers return spread
+  // over half of that time more.
   const std::size_t at = f.response().find("Again: ");
   REQUIRE(at != std::string::npos);
   const int retry_after_ms = std::stoi(f.response().substr(at + 7));
--- a/src/peers/load_table.h
+++ b/src/peers/load_table.h
@@ -36,7 +36,7 @@
   target_load OthersLoad(const target_id& target) const;
 
   // Returns the load to report to a neighbor: that of this instance and of all
-  // other instances that the neighbor does not learn of by another link.
+  // other instances that the neighbor does not receive by another link.
   target_load LoadFor(const std::string& neighbor,
                       neighbor_role role,
                       const target_id& target) const;
--- a/src/peers/tests/load_table_test.cc
+++ b/src/peers/tests/load_table_test.cc
@@ -42,7 +42,7 @@
   table.SetReported("parent", neighbor_role::parent, {Load(1000)}, At(0));
   const target_id target("t");
   CHECK(table.LoadFor("parent", neighbor_role::parent, target).runs == 11);
-  // A candidate parent learns the same.
+  // A candidate parent receives the same.
   CHECK(table.LoadFor("other", neighbor_role::parent, target).runs == 11);
 }
 
--- a/src/peers/tests/mirror_server_test.cc
+++ b/src/peers/tests/mirror_server_test.cc
@@ -14,7 +14,7 @@
 
 // An instance's mirror and one reader of it.
 struct mirror_fixture {
-  // Returns the page that the reader has received, and forgets it.
+  // Returns the page that the reader has received, and discards it.
   std::string TakeResponse() { return std::exchange(channel->written, {}); }
 
   void Get(const std::string& target) {
--- a/src/relay/path_monitor.h
+++ b/src/relay/path_monitor.h
@@ -12,9 +12,9 @@
 namespace wist {
 
 // Decides whether this instance has lost its paths to the targets, from the
-// outcomes of new connections to them. Connections that were open before say
-// nothing: they may live on while new ones are refused. A response of any kind
-// shows a path, and silence on an open connection is no evidence. Reads no
+// outcomes of new connections to them. Connections that were open before are no
+// evidence: they may stay open while new ones are refused. A response of any
+// kind shows a path, and silence on an open connection is no evidence. Reads no
 // clock.
 class path_monitor {
  public:
--- a/src/relay/tests/path_monitor_test.cc
+++ b/src/relay/tests/path_monitor_test.cc
@@ -2,7 +2,7 @@
 
 #include "relay/path_monitor.h"
 
-// Tests that an instance that is cut off from all targets notices that from the
+// Tests that an instance that is cut off from all targets detects that from the
 // connections that its callers' requests need, also with one request a second,
 // and that neither a target that ends nor a slow one looks like a cut.
 
--- a/src/selection/target_selector.h
+++ b/src/selection/target_selector.h
@@ -43,10 +43,10 @@
     return Unavailable(request, now).retry_after;
   }
 
-  // The target wants no requests from this instance before `deadline`.
+  // The target accepts no requests from this instance before `deadline`.
   void OnPauseRequested(const target_id& target, timestamp deadline);
 
-  // When the pause ends that the target has asked for; nothing if there is
+  // When the pause ends that the target has requested; nothing if there is
   // none.
   std::optional<timestamp> PausedUntil(const target_id& target,
                                        timestamp now) const;
--- a/src/selection/tests/target_selector_test.cc
+++ b/src/selection/tests/target_selector_test.cc
@@ -441,7 +441,7 @@
   CHECK(f.selector.OwnLoads(At(100)).empty());
 }
 
-// All targets ask for a pause at once, and callers return together.
+// All targets request a pause at once, and callers return together.
 TEST_CASE("while all targets pause callers are told when the first returns") {
   fixture f;
   for (const char* id : {"a", "b", "c"})
@@ -474,7 +474,7 @@
   CHECK(starts[3] == 100);
 }
 
-// A process that was frozen wakes up after the end of the pause.
+// A process that was frozen continues after the end of the pause.
 TEST_CASE("a pause ends while the process is frozen") {
   fixture f;
   f.AddTarget("a", "desk");
