Count an opened connection as a path to the targets

Callers got 503 while a target was free. Two engines had ended, one request tried both within milliseconds, and the paths counted as lost; only the head of a response showed a path, and an engine that reads a prompt sends one after a second or more. Other instances that had seen the same refused the relays.

A new connection that is opened shows a path, so it now discards the failures before it, and two in a row end a loss, whatever follows on them. The caller reports it by a callback of the channel.

--- a/src/framework/net/i_channel.h
+++ b/src/framework/net/i_channel.h
@@ -24,6 +24,8 @@
 struct channel_callbacks {
   std::function<void(std::string_view)> on_data;
   std::function<void(channel_end)> on_end;
+  // The connection that this side opens is established.
+  std::function<void()> on_connected = {};
 };
 
 // A non-blocking stream connection. Not thread-safe.
--- a/src/framework/net/i_http_caller.h
+++ b/src/framework/net/i_http_caller.h
@@ -35,6 +35,9 @@
   std::function<void(const http_response_head&)> on_head;
   std::function<void(std::string body)> on_body;
   std::function<void(call_outcome)> on_done;
+  // The new connection that the call opened is established. Not called on a
+  // channel that was open before.
+  std::function<void()> on_connected = {};
 };
 
 struct call_options {
@@ -57,9 +60,6 @@
 
   // Whether the server may have received any byte of the request.
   virtual bool MayHaveBeenSent() const = 0;
-
-  // Whether the call was made on a channel that was open before.
-  virtual bool IsOnReusedChannel() const = 0;
 };
 
 // Makes non-blocking HTTP calls and reuses idle channels. Each channel carries
--- a/src/framework/net/internal/http_caller.cc
+++ b/src/framework/net/internal/http_caller.cc
@@ -182,8 +182,6 @@
     return reused_ || (channel_ && channel_->HasSentBytes());
   }
 
-  bool IsOnReusedChannel() const override { return reused_; }
-
  private:
   channel_callbacks Callbacks() {
     // The callbacks keep the call alive as long as the channel. Cancel and the
@@ -191,7 +189,11 @@
     return {[self = shared_from_this()](std::string_view bytes) {
               self->OnData(bytes);
             },
-            [self = shared_from_this()](channel_end end) { self->OnEnd(end); }};
+            [self = shared_from_this()](channel_end end) { self->OnEnd(end); },
+            [self = shared_from_this()] {
+              if (self->callbacks_.on_connected)
+                self->callbacks_.on_connected();
+            }};
   }
 
   void OnData(std::string_view bytes) {
--- a/src/framework/net/internal/tcp_channel.cc
+++ b/src/framework/net/internal/tcp_channel.cc
@@ -103,6 +103,13 @@
     return End(channel_end::connect_failed);
   if (state_ == state::connecting)
     state_ = state::open;
+  if (state_ == state::open && callbacks_.on_connected) {
+    const auto on_connected = callbacks_.on_connected;
+    if (!guard_->Run([this] { return PeerName(); }, on_connected))
+      return End(channel_end::reset);
+    if (state_ == state::ended)
+      return;
+  }
   Flush();
   Read();
 }
--- a/src/framework/net/tests/mocks/scripted_connector.h
+++ b/src/framework/net/tests/mocks/scripted_connector.h
@@ -29,7 +29,13 @@
   }
 
   // Simulate events from the remote end.
+  void Open() {
+    const auto on_connected = std::exchange(callbacks_.on_connected, nullptr);
+    if (on_connected)
+      on_connected();
+  }
   void Receive(const std::string& bytes) {
+    Open();
     const auto on_data = callbacks_.on_data;
     if (on_data)
       on_data(bytes);
--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -216,6 +216,9 @@
       throw;
     }
   };
+  callbacks.on_connected = [self, now] {
+    self->services_.OnTargetConnected(now);
+  };
   attempt_->call = services_.caller.Call(
       target.address, services_.dialect.EncodeDispatch(request_, dispatch),
       {std::min(
--- a/src/gateway/internal/exchange_response.cc
+++ b/src/gateway/internal/exchange_response.cc
@@ -33,8 +33,6 @@
 void exchange::OnHead(const http_response_head& head) {
   attempt_->classification = services_.dialect.ClassifyResponse(head);
   attempt_->head = head;
-  if (!attempt_->call->IsOnReusedChannel())
-    services_.OnTargetResponse(attempt_->sent_at);
   services_.OnTargetSignals(attempt_->target,
                             services_.dialect.DecodeSignals(head), request_.id);
 }
--- a/src/gateway/internal/gateway_services.cc
+++ b/src/gateway/internal/gateway_services.cc
@@ -76,8 +76,8 @@
     caller.CloseIdleChannels(known.entry.address);
 }
 
-void gateway_services::OnTargetResponse(timestamp started_at) {
-  if (paths.OnResponse(started_at))
+void gateway_services::OnTargetConnected(timestamp started_at) {
+  if (paths.OnConnected(started_at))
     logger.Write(log_level::info, "target_paths_restored", {});
 }
 
--- a/src/gateway/internal/gateway_services.h
+++ b/src/gateway/internal/gateway_services.h
@@ -84,7 +84,7 @@
 
   // Record the outcome of a new connection to a target, begun at `started_at`.
   void OnTargetUnreachable(const target_entry& target, timestamp started_at);
-  void OnTargetResponse(timestamp started_at);
+  void OnTargetConnected(timestamp started_at);
 
   // Whether requests are sent through other instances, since this one has no
   // path to the targets.
--- a/src/gateway/tests/relay_test.cc
+++ b/src/gateway/tests/relay_test.cc
@@ -55,6 +55,40 @@
     return accepted;
   }
 
+  // Sends a request on a caller connection of its own.
+  std::shared_ptr<scripted_channel> SendFromOtherCaller(
+      const std::string& id,
+      const std::string& path) {
+    auto channel = std::make_shared<scripted_channel>();
+    auto accepted = std::make_shared<caller_connection>(
+        services, channel, [](caller_connection*) {});
+    accepted->Start();
+    channel->Receive("POST " + path + " HTTP/1.1\r\nHost: h\r\nId: " + id +
+                     "\r\nKey: k\r\nTokens: 1000\r\n"
+                     "Content-Length: 2\r\n\r\nhi");
+    return channel;
+  }
+
+  // Other instances refuse requests, and connections to e1 and e2 fail. Other
+  // targets are reached, and do not respond yet.
+  void SettleConnections() {
+    while (settled_count < connector.channels.size()) {
+      const std::size_t index = settled_count++;
+      const auto channel = connector.channels[index];
+      const std::string name = TargetName(index);
+      if (IsRelay(index)) {
+        channel->Receive(RefusalOfInstance());
+      } else if (name == "e1" || name == "e2") {
+        channel->connected = false;
+        channel->End(channel_end::connect_failed);
+      } else {
+        channel->Open();
+      }
+    }
+  }
+
+  std::size_t settled_count = 0;
+
   static std::string RefusalOfInstance() {
     return Response("503 Service Unavailable", "",
                     std::string(kTryOtherInstanceHeader) + ": 1\r\n");
@@ -355,3 +389,19 @@
   f.SendRequest("/once/x");
   CHECK(f.connector.channels.size() == count + 1);
 }
+
+// Guards against refusals while a target is free: two engines have ended, and
+// the third one reads prompts for over a second before it responds.
+TEST_CASE("two ended targets beside one that reads prompts are no cut") {
+  relay_fixture f;
+  std::vector<std::shared_ptr<scripted_channel>> callers;
+  for (int i = 0; i < 7; ++i) {
+    callers.push_back(
+        f.SendFromOtherCaller("q" + std::to_string(i), "/stream/x"));
+    f.SettleConnections();
+    f.scheduler.Advance(milliseconds(50));
+  }
+  for (const auto& caller : callers)
+    CHECK(caller->written.empty());
+  CHECK_FALSE(f.services.paths.IsLost());
+}
--- a/src/relay/internal/path_monitor.cc
+++ b/src/relay/internal/path_monitor.cc
@@ -12,9 +12,9 @@
 // Failed connections that are older are no evidence of the present.
 constexpr milliseconds kEvidenceTime{3000};
 
-// Responses after which lost paths count as usable again, so that a path that
+// Connections after which lost paths count as usable again, so that a path that
 // works now and then doesn't change the decision each time.
-constexpr int kResponsesToRestore = 2;
+constexpr int kConnectionsToRestore = 2;
 
 constexpr milliseconds kDirectTryInterval{1000};
 constexpr milliseconds kShortDirectTryInterval{100};
@@ -25,7 +25,7 @@
                                  timestamp started_at,
                                  timestamp now,
                                  std::size_t target_count) {
-  response_count_ = 0;
+  connection_count_ = 0;
   unreachable_[target] = {started_at, now};
   if (is_lost_)
     return false;
@@ -40,17 +40,17 @@
   return true;
 }
 
-bool path_monitor::OnResponse(timestamp started_at) {
+bool path_monitor::OnConnected(timestamp started_at) {
   std::erase_if(unreachable_, [&](const auto& entry) {
     return entry.second.started_at <= started_at;
   });
   if (!is_lost_ || !unreachable_.empty())
     return false;
   last_direct_try_.reset();
-  if (++response_count_ < kResponsesToRestore)
+  if (++connection_count_ < kConnectionsToRestore)
     return false;
   is_lost_ = false;
-  response_count_ = 0;
+  connection_count_ = 0;
   return true;
 }
 
--- a/src/relay/path_monitor.h
+++ b/src/relay/path_monitor.h
@@ -13,9 +13,8 @@
 
 // Decides whether this instance has lost its paths to the targets, from the
 // outcomes of new connections to them. Connections that were open before are no
-// evidence: they may stay open while new ones are refused. A response of any
-// kind shows a path, and silence on an open connection is no evidence. Reads no
-// clock.
+// evidence: they may stay open while new ones are refused. Nor are responses:
+// those to long prompts take seconds. Reads no clock.
 class path_monitor {
  public:
   // A new connection to the target, begun at `started_at`, could not be opened.
@@ -26,13 +25,13 @@
                      timestamp now,
                      std::size_t target_count);
 
-  // A target responded to a request that was sent on a new connection, begun at
-  // `started_at`. Returns whether the paths are usable again from now on.
-  bool OnResponse(timestamp started_at);
+  // A new connection to a target, begun at `started_at`, was opened. Returns
+  // whether the paths are usable again from now on.
+  bool OnConnected(timestamp started_at);
 
   bool IsLost() const { return is_lost_; }
 
-  // Whether a target was unreachable recently and none has responded since.
+  // Whether a target was unreachable recently and none was reached since.
   bool IsSuspected(timestamp now) const;
 
   // While the paths are lost, a request is sent to a target in each interval,
@@ -41,7 +40,7 @@
   // targets end at once, all instances may consider their paths lost.
   bool TryConsumeDirectTry(timestamp now, bool others_accept);
 
-  // Targets that could not be reached since a target last responded.
+  // Targets that could not be reached since one last was.
   std::vector<target_id> UnreachableTargets() const;
 
  private:
@@ -52,9 +51,8 @@
 
   std::map<target_id, failed_connection> unreachable_;
   bool is_lost_ = false;
-  // Responses on new connections since the last one that failed, while the
-  // paths are lost.
-  int response_count_ = 0;
+  // New connections since the last one that failed, while the paths are lost.
+  int connection_count_ = 0;
   std::optional<timestamp> last_direct_try_;
 };
 
