Let a request that may have run use any target while paths count as lost

A retry or a resumed stream ended with 502 or was aborted when two targets had ended, though others were sound: its two failed connections made the paths count as lost, and a request with a failed connection was not sent to a target any more. One that may have run can't be relayed either, so nothing was left.

Such a request is now dispatched as without lost paths, within the usual number of tries. The test "a retry beside two ended targets reaches another one" failed before (2 checks).

--- a/src/gateway/internal/exchange_relay.cc
+++ b/src/gateway/internal/exchange_relay.cc
@@ -39,11 +39,12 @@
 // Whether the request is sent to a target although the paths to the targets
 // count as lost. One that may have run on a target can't be relayed.
 bool exchange::MayTryDirectly(bool others_accept) {
-  if (request_.is_relayed || connect_failure_count_ > 0)
-    return false;
-  return may_have_run_ || (dispatch_count_ == 0 &&
-                           services_.paths.TryConsumeDirectTry(
-                               services_.scheduler.Now(), others_accept));
+  if (may_have_run_)
+    return true;
+  return !request_.is_relayed && dispatch_count_ == 0 &&
+         connect_failure_count_ == 0 &&
+         services_.paths.TryConsumeDirectTry(services_.scheduler.Now(),
+                                             others_accept);
 }
 
 bool exchange::TryRelay() {
--- a/src/gateway/tests/relay_test.cc
+++ b/src/gateway/tests/relay_test.cc
@@ -405,3 +405,24 @@
     CHECK(caller->written.empty());
   CHECK_FALSE(f.services.paths.IsLost());
 }
+
+// Guards against a failed retry while targets are free: a target breaks off a
+// request that may be repeated, and two others have ended.
+TEST_CASE("a retry beside two ended targets reaches another one") {
+  relay_fixture f;
+  f.settings.retry_slack = 100;
+  f.AddTarget("p3", "desk");
+  f.AddTarget("p4", "desk");
+  f.SendRequest("/again/x");
+  f.target_channel().End(channel_end::reset);
+  for (int i = 0; i < 2; ++i) {
+    REQUIRE(f.response().empty());
+    REQUIRE_FALSE(f.IsRelay(f.connector.channels.size() - 1));
+    f.target_channel().connected = false;
+    f.target_channel().End(channel_end::connect_failed);
+  }
+  REQUIRE(f.services.paths.IsLost());
+  CHECK(f.response().empty());
+  f.target_channel().Receive(f.Response("200 OK", "served"));
+  CHECK(f.response().ends_with("served"));
+}
