Do not leave a relay out for what its targets or callers do

While paths were lost, a sound instance was left out for up to 16 s after a caller had left a request with a long prompt before its first event, and after a stream that it had aborted since its target crashed.

A request without a response is evidence only if the instance has sent nothing else since it was sent, and a stream that breaks off is none. The tests "a caller that leaves a slow request does not end its relay's use" and "a stream that breaks off does not end its relay's use" failed before; planted faults.

--- a/src/gateway/internal/exchange_relay.cc
+++ b/src/gateway/internal/exchange_relay.cc
@@ -108,6 +108,7 @@
 }
 
 void exchange::OnRelayHead(const http_response_head& head) {
+  services_.relays.OnReceived(relay_->instance, services_.scheduler.Now());
   relay_->head = head;
   relay_->is_buffered = request_.message.method == "HEAD" ||
                         !StatusPermitsBody(head.status) ||
@@ -115,6 +116,7 @@
 }
 
 void exchange::OnRelayBody(const std::string& bytes) {
+  services_.relays.OnReceived(relay_->instance, services_.scheduler.Now());
   if (relay_->is_buffered) {
     relay_->body += bytes;
     if (!relay_->buffer) {
@@ -145,7 +147,9 @@
 void exchange::OnRelayEnd(call_outcome outcome) {
   const timestamp now = services_.scheduler.Now();
   if (outcome.end != call_end::complete) {
-    services_.relays.OnFailure(relay_->instance, now);
+    // An instance that ends a stream may have lost its target only.
+    if (!relay_->head)
+      services_.relays.OnFailure(relay_->instance, now);
     return outcome.may_have_been_sent ? OnRelayBroken() : OnRelayRejected();
   }
   if (relay_->head->status == kServiceUnavailable &&
@@ -220,7 +224,7 @@
   if (relay_->call)
     relay_->call->Cancel();
   if (!relay_->head && now >= relay_->sent_at + kSilentRelayTime)
-    services_.relays.OnFailure(relay_->instance, now);
+    services_.relays.OnSilence(relay_->instance, relay_->sent_at, now);
   EndRelay("cancelled");
 }
 
--- a/src/gateway/tests/relay_test.cc
+++ b/src/gateway/tests/relay_test.cc
@@ -89,6 +89,32 @@
 
   std::size_t settled_count = 0;
 
+  // There is one other instance, to which a stream was relayed that has begun.
+  std::shared_ptr<scripted_channel> RelayStreamToOnlyInstance() {
+    LosePaths();
+    known_instance only;
+    only.name = "i1";
+    only.domain = domain_id("d");
+    only.address = {"i1", 7200};
+    only.relay_port = 7201;
+    services.relays.SetInstances(domain_id("d"), {only});
+    SendStreamRequest();
+    REQUIRE(IsRelay(connector.channels.size() - 1));
+    target_channel().Receive(StreamHead() + Event(1));
+    return connector.channels.back();
+  }
+
+  // Sends a request, and returns whether it was relayed, if need be after a
+  // failed try of a target.
+  bool IsNextRequestRelayed() {
+    const auto caller = SendFromOtherCaller("next", "/stream/x");
+    if (!IsRelay(connector.channels.size() - 1)) {
+      target_channel().connected = false;
+      target_channel().End(channel_end::connect_failed);
+    }
+    return IsRelay(connector.channels.size() - 1) && caller->written.empty();
+  }
+
   static std::string RefusalOfInstance() {
     return Response("503 Service Unavailable", "",
                     std::string(kTryOtherInstanceHeader) + ": 1\r\n");
@@ -426,3 +452,28 @@
   f.target_channel().Receive(f.Response("200 OK", "served"));
   CHECK(f.response().ends_with("served"));
 }
+
+// Guards against refusals during a cut: a caller leaves before the only other
+// instance has responded, since its target reads a long prompt.
+TEST_CASE("a caller that leaves a slow request does not end its relay's use") {
+  relay_fixture f;
+  const auto stream = f.RelayStreamToOnlyInstance();
+  const auto slow = f.SendFromOtherCaller("slow", "/stream/x");
+  REQUIRE(f.IsRelay(f.connector.channels.size() - 1));
+  for (int event = 2; event < 13; ++event) {
+    f.scheduler.Advance(milliseconds(100));
+    stream->Receive(f.Event(event));
+  }
+  slow->End(channel_end::closed);
+  CHECK(f.IsNextRequestRelayed());
+}
+
+// Guards against refusals during a cut: the only other instance aborts a stream
+// whose target has crashed.
+TEST_CASE("a stream that breaks off does not end its relay's use") {
+  relay_fixture f;
+  const auto stream = f.RelayStreamToOnlyInstance();
+  stream->End(channel_end::closed);
+  CHECK(f.caller_channel->aborted);
+  CHECK(f.IsNextRequestRelayed());
+}
--- a/src/relay/internal/relay_selector.cc
+++ b/src/relay/internal/relay_selector.cc
@@ -97,6 +97,12 @@
     --found->second.open_count;
 }
 
+void relay_selector::OnReceived(const std::string& instance, timestamp now) {
+  const auto found = instances_.find(instance);
+  if (found != instances_.end())
+    found->second.received_at = now;
+}
+
 void relay_selector::OnResponse(const std::string& instance) {
   const auto found = instances_.find(instance);
   if (found == instances_.end())
@@ -117,6 +123,14 @@
   ++relay.failure_count;
 }
 
+void relay_selector::OnSilence(const std::string& instance,
+                               timestamp sent_at,
+                               timestamp now) {
+  const auto found = instances_.find(instance);
+  if (found != instances_.end() && found->second.received_at <= sent_at)
+    OnFailure(instance, now);
+}
+
 void relay_selector::OnRefusal(const std::string& instance, timestamp now) {
   const auto found = instances_.find(instance);
   if (found == instances_.end())
--- a/src/relay/relay_selector.h
+++ b/src/relay/relay_selector.h
@@ -34,10 +34,16 @@
   void OnStart(const std::string& instance);
   void OnEnd(const std::string& instance);
 
+  // The instance sent a part of a response.
+  void OnReceived(const std::string& instance, timestamp now);
   // The instance responded.
   void OnResponse(const std::string& instance);
-  // The instance could not be reached, or ended a relayed request.
+  // The instance could not be reached, or ended a relayed request without a
+  // response.
   void OnFailure(const std::string& instance, timestamp now);
+  // A relayed request that was sent at `sent_at` was cancelled before it got a
+  // response. A failure if the instance has sent nothing else since.
+  void OnSilence(const std::string& instance, timestamp sent_at, timestamp now);
   // The instance refuses requests, for example since it has no path to the
   // targets either. Other instances of its domain may share the cause.
   void OnRefusal(const std::string& instance, timestamp now);
@@ -46,6 +52,7 @@
   struct relay_state {
     known_instance instance;
     int open_count = 0;
+    std::optional<timestamp> received_at;
     int failure_count = 0;  // Since its last response.
     std::optional<timestamp> unusable_until;
     std::optional<timestamp> refused_until;  // Comes last until then.
