Do not apply the tolerated refusals of an earlier brittle time

A service that is brittle again could be treated by the number that its targets had stated the last time: the numbers of targets and of the service never ended, and other instances' reports state none. With a smaller number now its targets would fall over (rule LIMIT).

A service records when its present brittle time began; numbers from before do not count, and until one is stated none is assumed.

--- a/src/selection/brittle_targets.h
+++ b/src/selection/brittle_targets.h
@@ -101,8 +101,14 @@
   struct service_state {
     std::int32_t tolerated_refusals = 0;
     timestamp stated_at{};
+    // Start of the present time in which the service is brittle.
+    timestamp began_at{};
   };
 
+  // Records a statement about a target of the service. Returns whether the
+  // service was not brittle before.
+  bool Begin(const service_id& service, timestamp now);
+
   // Returns nothing if the target's service is not brittle.
   std::optional<std::int32_t> ToleratedRefusals(const target_entry& target,
                                                 timestamp now) const;
--- a/src/selection/internal/brittle_targets.cc
+++ b/src/selection/internal/brittle_targets.cc
@@ -31,26 +31,40 @@
 bool brittle_targets::OnStated(const target_entry& target,
                                std::int32_t tolerated_refusals,
                                timestamp now) {
-  const bool was_brittle = IsBrittle(target.service, now);
-  services_[target.service] = {tolerated_refusals, now};
+  const bool has_begun = Begin(target.service, now);
+  services_[target.service].tolerated_refusals = tolerated_refusals;
   target_state& state = targets_[target.id];
   if (state.started_at != target.started_at)
     state = {};
   state.started_at = target.started_at;
   state.tolerated_refusals = tolerated_refusals;
   state.stated_at = now;
-  return !was_brittle;
+  return has_begun;
+}
+
+// Numbers that were stated before the service was brittle do not apply.
+bool brittle_targets::Begin(const service_id& service, timestamp now) {
+  const bool was_brittle = IsBrittle(service, now);
+  service_state& state = services_[service];
+  state.stated_at = now;
+  if (was_brittle)
+    return false;
+  state.tolerated_refusals = 0;
+  state.began_at = now;
+  return true;
 }
 
 // Until a target states the number to this instance, none is assumed.
 void brittle_targets::SetStatedToOthers(const target_entry& target,
                                         bool is_stated,
                                         timestamp now) {
+  if (!is_stated && !stated_to_others_.contains(target.id))
+    return;
+  Begin(target.service, now);
   if (is_stated)
     stated_to_others_.insert_or_assign(target.id, target.service);
-  else if (stated_to_others_.erase(target.id) == 0)
-    return;
-  services_[target.service].stated_at = now;
+  else
+    stated_to_others_.erase(target.id);
 }
 
 bool brittle_targets::IsStatedRecently(const target_id& target,
@@ -86,10 +100,11 @@
   if (!IsBrittle(target.service, now))
     return std::nullopt;
   const auto found = targets_.find(target.id);
-  if (found != targets_.end() && found->second.stated_at &&
+  const service_state& service = services_.at(target.service);
+  if (found != targets_.end() && found->second.stated_at >= service.began_at &&
       found->second.started_at == target.started_at)
     return found->second.tolerated_refusals;
-  return services_.at(target.service).tolerated_refusals;
+  return service.tolerated_refusals;
 }
 
 std::int32_t brittle_targets::RecentRefusals(const target_id& target,
--- a/src/selection/tests/brittle_targets_test.cc
+++ b/src/selection/tests/brittle_targets_test.cc
@@ -238,3 +238,17 @@
   }
   CHECK(served == 4);
 }
+
+// Guards against falls of targets that tolerate less than at an earlier time.
+TEST_CASE("the number of an earlier time does not apply to a later one") {
+  brittle_targets targets;
+  targets.OnStated(Entry("t"), 50, At(0));
+  REQUIRE_FALSE(targets.IsBrittle(kService, At(60'000)));
+  targets.SetStatedToOthers(Entry("t"), true, At(60'000));
+  const brittle_load load = Load(0, 0, 2);
+  CHECK(targets.LeftOutUntil(Entry("t"), load, {8, 0}, At(60'000)));
+  targets.OnStated(Entry("u"), 2, At(60'000));
+  CHECK(targets.LeftOutUntil(Entry("t"), load, {8, 0}, At(60'000)));
+  targets.OnStated(Entry("t"), 50, At(60'010));
+  CHECK_FALSE(targets.LeftOutUntil(Entry("t"), load, {8, 0}, At(60'010)));
+}
