End a relayed response without bytes that has no memory left

The writer of a response may be gone after the head of a stream was written, since the memory for what the caller has not read is used up; it was used again then. Only a chunked response without any bytes leads there, which no instance sends.

--- a/src/gateway/internal/exchange_relay.cc
+++ b/src/gateway/internal/exchange_relay.cc
@@ -189,6 +189,9 @@
     if (!stream_started_) {
       response_writer_->StartStream(EncodeChunkedResponseHead(
           status, services_.dialect.CallerHeaders(*relay_->head)));
+      // The memory for what the caller has not read may be used up.
+      if (finished_)
+        return;
     }
     EndRelay("answered");
     response_writer_->FinishStream(std::string(LastChunk()));
