Apply what targets state in relayed responses

A relayed response names the target that sent it, and the instance that relayed the request applies what holds for all instances, a leaving and a tolerated number of refusals, but no pause.

--- a/src/gateway/gateway_types.h
+++ b/src/gateway/gateway_types.h
@@ -131,6 +131,9 @@
 // instance: it did not run, and the cause is one of the refusing instance.
 inline constexpr char kTryOtherInstanceHeader[] = "Wist-Try-Other-Instance";
 
+// Header of a relayed response: the id of the target that sent it.
+inline constexpr char kRespondingTargetHeader[] = "Wist-Responding-Target";
+
 // Settings of the gateway, from the operators' settings file.
 struct gateway_settings {
   std::string instance;
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -206,6 +206,10 @@
   bool MayHaveBeenSent() const;
   void CancelCalls();
 
+  // Returns the headers of the response with this head, for the caller or for
+  // the instance that relayed the request.
+  std::vector<http_header> ResponseHeaders(
+      const http_response_head& head) const;
   std::string EncodeResponse(const http_response_head& head,
                              const std::string& body) const;
   void ForwardResponse();
--- a/src/gateway/internal/exchange_relay.cc
+++ b/src/gateway/internal/exchange_relay.cc
@@ -109,6 +109,9 @@
 
 void exchange::OnRelayHead(const http_response_head& head) {
   services_.relays.OnReceived(relay_->instance, services_.scheduler.Now());
+  services_.OnRelayedSignals(
+      target_id(std::string(head.Header(kRespondingTargetHeader))),
+      services_.dialect.DecodeSignals(head), request_.id);
   relay_->head = head;
   relay_->is_buffered = request_.message.method == "HEAD" ||
                         !StatusPermitsBody(head.status) ||
--- a/src/gateway/internal/exchange_response.cc
+++ b/src/gateway/internal/exchange_response.cc
@@ -67,8 +67,7 @@
     StartMove();
   if (!stream_started_) {
     stream_started_ = true;
-    const std::vector<http_header> headers =
-        services_.dialect.CallerHeaders(attempt_->head);
+    const std::vector<http_header> headers = ResponseHeaders(attempt_->head);
     services_.metrics.OnFirstByte(CallKindName(Route().kind),
                                   services_.scheduler.Now() - received_at_);
     response_writer_->StartStream(
@@ -127,9 +126,17 @@
           attempt_->head.EndsWithChannel() && !has_events);
 }
 
+std::vector<http_header> exchange::ResponseHeaders(
+    const http_response_head& head) const {
+  auto headers = services_.dialect.CallerHeaders(head);
+  if (request_.is_relayed && attempt_)
+    headers.push_back({kRespondingTargetHeader, attempt_->target.id.text()});
+  return headers;
+}
+
 std::string exchange::EncodeResponse(const http_response_head& head,
                                      const std::string& body) const {
-  auto headers = services_.dialect.CallerHeaders(head);
+  auto headers = ResponseHeaders(head);
   if (request_.message.method != "HEAD" && StatusPermitsBody(head.status))
     return EncodeHttpResponse(head.status, headers, body);
   // The length of the body that is left out.
--- a/src/gateway/internal/gateway_services.cc
+++ b/src/gateway/internal/gateway_services.cc
@@ -55,6 +55,19 @@
   directory.OnLeavingStated(target, now);
 }
 
+// A pause holds for the instance that sent the request to the target only.
+void gateway_services::OnRelayedSignals(const target_id& target,
+                                        const target_signals& signals,
+                                        const std::string& request_id) {
+  const known_target* known = directory.Find(target);
+  if (!known)
+    return;
+  target_signals shared;
+  shared.is_leaving = signals.is_leaving;
+  shared.tolerated_refusals = signals.tolerated_refusals;
+  OnTargetSignals(known->entry, shared, request_id);
+}
+
 void gateway_services::OnTargetUnreachable(const target_entry& target,
                                            timestamp started_at) {
   const auto& targets = directory.targets();
--- a/src/gateway/internal/gateway_services.h
+++ b/src/gateway/internal/gateway_services.h
@@ -96,6 +96,11 @@
   void OnTargetSignals(const target_entry& target,
                        const target_signals& signals,
                        const std::string& request_id);
+  // Applies what a target stated to the instance that relayed its response, and
+  // what holds for all instances.
+  void OnRelayedSignals(const target_id& target,
+                        const target_signals& signals,
+                        const std::string& request_id);
   void OnBrittleSignals(const target_entry& target,
                         const target_signals& signals,
                         const std::string& request_id);
--- a/src/gateway/tests/relay_test.cc
+++ b/src/gateway/tests/relay_test.cc
@@ -477,3 +477,32 @@
   CHECK(f.caller_channel->aborted);
   CHECK(f.IsNextRequestRelayed());
 }
+
+// Guards against requests to a target whose leaving this instance has passed on
+// in a relayed response.
+TEST_CASE("a target that states in a relayed response that it leaves is left") {
+  relay_fixture f;
+  f.LosePaths();
+  f.SendRequest("/once/x");
+  REQUIRE(f.IsRelay(f.connector.channels.size() - 1));
+  f.target_channel().Receive(f.Response(
+      "200 OK", "relayed",
+      "Leaving: 1\r\n" + std::string(kRespondingTargetHeader) + ": p1\r\n"));
+  CHECK(f.response().ends_with("relayed"));
+  CHECK_FALSE(f.ResponseContains(kRespondingTargetHeader));
+  CHECK_FALSE(f.directory.AcceptsNewWork(*f.directory.Find(target_id("p1"))));
+  CHECK(f.directory.AcceptsNewWork(*f.directory.Find(target_id("p2"))));
+}
+
+TEST_CASE("the response to a relayed request names its target") {
+  relay_fixture f;
+  const auto channel = std::make_shared<scripted_channel>();
+  const auto accepted = f.AcceptRelay(channel);
+  channel->Receive(
+      "POST /once/x HTTP/1.1\r\nHost: h\r\nId: r\r\nKey: k\r\n"
+      "Content-Length: 2\r\n\r\nhi");
+  f.target_channel().Receive(f.Response("200 OK", "done"));
+  CHECK(channel->written.find(std::string(kRespondingTargetHeader) + ": " +
+                              f.TargetName(f.connector.channels.size() - 1)) !=
+        std::string::npos);
+}
