Pass gaps of a mirror on to the mirrors below it

An instance could keep a removed entry for good while its content counted as confirmed, so that requests reached a target that had left, or an evacuation did not end, until the key changed again: a mirror that reads a range again lacks the changes in between and says so to its readers, but a mirror below it received only the differences, and answered readers inside the gap as if it knew all changes. No return of the store is needed, a change of the parent suffices.

A watch page states that there is a gap, and its reader records it before it applies the changes.

--- a/src/follower/i_async_store.h
+++ b/src/follower/i_async_store.h
@@ -44,6 +44,10 @@
   // Time for which the mirror held the call before it created the page; 0 if it
   // is not known.
   microseconds held{0};
+  // The source has not had all content between the requested revision and
+  // `at_revision`, so that entries may be missing which were written and
+  // removed between the two.
+  bool has_gap = false;
 
   auto operator<=>(const watch_page&) const = default;
 };
--- a/src/follower/internal/prefix_follower.cc
+++ b/src/follower/internal/prefix_follower.cc
@@ -124,6 +124,8 @@
     return OnError(store_error::unavailable);
   OnSuccess();
   EnterEraOf(page.at_revision);
+  if (page.has_gap)
+    listener_.OnGap(page.at_revision);
   for (const store_change& change : page.changes)
     listener_.OnChange(change, GraceDeadline());
   revision_ = std::max(*revision_, page.at_revision);
--- a/src/follower/internal/store_mirror.cc
+++ b/src/follower/internal/store_mirror.cc
@@ -144,6 +144,7 @@
   }
   if (page.changes.empty())
     return std::nullopt;
+  page.has_gap = HasGapAfter(since_revision);
   return page;
 }
 
@@ -160,15 +161,21 @@
   });
 }
 
-void store_mirror::AddGap(store_revision to) {
-  if (!confirmed_at_ || to <= revision_ ||
-      (!gaps_.empty() && gaps_.back().to == to))
+bool store_mirror::HasGapAfter(store_revision revision) const {
+  return std::any_of(gaps_.begin(), gaps_.end(), [&](const revision_gap& gap) {
+    return revision < gap.to;
+  });
+}
+
+void store_mirror::AddGap(store_revision revision) {
+  if (!confirmed_at_ || revision <= revision_ ||
+      (!gaps_.empty() && gaps_.back().to == revision))
     return;
   // The log does not reach back to gaps that end before its start.
   std::erase_if(gaps_, [&](const revision_gap& gap) {
     return log_start_revision_ && gap.to <= *log_start_revision_;
   });
-  gaps_.push_back({revision_, to});
+  gaps_.push_back({revision_, revision});
 }
 
 watch_result store_mirror::EmptyWatchResult(store_revision since_revision,
@@ -176,7 +183,11 @@
   // A mirror that is behind the caller cannot confirm that nothing changed.
   if (!confirmed_at_ || since_revision > revision_)
     return store_error::unavailable;
-  return watch_page{{}, revision_, ContentAge(now)};
+  watch_page page;
+  page.at_revision = revision_;
+  page.age = ContentAge(now);
+  page.has_gap = HasGapAfter(since_revision);
+  return page;
 }
 
 }  // namespace wist
--- a/src/follower/prefix_follower.h
+++ b/src/follower/prefix_follower.h
@@ -26,6 +26,10 @@
   virtual void OnChange(const store_change& change,
                         std::optional<timestamp> grace_deadline) = 0;
 
+  // The changes that follow lead to the content at `revision`, but the source
+  // does not know all that were made.
+  virtual void OnGap(store_revision revision) = 0;
+
   // The snapshot and the changes reported so far are the complete content of
   // the store at `revision`, which was its latest revision at `confirmed_at`.
   virtual void OnConfirmed(store_revision revision, timestamp confirmed_at) = 0;
--- a/src/follower/store_mirror.h
+++ b/src/follower/store_mirror.h
@@ -44,6 +44,10 @@
   void ApplyRemovals(const std::map<std::string, store_change>& items,
                      store_revision revision);
 
+  // The changes that are applied next lead to `revision`, and there may be more
+  // of them that the source does not know.
+  void AddGap(store_revision revision);
+
   // Whether the content has the entry with this value and revision.
   bool Contains(const store_change& entry) const;
 
@@ -94,7 +98,7 @@
 
   microseconds ContentAge(timestamp now) const;
   bool HasChangesSince(store_revision revision) const;
-  void AddGap(store_revision to);
+  bool HasGapAfter(store_revision revision) const;
   void EraseLogged(std::list<logged_change>::iterator entry);
 
   std::function<void()> update_handler_;
--- a/src/follower/tests/prefix_follower_test.cc
+++ b/src/follower/tests/prefix_follower_test.cc
@@ -51,6 +51,9 @@
     changes.push_back(change.key);
     grace_deadline = deadline;
   }
+  void OnGap(store_revision revision) override {
+    changes.push_back("gap to " + std::to_string(revision.number));
+  }
   void OnConfirmed(store_revision, timestamp at) override { confirmed_at = at; }
   void OnStoreLost(store_error) override { ++lost; }
   void OnStoreRegained() override { ++regained; }
@@ -296,3 +299,12 @@
   REQUIRE(f.listener.snapshots.size() == 1);
   CHECK(f.listener.snapshots[0].size() == 1);
 }
+
+TEST_CASE("a gap in the changes is reported before them") {
+  fixture f;
+  f.store.RespondToRange(range_page{{}, false, 10});
+  watch_page page{{{"p/a", "1", 12}}, 15};
+  page.has_gap = true;
+  f.store.RespondToWatch(page);
+  CHECK(f.listener.changes == std::vector<std::string>{"gap to 15", "p/a"});
+}
--- a/src/follower/tests/store_mirror_test.cc
+++ b/src/follower/tests/store_mirror_test.cc
@@ -204,3 +204,44 @@
   CHECK(std::get<store_error>(*mirror.Watch("", {1, 20}, At(3000))) ==
         store_error::history_gone);
 }
+
+// Guards against entries that a reader keeps for good: "b" was written at 12
+// and removed at 18, while a mirror had read 10 and then 20. The mirror below
+// it has the differences, but not what is between them.
+TEST_CASE("a gap is passed on to the mirrors below") {
+  store_mirror parent;
+  parent.SetAll({});
+  parent.Confirm(10, At(1000));
+  const std::map<std::string, store_change> items = {{"a", {"a", "x", 15}}};
+  parent.ApplyRemovals(items, 20);
+  parent.Apply(items.at("a"));
+  parent.Confirm(20, At(2000));
+
+  store_mirror child;
+  child.SetAll({});
+  child.Confirm(10, At(1000));
+  const auto page = std::get<watch_page>(*parent.Watch("", 10, At(2000)));
+  REQUIRE(page.has_gap);
+  child.AddGap(page.at_revision);
+  for (const store_change& change : page.changes)
+    child.Apply(change);
+  child.Confirm(page.at_revision, At(2000));
+  // A reader that has "b", from the store.
+  CHECK(std::get<store_error>(*child.Watch("", 14, At(2000))) ==
+        store_error::history_gone);
+  const auto next = std::get<watch_page>(*child.Watch("", 10, At(2000)));
+  CHECK(next.changes == page.changes);
+  CHECK(next.has_gap);
+  CHECK_FALSE(child.Watch("", 20, At(2000)));
+  CHECK_FALSE(
+      std::get<watch_page>(child.EmptyWatchResult(20, At(2000))).has_gap);
+}
+
+TEST_CASE("a gap without a change for the reader is stated too") {
+  store_mirror mirror;
+  mirror.SetAll({});
+  mirror.Confirm(10, At(1000));
+  mirror.ApplyRemovals({}, 20);
+  mirror.Confirm(20, At(2000));
+  CHECK(std::get<watch_page>(mirror.EmptyWatchResult(10, At(2000))).has_gap);
+}
--- a/src/gateway/internal/store_view.h
+++ b/src/gateway/internal/store_view.h
@@ -70,6 +70,7 @@
                   std::optional<timestamp> grace_deadline) override;
   void OnChange(const store_change& change,
                 std::optional<timestamp> grace_deadline) override;
+  void OnGap(store_revision revision) override { mirror_.AddGap(revision); }
   void OnConfirmed(store_revision revision, timestamp confirmed_at) override;
   void OnStoreLost(store_error error) override;
   void OnStoreRegained() override;
--- a/src/peers/internal/page_codec.cc
+++ b/src/peers/internal/page_codec.cc
@@ -48,13 +48,16 @@
 json EncodeContent(store_revision at_revision,
                    microseconds age,
                    const std::vector<store_change>& changes,
-                   microseconds held) {
+                   microseconds held,
+                   bool has_gap) {
   json page = json::array(
       {at_revision.number, age.count(), EncodeChanges(changes), held.count()});
-  if (at_revision.era > 0) {
+  if (at_revision.era > 0 || has_gap) {
     page.push_back(at_revision.era);
     page.push_back(EncodeEras(changes));
   }
+  if (has_gap)
+    page.push_back(true);
   return page;
 }
 
@@ -72,6 +75,7 @@
   store_revision at_revision;
   microseconds age{0};
   microseconds held{0};
+  bool has_gap = false;
 };
 
 std::variant<decoded_page, store_error> DecodePage(const std::string& bytes) {
@@ -91,6 +95,7 @@
       decoded.at_revision.era = page.at(4).get<std::int64_t>();
       DecodeEras(page.at(5), decoded.changes);
     }
+    decoded.has_gap = page.size() > 6 && page.at(6).get<bool>();
     return decoded;
   } catch (const json::exception&) {
     return store_error::unavailable;
@@ -103,16 +108,16 @@
   if (const auto* error = std::get_if<store_error>(&result))
     return EncodeError(*error);
   const auto& page = std::get<range_page>(result);
-  return ToMsgpack(
-      EncodeContent(page.at_revision, page.age, page.items, microseconds(0)));
+  return ToMsgpack(EncodeContent(page.at_revision, page.age, page.items,
+                                 microseconds(0), false));
 }
 
 std::string EncodePage(const watch_result& result) {
   if (const auto* error = std::get_if<store_error>(&result))
     return EncodeError(*error);
   const auto& page = std::get<watch_page>(result);
-  return ToMsgpack(
-      EncodeContent(page.at_revision, page.age, page.changes, page.held));
+  return ToMsgpack(EncodeContent(page.at_revision, page.age, page.changes,
+                                 page.held, page.has_gap));
 }
 
 range_result DecodeRangePage(const std::string& bytes) {
@@ -134,7 +139,7 @@
     return *error;
   auto& fields = std::get<decoded_page>(decoded);
   return watch_page{std::move(fields.changes), fields.at_revision, fields.age,
-                    fields.held};
+                    fields.held, fields.has_gap};
 }
 
 }  // namespace wist
--- a/src/peers/tests/mirror_server_test.cc
+++ b/src/peers/tests/mirror_server_test.cc
@@ -116,6 +116,15 @@
   CHECK(f.TakeResponse() == OkResponse(EncodePage(watch_result(page))));
 }
 
+TEST_CASE("pages state gaps in their changes") {
+  for (const std::int64_t era : {0, 2}) {
+    watch_page page{{{"k", "v", {era, 3}}}, {era, 5}, milliseconds(40)};
+    page.has_gap = true;
+    CHECK(std::get<watch_page>(
+              DecodeWatchPage(EncodePage(watch_result(page)))) == page);
+  }
+}
+
 TEST_CASE("pages name the eras of their revisions") {
   const watch_page watch{{{"k", "v", {1, 9}}, {"l", std::nullopt, {2, 3}}},
                          {2, 5},
