Refuse relayed requests where the configuration is an earlier one

An instance that relays a request may have a version which the instance that receives it has not read yet. That one could answer 404 or 401, or choose by a rule that callers had seen replaced, and the first instance passed it on.

A relayed request states the version of the first instance's configuration; an instance that has an earlier one refuses it as not ready, so that another one is used. Instances without the header's support ignore it, and only relayed requests are read for it.

--- a/src/gateway/gateway_types.h
+++ b/src/gateway/gateway_types.h
@@ -38,6 +38,9 @@
   // Sent by an instance that has no path to the targets. It is not relayed
   // again.
   bool is_relayed = false;
+  // Version of the configuration of the instance that relayed it; 0 if it was
+  // not relayed. An instance with an earlier version refuses it.
+  std::int64_t minimum_configuration = 0;
   http_request_message message;
 };
 
@@ -131,6 +134,10 @@
 // instance: it did not run, and the cause is one of the refusing instance.
 inline constexpr char kTryOtherInstanceHeader[] = "Wist-Try-Other-Instance";
 
+// Header of a relayed request: the configuration of the instance that sent it.
+inline constexpr char kMinimumConfigurationHeader[] =
+    "Wist-Minimum-Configuration";
+
 // Header of a relayed response: the id of the target that sent it.
 inline constexpr char kRespondingTargetHeader[] = "Wist-Responding-Target";
 
--- a/src/gateway/i_dialect.h
+++ b/src/gateway/i_dialect.h
@@ -31,9 +31,10 @@
                                      const target_dispatch& dispatch) const = 0;
 
   // Encodes the caller's request for another instance, with the time that is
-  // left of its deadline.
+  // left of its deadline and the version of this instance's configuration.
   virtual std::string EncodeRelay(const caller_request& request,
-                                  milliseconds time_left) const = 0;
+                                  milliseconds time_left,
+                                  std::int64_t configuration) const = 0;
 
   // Whether the response belongs to the request with this id. `may_be_old`
   // means that it may be a repetition of an earlier response on the same
--- a/src/gateway/internal/caller_connection.cc
+++ b/src/gateway/internal/caller_connection.cc
@@ -141,6 +141,8 @@
   }
   auto& request = std::get<caller_request>(decoded);
   request.is_relayed = is_relay_;
+  if (!is_relay_)
+    request.minimum_configuration = 0;
   const auto self = shared_from_this();
   exchange_ =
       std::make_shared<exchange>(services_, std::move(request), *this,
--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -78,6 +78,8 @@
 exchange::~exchange() = default;
 
 void exchange::Start() {
+  if (services_.latest_configuration.version() < request_.minimum_configuration)
+    return Refuse(error_code::not_ready, run_verdict::not_run);
   auto routed = RouteRequest(services_, request_, received_at_);
   if (const auto* code = std::get_if<error_code>(&routed))
     return Refuse(*code, run_verdict::not_run);
--- a/src/gateway/internal/exchange_relay.cc
+++ b/src/gateway/internal/exchange_relay.cc
@@ -99,7 +99,8 @@
   };
   relay_->call = services_.caller.Call(
       {instance.address.host, instance.relay_port},
-      services_.dialect.EncodeRelay(request_, TimeLeft(now)),
+      services_.dialect.EncodeRelay(request_, TimeLeft(now),
+                                    services_.latest_configuration.version()),
       {std::min(routed_.deadline, now + kRelayConnectTimeout),
        kMaxIdleRelay,
        http_reader_limits::kUnlimitedBody,
--- a/src/gateway/tests/mocks/plain_dialect.h
+++ b/src/gateway/tests/mocks/plain_dialect.h
@@ -22,6 +22,9 @@
     const std::string time(message.Header("Time"));
     if (!time.empty())
       request.time_left = milliseconds(std::stoi(time));
+    const std::string minimum(message.Header(kMinimumConfigurationHeader));
+    if (!minimum.empty())
+      request.minimum_configuration = std::stoi(minimum);
     const std::string tokens(message.Header("Tokens"));
     const bool long_run = !message.Header("Long").empty();
     if (!tokens.empty())
@@ -51,12 +54,15 @@
   }
 
   std::string EncodeRelay(const caller_request& request,
-                          milliseconds time_left) const override {
+                          milliseconds time_left,
+                          std::int64_t configuration) const override {
     http_request_message sent = request.message;
     std::erase_if(sent.headers, [](const http_header& header) {
       return header.name == "Content-Length" || header.name == "Time";
     });
     sent.headers.push_back({"Time", std::to_string(time_left.count())});
+    sent.headers.push_back(
+        {kMinimumConfigurationHeader, std::to_string(configuration)});
     return EncodeHttpRequest(sent);
   }
 
--- a/src/gateway/tests/relay_test.cc
+++ b/src/gateway/tests/relay_test.cc
@@ -506,3 +506,34 @@
                               f.TargetName(f.connector.channels.size() - 1)) !=
         std::string::npos);
 }
+
+// Guards against callers that see the effect of a version and then are handled
+// as an earlier one allows, by an instance that has not read the later one yet.
+TEST_CASE("a relayed request is not handled by an earlier configuration") {
+  relay_fixture f;
+  const std::int64_t version = f.latest_configuration.version();
+  const auto response_to = [&f](std::int64_t minimum) {
+    const auto channel = std::make_shared<scripted_channel>();
+    const auto accepted = f.AcceptRelay(channel);
+    channel->Receive(
+        "POST /unknown/x HTTP/1.1\r\nHost: h\r\nId: r\r\nKey: k\r\n" +
+        std::string(kMinimumConfigurationHeader) + ": " +
+        std::to_string(minimum) + "\r\nContent-Length: 2\r\n\r\nhi");
+    return channel->written;
+  };
+  CHECK(response_to(version).find("Code: no_route") != std::string::npos);
+  const std::string refusal = response_to(version + 1);
+  CHECK(refusal.find("Code: not_ready") != std::string::npos);
+  CHECK(refusal.find(kTryOtherInstanceHeader) != std::string::npos);
+}
+
+TEST_CASE("a relayed request states the configuration of its instance") {
+  relay_fixture f;
+  f.LosePaths();
+  f.SendRequest("/once/x");
+  REQUIRE(f.IsRelay(f.connector.channels.size() - 1));
+  CHECK(f.target_channel().written.find(
+            std::string(kMinimumConfigurationHeader) + ": " +
+            std::to_string(f.latest_configuration.version()) + "\r\n") !=
+        std::string::npos);
+}
