Accept heads of relayed requests that are as long as callers' may be

A request whose head had the maximum length was accepted from its caller and refused as unreadable (431) by the instance to which it was relayed, since the relay adds headers. The relay port accepts 1,024 bytes more. The test "a head of the size that callers may send can be relayed" failed before.

--- a/src/gateway/internal/caller_connection.cc
+++ b/src/gateway/internal/caller_connection.cc
@@ -23,6 +23,10 @@
 // have made room.
 constexpr milliseconds kNoRoomRetryAfter{500};
 
+// The head of a relayed request may exceed the limit for callers by the headers
+// that the other instance adds.
+constexpr std::size_t kRelayHeadBytes = 1024;
+
 constexpr char kContinueResponse[] = "HTTP/1.1 100 Continue\r\n\r\n";
 
 std::size_t RoundUpToStep(std::size_t bytes) {
@@ -47,7 +51,8 @@
 
 http_reader_limits caller_connection::ReaderLimits() const {
   const caller_limits limits = Limits();
-  return {static_cast<std::size_t>(limits.max_header_bytes),
+  return {static_cast<std::size_t>(limits.max_header_bytes) +
+              (is_relay_ ? kRelayHeadBytes : 0),
           static_cast<std::size_t>(limits.max_body_bytes)};
 }
 
--- a/src/gateway/tests/relay_test.cc
+++ b/src/gateway/tests/relay_test.cc
@@ -537,3 +537,23 @@
             std::to_string(f.latest_configuration.version()) + "\r\n") !=
         std::string::npos);
 }
+
+// Guards against the refusal of a relayed request whose head was accepted from
+// the caller.
+TEST_CASE("a head of the size that callers may send can be relayed") {
+  relay_fixture f;
+  f.LosePaths();
+  const auto size = static_cast<std::size_t>(
+      f.latest_configuration.table()->configuration().limits.max_header_bytes);
+  const std::string head =
+      "POST /once/x HTTP/1.1\r\nHost: h\r\nId: r\r\nKey: k\r\n"
+      "Content-Length: 2\r\nBig: ";
+  f.caller_channel->Receive(head + std::string(size - head.size() - 4, 'x') +
+                            "\r\n\r\nhi");
+  REQUIRE(f.IsRelay(f.connector.channels.size() - 1));
+  const auto channel = std::make_shared<scripted_channel>();
+  const auto accepted = f.AcceptRelay(channel);
+  channel->Receive(f.target_channel().written);
+  // It was read, and is refused since there is no path to a target.
+  CHECK(channel->written.find(kTryOtherInstanceHeader) != std::string::npos);
+}
