Report changed lists of instances once a read

Cause: the view of the store called the handler of the instance list for each instance entry that was read, also if only its lease had changed, and for the own entry. The handler rebuilds the tables of the watch tree and, since, that of the relay selector. In a fleet that grows, each instance did that for each other one while requests were waiting.

Change: the handler is called when a read has ended, and only if another instance was added, changed or removed.

--- a/src/gateway/internal/store_view.cc
+++ b/src/gateway/internal/store_view.cc
@@ -114,10 +114,9 @@
 
 std::vector<known_instance> store_view::OtherInstances() const {
   std::vector<known_instance> others;
-  for (const auto& [name, instance] : instances_) {
-    if (name != settings_.instance)
-      others.push_back(instance);
-  }
+  others.reserve(instances_.size());
+  for (const auto& [name, instance] : instances_)
+    others.push_back(instance);
   return others;
 }
 
@@ -169,6 +168,8 @@
 }
 
 void store_view::OnConfirmed(store_revision revision, timestamp confirmed_at) {
+  if (std::exchange(have_instances_changed_, false) && instances_handler_)
+    instances_handler_();
   services_.latest_configuration.Confirm(
       services_.latest_configuration.version(), confirmed_at);
   if (mirror_.HasContent() && revision.era > mirror_.revision().era &&
@@ -320,18 +321,27 @@
 
 void store_view::ApplyInstance(const store_change& change) {
   const std::string name = change.key.substr(kInstancePrefix.size());
-  instances_.erase(name);
+  std::optional<announcement> entry;
   if (change.value) {
-    if (const auto entry = DecodeAnnouncement(name, *change.value))
-      instances_[name] = entry->instance;
-    else
+    entry = DecodeAnnouncement(name, *change.value);
+    if (!entry)
       services_.logger.Write(log_level::warning, "instance_entry_unreadable",
                              {{"key", change.key}});
-  } else if (name == settings_.instance) {
-    announcer_.OnEntryMissing();
   }
-  if (instances_handler_)
-    instances_handler_();
+  if (name == settings_.instance) {
+    if (!change.value)
+      announcer_.OnEntryMissing();
+    return;
+  }
+  if (!entry) {
+    have_instances_changed_ |= instances_.erase(name) > 0;
+    return;
+  }
+  known_instance& known = instances_[name];
+  if (known == entry->instance)
+    return;
+  known = entry->instance;
+  have_instances_changed_ = true;
 }
 
 void store_view::RemoveMissing(const std::map<std::string, store_change>& items,
@@ -360,13 +370,12 @@
       domains.insert(*domain);
   }
   SetEvacuated(std::move(domains));
-  std::erase_if(instances_, [&](const auto& entry) {
-    return !items.contains(std::string(kInstancePrefix) + entry.first);
-  });
+  have_instances_changed_ |=
+      std::erase_if(instances_, [&](const auto& entry) {
+        return !items.contains(std::string(kInstancePrefix) + entry.first);
+      }) > 0;
   if (!items.contains(std::string(kInstancePrefix) + settings_.instance))
     announcer_.OnEntryMissing();
-  if (instances_handler_)
-    instances_handler_();
 }
 
 void store_view::SetEvacuated(std::set<domain_id> stored) {
--- a/src/gateway/internal/store_view.h
+++ b/src/gateway/internal/store_view.h
@@ -36,7 +36,8 @@
 
   void SubscribeToConfiguration(std::function<void()> handler);
 
-  // Calls `handler` when other instances may have been added or removed.
+  // Calls `handler` when other instances have been added, changed or removed;
+  // once for all changes that arrive together.
   void SubscribeToInstances(std::function<void()> handler);
 
   // Calls `handler` for each change of an entry of the quarantine registry.
@@ -117,7 +118,9 @@
   std::set<domain_id> evacuated_;
   timestamp era_grace_deadline_{};
   std::unique_ptr<i_timer> era_grace_timer_;
+  // The registered instances except this one.
   std::map<std::string, known_instance> instances_;
+  bool have_instances_changed_ = false;
   std::set<std::string> quarantine_keys_;
   std::set<std::string> rollout_keys_;
   instance_announcer announcer_;
--- a/src/gateway/tests/store_view_test.cc
+++ b/src/gateway/tests/store_view_test.cc
@@ -112,9 +112,11 @@
                   nullptr)(range_page{items, false, revision});
   }
 
-  void DeliverChange(const store_change& change) {
+  void DeliverChange(const store_change& change) { DeliverChanges({change}); }
+
+  void DeliverChanges(const std::vector<store_change>& changes) {
     std::exchange(store.watch_done,
-                  nullptr)(watch_page{{change}, change.revision});
+                  nullptr)(watch_page{changes, changes.back().revision});
     scheduler.Advance(milliseconds(50));
   }
 
@@ -254,6 +256,43 @@
   CHECK(store.range_done);
 }
 
+// Guards against the time that all instances of a large fleet spend on their
+// lists while others start: a list was rebuilt for each entry that was read.
+TEST_CASE("the list of instances is reported once a read, if it changes") {
+  store_view_fixture f;
+  int reports = 0;
+  std::size_t instance_count = 0;
+  f.view.SubscribeToInstances([&] {
+    ++reports;
+    instance_count = f.view.OtherInstances().size();
+  });
+  f.DeliverSnapshot({{"wist/instances/a", "10.0.0.2:7200 d 0 5", 7},
+                     {"wist/instances/b", "10.0.0.3:7200 d 0 6", 8},
+                     {"wist/instances/self", "10.0.0.1:7200 d 0 4", 9}});
+  CHECK(reports == 1);
+  CHECK(instance_count == 2);
+  f.DeliverChange({"targets/a", "d1", 11});
+  // Under another lease.
+  f.DeliverChange({"wist/instances/a", "10.0.0.2:7200 d 0 7", 12});
+  f.DeliverChange({"wist/instances/self", "10.0.0.1:7200 d 0 8", 13});
+  f.DeliverChange({"wist/instances/c", std::nullopt, 14});
+  CHECK(reports == 1);
+  f.DeliverChange({"wist/instances/a", "10.0.0.4:7200 d 0 7", 15});
+  CHECK(reports == 2);
+  f.DeliverChanges({{"wist/instances/b", std::nullopt, 16},
+                    {"wist/instances/c", "10.0.0.5:7200 d 0 9", 17},
+                    {"wist/instances/d", "10.0.0.6:7200 d 0 9", 18}});
+  CHECK(reports == 3);
+  CHECK(instance_count == 3);
+  std::exchange(f.store.watch_done, nullptr)(store_error::history_gone);
+  f.scheduler.Advance(milliseconds(1));
+  f.DeliverSnapshot({{"wist/instances/c", "10.0.0.5:7200 d 0 9", 17},
+                     {"wist/instances/d", "10.0.0.6:7200 d 0 9", 18}},
+                    90);
+  CHECK(reports == 4);
+  CHECK(instance_count == 2);
+}
+
 TEST_CASE("an entry that the store lost is written again") {
   store_view_fixture f;
   f.DeliverSnapshot({{"wist/instances/self", "10.0.0.1:7200 d 0 5", 9}});
