--- a/src/gateway/internal/store_view.h
+++ b/src/gateway/internal/store_view.h
@@ -36,8 +36,8 @@
 
   void SubscribeToConfiguration(std::function<void()> handler);
 
-  // Calls `handler` when other instances have been added, changed or removed;
-  // once for all changes that arrive together.
+  // Calls `handler` at the start, and then when other instances have been
+  // added, changed or removed; once for all changes that are read together.
   void SubscribeToInstances(std::function<void()> handler);
 
   // Calls `handler` for each change of an entry of the quarantine registry.
--- a/src/gateway/tests/store_view_test.cc
+++ b/src/gateway/tests/store_view_test.cc
@@ -261,36 +261,71 @@
 TEST_CASE("the list of instances is reported once a read, if it changes") {
   store_view_fixture f;
   int reports = 0;
-  std::size_t instance_count = 0;
+  std::vector<known_instance> reported;
   f.view.SubscribeToInstances([&] {
     ++reports;
-    instance_count = f.view.OtherInstances().size();
+    reported = f.view.OtherInstances();
   });
-  f.DeliverSnapshot({{"wist/instances/a", "10.0.0.2:7200 d 0 5", 7},
+  known_instance a{"a", domain_id("d"), {"10.0.0.2", 7200}, 0, 7201};
+  const known_instance b{"b", domain_id("d"), {"10.0.0.3", 7200}, 0, 0};
+  f.DeliverSnapshot({{"wist/instances/a", "10.0.0.2:7200 d 0 5 7201", 7},
                      {"wist/instances/b", "10.0.0.3:7200 d 0 6", 8},
                      {"wist/instances/self", "10.0.0.1:7200 d 0 4", 9}});
   CHECK(reports == 1);
-  CHECK(instance_count == 2);
-  f.DeliverChange({"targets/a", "d1", 11});
-  // Under another lease.
-  f.DeliverChange({"wist/instances/a", "10.0.0.2:7200 d 0 7", 12});
-  f.DeliverChange({"wist/instances/self", "10.0.0.1:7200 d 0 8", 13});
-  f.DeliverChange({"wist/instances/c", std::nullopt, 14});
-  CHECK(reports == 1);
-  f.DeliverChange({"wist/instances/a", "10.0.0.4:7200 d 0 7", 15});
-  CHECK(reports == 2);
-  f.DeliverChanges({{"wist/instances/b", std::nullopt, 16},
-                    {"wist/instances/c", "10.0.0.5:7200 d 0 9", 17},
-                    {"wist/instances/d", "10.0.0.6:7200 d 0 9", 18}});
-  CHECK(reports == 3);
-  CHECK(instance_count == 3);
-  std::exchange(f.store.watch_done, nullptr)(store_error::history_gone);
-  f.scheduler.Advance(milliseconds(1));
-  f.DeliverSnapshot({{"wist/instances/c", "10.0.0.5:7200 d 0 9", 17},
-                     {"wist/instances/d", "10.0.0.6:7200 d 0 9", 18}},
-                    90);
-  CHECK(reports == 4);
-  CHECK(instance_count == 2);
+  CHECK(reported == std::vector{a, b});
+
+  SECTION("not for what leaves the list as it is") {
+    f.DeliverChange({"targets/a", "d1", 11});
+    // Under another lease.
+    f.DeliverChange({"wist/instances/a", "10.0.0.2:7200 d 0 7 7201", 12});
+    f.DeliverChange({"wist/instances/self", "10.0.0.1:7200 d 0 8", 13});
+    f.DeliverChange({"wist/instances/self", std::nullopt, 14});
+    f.DeliverChange({"wist/instances/c", std::nullopt, 15});
+    f.DeliverChange({"wist/instances/d", "unreadable", 16});
+    CHECK(reports == 1);
+  }
+  SECTION("for each field that changes") {
+    f.DeliverChange({"wist/instances/a", "10.0.0.9:7200 d 0 5 7201", 11});
+    a.address.host = "10.0.0.9";
+    CHECK(reports == 2);
+    CHECK(reported == std::vector{a, b});
+    f.DeliverChange({"wist/instances/a", "10.0.0.9:7200 e 0 5 7201", 12});
+    a.domain = domain_id("e");
+    CHECK(reports == 3);
+    CHECK(reported == std::vector{a, b});
+    f.DeliverChange({"wist/instances/a", "10.0.0.9:7200 e 0 5 7301", 13});
+    a.relay_port = 7301;
+    CHECK(reports == 4);
+    CHECK(reported == std::vector{a, b});
+    f.DeliverChange({"wist/instances/a", "10.0.0.9:7200 e 500 5 7301", 14});
+    a.link_mbps = 500;
+    CHECK(reports == 5);
+    CHECK(reported == std::vector{a, b});
+  }
+  SECTION("for an entry that is removed") {
+    f.DeliverChange({"wist/instances/a", std::nullopt, 11});
+    CHECK(reports == 2);
+    CHECK(reported == std::vector{b});
+  }
+  SECTION("for an entry that can't be read any more") {
+    f.DeliverChange({"wist/instances/a", "unreadable", 11});
+    CHECK(reports == 2);
+    CHECK(reported == std::vector{b});
+  }
+  SECTION("once for several") {
+    f.DeliverChanges({{"wist/instances/b", std::nullopt, 16},
+                      {"wist/instances/c", "10.0.0.5:7200 d 0 9", 17},
+                      {"wist/instances/d", "10.0.0.6:7200 d 0 9", 18}});
+    CHECK(reports == 2);
+    CHECK(reported.size() == 3);
+  }
+  SECTION("for entries that are missing after lost history") {
+    std::exchange(f.store.watch_done, nullptr)(store_error::history_gone);
+    f.scheduler.Advance(milliseconds(1));
+    f.DeliverSnapshot({{"wist/instances/b", "10.0.0.3:7200 d 0 6", 8}}, 90);
+    CHECK(reports == 2);
+    CHECK(reported == std::vector{b});
+  }
 }
 
 TEST_CASE("an entry that the store lost is written again") {
