--- a/src/gateway/tests/store_view_test.cc
+++ b/src/gateway/tests/store_view_test.cc
@@ -1,161 +1,9 @@
 #include <catch2/catch.hpp>
 
-#include "framework/net/tests/mocks/virtual_scheduler.h"
-#include "gateway/internal/store_view.h"
-#include "gateway/tests/mocks/plain_dialect.h"
-#include "gateway/tests/mocks/recorded_logger.h"
+#include "gateway/tests/mocks/store_view_fixture.h"
 
 using namespace wist;
 
-namespace {
-
-// Decodes plain values: a configuration is its version, a target its failure
-// domain.
-class text_dialect final : public plain_dialect {
- public:
-  bool IsConfigurationKey(const std::string& key) const override {
-    return key == "operator/configuration";
-  }
-  std::optional<domain_id> EvacuatedDomain(
-      const std::string& key) const override {
-    if (!key.starts_with("operator/out/"))
-      return std::nullopt;
-    return domain_id(key.substr(13));
-  }
-  routing_configuration DecodeConfiguration(
-      const std::string& value) const override {
-    routing_configuration configuration;
-    configuration.version = std::stoll(value);
-    return configuration;
-  }
-  std::optional<target_entry> DecodeTarget(
-      const std::string& key,
-      const std::string& value) const override {
-    if (value == "unreadable")
-      return std::nullopt;
-    target_entry entry;
-    entry.id = TargetIdFromKey(key);
-    entry.service = service_id("s");
-    entry.domain = domain_id(value);
-    entry.sequence = 1;
-    return entry;
-  }
-  target_id TargetIdFromKey(const std::string& key) const override {
-    return target_id(key.substr(8));
-  }
-};
-
-class scripted_store final : public i_async_store {
- public:
-  void ReadRange(const std::string&,
-                 const std::string&,
-                 std::function<void(range_result)> done) override {
-    range_done = std::move(done);
-  }
-  void Watch(const std::string&,
-             store_revision,
-             milliseconds,
-             std::function<void(watch_result)> done) override {
-    watch_done = std::move(done);
-  }
-  void ReadRecent(const std::string&,
-                  std::function<void(range_result)> done) override {
-    done(range_page{announced, false, 1});
-  }
-  void CreateLease(
-      milliseconds,
-      std::function<void(std::optional<store_lease>)> done) override {
-    done(5);
-  }
-  void RenewLease(store_lease,
-                  std::function<void(lease_renewal)> done) override {
-    done(lease_renewal::renewed);
-  }
-  void PutUnderLease(const std::string& key,
-                     const std::string&,
-                     store_lease,
-                     std::function<void(bool)> done) override {
-    puts.push_back(key);
-    put_done = std::move(done);
-  }
-  void PutIfUnchanged(const std::string&,
-                      store_revision,
-                      const std::string&,
-                      store_lease,
-                      std::function<void(put_result)>) override {}
-  void PutDurably(const std::vector<key_condition>&,
-                  const std::string&,
-                  const std::string&,
-                  std::function<void(put_result)>) override {}
-
-  std::function<void(range_result)> range_done;
-  std::function<void(watch_result)> watch_done;
-  std::vector<store_change> announced;
-  std::vector<std::string> puts;
-  std::function<void(bool)> put_done;
-};
-
-struct store_view_fixture {
-  store_view_fixture() { view.Start(); }
-
-  static gateway_settings Settings() {
-    gateway_settings settings;
-    settings.instance = "self";
-    settings.domain = domain_id("d");
-    settings.peer_listen = {"10.0.0.1", 7200};
-    return settings;
-  }
-
-  void DeliverSnapshot(const std::vector<store_change>& items,
-                       store_revision revision = 10) {
-    std::exchange(store.range_done,
-                  nullptr)(range_page{items, false, revision});
-  }
-
-  void DeliverChange(const store_change& change) { DeliverChanges({change}); }
-
-  void DeliverChanges(const std::vector<store_change>& changes) {
-    std::exchange(store.watch_done,
-                  nullptr)(watch_page{changes, changes.back().revision});
-    scheduler.Advance(milliseconds(50));
-  }
-
-  void FailWatch() {
-    std::exchange(store.watch_done, nullptr)(store_error::unavailable);
-    scheduler.Advance(milliseconds(150));
-  }
-
-  bool AcceptsWork(const std::string& id) {
-    const known_target* target = directory.Find(target_id(id));
-    return target && directory.AcceptsNewWork(*target);
-  }
-
-  virtual_scheduler scheduler;
-  scripted_store store;
-  text_dialect dialect;
-  gateway_settings settings = Settings();
-  gateway_metrics metrics;
-  recorded_logger logger;
-  configuration_tracker latest_configuration;
-  target_directory directory;
-  target_selector selector{{domain_id("d")}, directory, 1};
-  struct unused_caller final : i_http_caller {
-    std::shared_ptr<i_http_call> Call(const http_address&,
-                                      std::string,
-                                      const call_options&,
-                                      call_callbacks) override {
-      return nullptr;
-    }
-    void CloseIdleChannels(const http_address&) override {}
-  } caller;
-  gateway_services services{
-      settings,  scheduler, caller, dialect, latest_configuration,
-      directory, selector,  logger, metrics, [] {}};
-  store_view view{settings, dialect, store, store, services, 1};
-};
-
-}  // namespace
-
 TEST_CASE("a snapshot sets configuration, domains, targets and instances") {
   store_view_fixture f;
   f.DeliverSnapshot({{"operator/configuration", "7", 3},
@@ -218,11 +66,27 @@
   CHECK_FALSE(f.AcceptsWork("a"));
 }
 
+// Guards against requests to a target that has left: a single watch is cut, and
+// the removal is acknowledged right after it.
+TEST_CASE("a removal beside one cut watch ends the use of its target in time") {
+  store_view_fixture f;
+  f.DeliverSnapshot({{"targets/a", "d1", 5}});
+  std::exchange(f.store.watch_done, nullptr)(store_error::unavailable);
+  const timestamp removed_at = f.scheduler.Now();
+  f.scheduler.Advance(milliseconds(100));
+  f.DeliverChange({"targets/a", std::nullopt, 21});
+  while (f.AcceptsWork("a")) {
+    f.scheduler.Advance(milliseconds(1));
+    f.directory.Expire(f.scheduler.Now());
+  }
+  const auto used_ms = (f.scheduler.Now() - removed_at).count() / 1000;
+  CHECK(used_ms <= 2000);
+}
+
 TEST_CASE("a snapshot after lost history removes deleted targets") {
   store_view_fixture f;
   f.DeliverSnapshot({{"targets/a", "d1", 5}, {"targets/b", "d1", 6}});
-  std::exchange(f.store.watch_done, nullptr)(store_error::history_gone);
-  f.scheduler.Advance(milliseconds(1));
+  f.LoseHistory();
   f.DeliverSnapshot({{"targets/a", "d1", 5}}, 90);
   CHECK(f.AcceptsWork("a"));
   CHECK_FALSE(f.AcceptsWork("b"));
@@ -320,8 +184,7 @@
     CHECK(reported.size() == 3);
   }
   SECTION("for entries that are missing after lost history") {
-    std::exchange(f.store.watch_done, nullptr)(store_error::history_gone);
-    f.scheduler.Advance(milliseconds(1));
+    f.LoseHistory();
     f.DeliverSnapshot({{"wist/instances/b", "10.0.0.3:7200 d 0 6", 8}}, 90);
     CHECK(reports == 2);
     CHECK(reported == std::vector{b});
@@ -344,8 +207,7 @@
   f.DeliverSnapshot({{"operator/configuration", "7", 3},
                      {"targets/a", "d1", 5},
                      {"targets/b", "d2", 6}});
-  std::exchange(f.store.watch_done, nullptr)(store_error::history_gone);
-  f.scheduler.Advance(milliseconds(1));
+  f.LoseHistory();
   f.DeliverSnapshot({{"operator/configuration", "7", 3},
                      {"targets/a", "d9", 40},
                      {"targets/c", "d3", 50}},
@@ -360,55 +222,6 @@
   CHECK(std::get<watch_page>(*page).at_revision == 90);
 }
 
-// Guards against targets whose entries went with the store's latest writes, and
-// against readers of the mirror that keep them.
-TEST_CASE("entries that the store has lost may be written again for a time") {
-  store_view_fixture f;
-  f.DeliverSnapshot({{"operator/configuration", "7", {1, 3}},
-                     {"targets/a", "d1", {1, 5}},
-                     {"targets/b", "d2", {1, 9}}},
-                    {1, 10});
-  std::exchange(f.store.watch_done, nullptr)(store_error::history_gone);
-  f.scheduler.Advance(milliseconds(1));
-  f.DeliverSnapshot(
-      {{"operator/configuration", "7", {2, 3}}, {"targets/a", "d1", {2, 5}}},
-      {2, 6});
-  CHECK(f.AcceptsWork("b"));
-  const auto page = f.view.mirror().Watch("", {1, 10}, f.scheduler.Now());
-  REQUIRE(page);
-  const std::vector<store_change> expected = {
-      {"targets/b", std::nullopt, {2, 6}}};
-  CHECK(std::get<watch_page>(*page).changes == expected);
-  f.scheduler.Advance(milliseconds(3000));
-  f.directory.Expire(f.scheduler.Now());
-  CHECK_FALSE(f.AcceptsWork("b"));
-  CHECK(f.AcceptsWork("a"));
-}
-
-// Guards against requests to the targets of an evacuated domain: the store has
-// returned from a copy that is older than the evacuation.
-TEST_CASE(
-    "an evacuation that the store has lost holds until it may be written") {
-  for (const bool is_written_again : {true, false}) {
-    INFO(is_written_again);
-    store_view_fixture f;
-    f.DeliverSnapshot({{"operator/out/d", "", {1, 9}}}, {1, 10});
-    CHECK(f.directory.IsEvacuated(domain_id("d")));
-    std::exchange(f.store.watch_done, nullptr)(store_error::history_gone);
-    f.scheduler.Advance(milliseconds(1));
-    f.DeliverSnapshot({}, {2, 6});
-    CHECK(f.directory.IsEvacuated(domain_id("d")));
-    if (is_written_again)
-      f.DeliverChange({"operator/out/d", "", {2, 7}});
-    f.scheduler.Advance(milliseconds(1900));
-    CHECK(f.directory.IsEvacuated(domain_id("d")));
-    f.scheduler.Advance(milliseconds(200));
-    CHECK(f.directory.IsEvacuated(domain_id("d")) == is_written_again);
-    f.DeliverChange({"operator/out/d", std::nullopt, {2, 8}});
-    CHECK_FALSE(f.directory.IsEvacuated(domain_id("d")));
-  }
-}
-
 // Guards against a roll-out that is missed, or goes on after its request was
 // removed, because the history of the store was lost.
 TEST_CASE("roll-out keys are passed on from changes and from snapshots") {
@@ -436,128 +249,3 @@
   f.DeliverChange({"targets/a", "d1", 21});
   CHECK(seen.size() == 2);
 }
-
-namespace {
-
-void ReadAgain(store_view_fixture& f) {
-  std::exchange(f.store.watch_done, nullptr)(store_error::history_gone);
-  f.scheduler.Advance(milliseconds(1));
-}
-
-// Returns what a reader of the mirror at `since` receives: the changes, or the
-// empty page at the end of its wait.
-std::string ReaderReceives(store_view_fixture& f, store_revision since) {
-  auto result = f.view.mirror().Watch("", since, f.scheduler.Now());
-  if (!result)
-    result = f.view.mirror().EmptyWatchResult(since, f.scheduler.Now());
-  if (const auto* error = std::get_if<store_error>(&*result))
-    return std::string(StoreErrorName(*error));
-  const auto& page = std::get<watch_page>(*result);
-  std::string text = "at " + std::to_string(page.at_revision.era) + "." +
-                     std::to_string(page.at_revision.number) + ":";
-  for (const auto& change : page.changes)
-    text += " " + change.key + "=" + change.value.value_or("-");
-  return text;
-}
-
-}  // namespace
-
-// Guards against an older configuration and targets that have left, which an
-// instance keeps that has started while the store returned: its revision lies
-// between the two contents that its parent has had.
-// The reader read {2, 50} from the store itself (v6). This instance had v7 in
-// era 1 and reads {2, 65}, after the operator has written v7 again at {2, 60}.
-TEST_CASE(
-    "a reader of the new era receives a configuration that is written again") {
-  store_view_fixture f;
-  f.DeliverSnapshot({{"operator/configuration", "7", {1, 95}}}, {1, 100});
-  ReadAgain(f);
-  f.DeliverSnapshot({{"operator/configuration", "7", {2, 60}}}, {2, 65});
-  CHECK(ReaderReceives(f, {2, 50}) == "history_gone");
-}
-
-// The copy has targets/t, which was removed at {1, 90}; the reader read it at
-// {2, 50}. It is removed again at {2, 60}.
-TEST_CASE("a reader of the new era receives the removal of an entry") {
-  store_view_fixture f;
-  f.DeliverSnapshot({{"targets/a", "d1", {1, 3}}}, {1, 100});
-  ReadAgain(f);
-  f.DeliverSnapshot({{"targets/a", "d1", {2, 3}}}, {2, 65});
-  CHECK(ReaderReceives(f, {2, 50}) == "history_gone");
-}
-
-// targets/t was lost with the copy (the reader read {2, 50} without it) and
-// written again at {2, 60}.
-TEST_CASE("a reader of the new era receives an entry that is written again") {
-  store_view_fixture f;
-  f.DeliverSnapshot({{"targets/t", "d1", {1, 95}}}, {1, 100});
-  ReadAgain(f);
-  f.DeliverSnapshot({{"targets/t", "d1", {2, 60}}}, {2, 65});
-  CHECK(ReaderReceives(f, {2, 50}) == "history_gone");
-}
-
-// The same within one era: the store has discarded its history.
-TEST_CASE("a reader between two contents of an era receives a removal") {
-  store_view_fixture f;
-  f.DeliverSnapshot({{"targets/a", "d1", 3}}, 100);
-  ReadAgain(f);
-  // targets/t was written at 140, read by the reader at 150, removed at 160.
-  f.DeliverSnapshot({{"targets/a", "d1", 3}}, 165);
-  CHECK(ReaderReceives(f, 150) == "history_gone");
-}
-
-// This instance read {3, 23} with v2. It reads again, from a mirror that had v3
-// since {2, 26} and found it unchanged at {3, 29}.
-TEST_CASE("a change whose revision is of an earlier era is passed on") {
-  store_view_fixture f;
-  f.DeliverSnapshot({{"operator/configuration", "2", {2, 5}}}, {3, 23});
-  ReadAgain(f);
-  f.DeliverSnapshot({{"operator/configuration", "3", {2, 26}}}, {3, 40});
-  CHECK(ReaderReceives(f, {3, 23}) == "at 3.40: operator/configuration=3");
-}
-
-// Guards against requests to a target that has left: a single watch is cut, and
-// the removal is acknowledged right after it.
-TEST_CASE("a removal beside one cut watch ends the use of its target in time") {
-  store_view_fixture f;
-  f.DeliverSnapshot({{"targets/a", "d1", 5}});
-  std::exchange(f.store.watch_done, nullptr)(store_error::unavailable);
-  const timestamp removed_at = f.scheduler.Now();
-  f.scheduler.Advance(milliseconds(100));
-  f.DeliverChange({"targets/a", std::nullopt, 21});
-  while (f.AcceptsWork("a")) {
-    f.scheduler.Advance(milliseconds(1));
-    f.directory.Expire(f.scheduler.Now());
-  }
-  const auto used_ms = (f.scheduler.Now() - removed_at).count() / 1000;
-  CHECK(used_ms <= 2000);
-}
-
-// Guards against sound targets that look removed. Two eras within the grace:
-// the owner of a lost entry has two seconds from the second return.
-TEST_CASE("a second era prolongs the grace of a missing entry") {
-  store_view_fixture f;
-  f.DeliverSnapshot({{"targets/a", "d1", {1, 5}}}, {1, 10});
-  ReadAgain(f);
-  f.DeliverSnapshot({}, {2, 6});
-  f.scheduler.Advance(milliseconds(1900));
-  ReadAgain(f);
-  f.DeliverSnapshot({}, {3, 6});
-  f.scheduler.Advance(milliseconds(500));
-  f.directory.Expire(f.scheduler.Now());
-  CHECK(f.AcceptsWork("a"));
-}
-
-// Guards against an instance that the others lack: its parent, through
-// which it enters the era, never had its entry.
-TEST_CASE("an own entry that is lost with the store is written again") {
-  store_view_fixture f;
-  f.DeliverSnapshot({}, {1, 100});
-  REQUIRE(f.store.put_done);
-  f.store.put_done(true);
-  const std::size_t puts = f.store.puts.size();
-  std::exchange(f.store.watch_done,
-                nullptr)(watch_page{{}, {2, 60}, milliseconds(5)});
-  f.scheduler.Advance(milliseconds(2500));
-  CHECK(f.store.puts.size() == puts + 1);
-}
