Log responses that break off, and bytes of servers that respond twice

`attempt_broken` has a line for each attempt whose target failed, broke off or did not respond in time, with the bytes of an incomplete event. `invalid_response` has two more rules: `other_request`, a response that was discarded since it names another request, and `surplus_bytes`, after a response or on an idle connection. Both were handled before and are only reported now. On the virtual clock each has a check.

--- a/src/framework/net/i_http_caller.h
+++ b/src/framework/net/i_http_caller.h
@@ -79,7 +79,9 @@
   virtual void CloseIdleChannels(const http_address& address) = 0;
 };
 
-// `observer` is called for each invalid response, before the call ends.
+// `observer` is called for each invalid response, before the call ends. That
+// includes a response to another call, which is discarded, and bytes after a
+// response, which close the channel; the call goes on or has ended.
 std::unique_ptr<i_http_caller> MakeHttpCaller(
     i_connector& connector,
     i_scheduler& scheduler,
--- a/src/framework/net/internal/http_caller.cc
+++ b/src/framework/net/internal/http_caller.cc
@@ -29,6 +29,10 @@
 // Start of an encoded request whose response has no body.
 constexpr std::string_view kHeadRequest = "HEAD ";
 
+// Rules that bytes of servers break which respond more than once.
+constexpr char kOtherRequestRule[] = "other_request";
+constexpr char kSurplusBytesRule[] = "surplus_bytes";
+
 // Returns the value of "timeout=N" in the Keep-Alive header, or the default.
 milliseconds ParseKeepAlive(const http_response_head& head) {
   const std::string_view value = head.Header("Keep-Alive");
@@ -55,11 +59,14 @@
 class idle_channel_pool
     : public std::enable_shared_from_this<idle_channel_pool> {
  public:
-  explicit idle_channel_pool(i_scheduler& scheduler) : scheduler_(scheduler) {}
+  idle_channel_pool(i_scheduler& scheduler, invalid_response_observer observer)
+      : scheduler_(scheduler), observer_(std::move(observer)) {}
 
+  // `last_call` is the one whose response was received last.
   void Add(const http_address& address,
            std::shared_ptr<i_channel> channel,
-           milliseconds keep_alive) {
+           milliseconds keep_alive,
+           const call_label& last_call) {
     const timestamp now = scheduler_.Now();
     if (keep_alive <= kKeepAliveMargin)
       return channel->Close();
@@ -74,8 +81,13 @@
       if (const auto self = weak.lock())
         self->Remove(address, raw, abort);
     };
-    channel->SetCallbacks({[remove](std::string_view) { remove(true); },
-                           [remove](channel_end) { remove(false); }});
+    channel->SetCallbacks(
+        {[remove, weak = weak_from_this(), last_call](std::string_view) {
+           if (const auto self = weak.lock())
+             self->Report(last_call, kSurplusBytesRule);
+           remove(true);
+         },
+         [remove](channel_end) { remove(false); }});
     idle.push_back(
         {std::move(channel), now, now + keep_alive - kKeepAliveMargin});
   }
@@ -107,6 +119,12 @@
     idle_.erase(found);
   }
 
+  // Reports a response that broke the rule with this name.
+  void Report(const call_label& call, std::string rule) const {
+    if (observer_)
+      observer_({call, std::move(rule)});
+  }
+
  private:
   static void CloseExpired(std::vector<idle_channel>& idle, timestamp now) {
     std::erase_if(idle, [&](idle_channel& entry) {
@@ -134,6 +152,7 @@
   }
 
   i_scheduler& scheduler_;
+  const invalid_response_observer observer_;
   std::map<http_address, std::vector<idle_channel>> idle_;
 };
 
@@ -144,15 +163,13 @@
             std::shared_ptr<idle_channel_pool> pool,
             call_callbacks callbacks,
             const call_options& options,
-            bool is_head_request,
-            std::shared_ptr<const invalid_response_observer> observer)
+            bool is_head_request)
       : address_(std::move(address)),
         pool_(std::move(pool)),
         callbacks_(std::move(callbacks)),
         reader_limits_{kMaxResponseHeadBytes, options.max_body_bytes},
         is_head_request_(is_head_request),
         label_(options.label),
-        observer_(std::move(observer)),
         reader_(MakeHttpResponseReader(reader_limits_, is_head_request_)) {}
 
   void StartOnIdleChannel(std::shared_ptr<i_channel> channel,
@@ -229,6 +246,8 @@
         !callbacks_.matches_call(reader_->head(),
                                  reused_ || has_skipped_response_);
     has_skipped_response_ = has_skipped_response_ || is_skipping_response_;
+    if (is_skipping_response_)
+      pool_->Report(label_, kOtherRequestRule);
     if (!is_skipping_response_ && callbacks_.on_head)
       callbacks_.on_head(reader_->head());
   }
@@ -238,8 +257,10 @@
     const bool keep = head.keep_alive && !extra_bytes &&
                       !has_skipped_response_ && channel_->UnsentBytes() == 0;
     const auto channel = std::exchange(channel_, nullptr);
+    if (extra_bytes)
+      pool_->Report(label_, kSurplusBytesRule);
     if (keep)
-      pool_->Add(address_, channel, ParseKeepAlive(head));
+      pool_->Add(address_, channel, ParseKeepAlive(head), label_);
     else if (extra_bytes || channel->UnsentBytes() > 0)
       channel->Abort();
     else
@@ -263,8 +284,7 @@
   void OnInvalidResponse(response_rule rule) {
     const bool may_have_been_sent = MayHaveBeenSent();
     std::exchange(channel_, nullptr)->Abort();
-    if (*observer_)
-      (*observer_)({label_, std::string(ResponseRuleName(rule))});
+    pool_->Report(label_, std::string(ResponseRuleName(rule)));
     Finish({call_end::malformed, may_have_been_sent});
   }
 
@@ -281,7 +301,6 @@
   const http_reader_limits reader_limits_;
   const bool is_head_request_;
   const call_label label_;
-  const std::shared_ptr<const invalid_response_observer> observer_;
   std::unique_ptr<i_http_response_reader> reader_;
   std::shared_ptr<i_channel> channel_;
   bool has_seen_head_ = false;
@@ -296,17 +315,16 @@
               i_scheduler& scheduler,
               invalid_response_observer observer)
       : connector_(connector),
-        pool_(std::make_shared<idle_channel_pool>(scheduler)),
-        observer_(std::make_shared<const invalid_response_observer>(
-            std::move(observer))) {}
+        pool_(std::make_shared<idle_channel_pool>(scheduler,
+                                                  std::move(observer))) {}
 
   std::shared_ptr<i_http_call> Call(const http_address& address,
                                     std::string request,
                                     const call_options& options,
                                     call_callbacks callbacks) override {
-    auto call = std::make_shared<http_call>(
-        address, pool_, std::move(callbacks), options,
-        request.starts_with(kHeadRequest), observer_);
+    auto call =
+        std::make_shared<http_call>(address, pool_, std::move(callbacks),
+                                    options, request.starts_with(kHeadRequest));
     if (auto pooled = pool_->Acquire(address, options.max_idle)) {
       call->StartOnIdleChannel(std::move(pooled), std::move(request));
       return call;
@@ -322,9 +340,8 @@
 
  private:
   i_connector& connector_;
-  const std::shared_ptr<idle_channel_pool> pool_;
   // Shared with the calls, which may outlive this object.
-  const std::shared_ptr<const invalid_response_observer> observer_;
+  const std::shared_ptr<idle_channel_pool> pool_;
 };
 
 }  // namespace
--- a/src/framework/net/tests/http_caller_test.cc
+++ b/src/framework/net/tests/http_caller_test.cc
@@ -40,7 +40,13 @@
 
   virtual_scheduler scheduler;
   scripted_connector connector;
-  std::unique_ptr<i_http_caller> caller = MakeHttpCaller(connector, scheduler);
+  std::vector<std::string> broken_rules;
+  std::unique_ptr<i_http_caller> caller =
+      MakeHttpCaller(connector,
+                     scheduler,
+                     [this](const invalid_response& response) {
+                       broken_rules.push_back(response.rule);
+                     });
   std::optional<call_outcome> outcome;
   std::string body;
   int status = 0;
@@ -133,6 +139,7 @@
   CHECK(f.connector.channels.size() == 2);
   f.channel(1).Receive(kResponse + "HTTP/1.1 200 OK\r\n");
   CHECK(f.body == "ok");
+  CHECK(f.broken_rules == std::vector<std::string>{"surplus_bytes"});
   CHECK(f.channel(1).aborted);
   f.Call();
   CHECK(f.connector.channels.size() == 3);
@@ -142,8 +149,10 @@
   fixture f;
   f.Call();
   f.channel(0).Receive(kResponse);
+  CHECK(f.broken_rules.empty());
   f.channel(0).Receive(kResponse);
   CHECK(f.channel(0).aborted);
+  CHECK(f.broken_rules == std::vector<std::string>{"surplus_bytes"});
   f.Call();
   CHECK(f.connector.channels.size() == 2);
 }
@@ -153,6 +162,7 @@
   f.Call("b");
   f.channel(0).Receive(kResponse);
   CHECK_FALSE(f.outcome);
+  CHECK(f.broken_rules == std::vector<std::string>{"other_request"});
   f.channel(0).Receive(
       "HTTP/1.1 201 Created\r\nId: b\r\nContent-Length: 4\r\n\r\nmine");
   REQUIRE(f.outcome);
--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -55,6 +55,25 @@
 constexpr int kCapacityWaitDivisor = 8;
 constexpr milliseconds kCapacityPollInterval{20};
 
+// Returns the name of an end after which a run may go on at another target;
+// null for the others.
+const char* BrokenEndName(run_end end) {
+  switch (end) {
+    case run_end::failed:
+      return "failed";
+    case run_end::broken:
+      return "broken";
+    case run_end::timed_out:
+      return "timed_out";
+    case run_end::completed:
+    case run_end::rejected:
+    case run_end::unreachable:
+    case run_end::cancelled:
+      return nullptr;
+  }
+  return nullptr;
+}
+
 // The events of a stream are passed on as they arrive. A response on a
 // streaming route that is no stream is bounded in OnBody.
 std::size_t MaxBodyBytes(call_kind kind) {
@@ -421,6 +440,7 @@
   if (!attempt_)
     return;
   attempt_timer_.reset();
+  LogBrokenAttempt(end);
   RecordEnd(end);
   excluded_targets_.insert(attempt_->target.id);
   // Other pooled connections to a target that stopped responding may be dead as
@@ -436,6 +456,23 @@
   services_.on_load_change();
 }
 
+void exchange::LogBrokenAttempt(run_end end) {
+  const char* name = BrokenEndName(end);
+  if (!name)
+    return;
+  services_.logger.Write(
+      log_level::info, "attempt_broken",
+      {{"request_id", request_.id},
+       {"target", attempt_->target.id.text()},
+       {"end", std::string(name)},
+       {"status", static_cast<std::int64_t>(attempt_->head.status)},
+       {"events", splitter_.event_count()},
+       {"incomplete_event_bytes",
+        static_cast<std::int64_t>(splitter_.partial_bytes())},
+       {"took_ms",
+        ToMilliseconds(services_.scheduler.Now() - attempt_->sent_at)}});
+}
+
 void exchange::OnCallerGone() {
   if (finished_)
     return;
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -166,6 +166,7 @@
   void OnDeadline();
   void EndUnfinished(error_code code, const std::string& stream_reason);
   void EndAttempt(run_end end);
+  void LogBrokenAttempt(run_end end);
 
   bool CanMove() const;
   void StartMove();
--- a/src/gateway/tests/stream_resume_test.cc
+++ b/src/gateway/tests/stream_resume_test.cc
@@ -73,3 +73,18 @@
   CHECK(f.connector.channels.size() == 1);
   CHECK(f.caller_channel->aborted);
 }
+
+// A response may be made of those of several targets, of which only the last
+// one is in the line of the request.
+TEST_CASE("each response that breaks off has a line of its own") {
+  resumable_stream f;
+  f.target_channel(0).Receive(f.StreamHead() + EncodeChunk("id: 1\nda"));
+  f.target_channel(0).End(channel_end::reset);
+  CHECK(f.logger.Count("attempt_broken") == 1);
+  CHECK(f.logger.LastField("attempt_broken", "target") == f.TargetName(0));
+  CHECK(f.logger.LastField("attempt_broken", "end") == "broken");
+  REQUIRE(f.WasSentAgain());
+  f.target_channel(1).Receive(f.StreamHead() + f.Event(1) +
+                              std::string(LastChunk()));
+  CHECK(f.logger.Count("attempt_broken") == 1);
+}
