Do not send a call again whose first events were passed on

A call whose route is idempotent may be responded to with events, which are passed on as they arrive. If its response took longer than twice the objective, the call was sent to a second target, and the caller would get the events of both runs in one response (MIXED, ORDER).

Cause: the decision about a slow attempt looked at its collected body only, not at what the caller had been sent.

The test failed before: "a call whose first event was passed on is not sent again", 3 checks.

--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -405,7 +405,9 @@
 }
 
 void exchange::OnSlowAttempt() {
-  if (!attempt_ || !attempt_->body.empty() || !TryConsumeRetry())
+  // Another run need not produce what the caller was sent of this one.
+  if (!attempt_ || stream_started_ || !attempt_->body.empty() ||
+      !TryConsumeRetry())
     return;
   attempt_->call->Cancel();
   RetryOnAnotherTarget(run_end::timed_out);
--- a/src/gateway/tests/broken_response_test.cc
+++ b/src/gateway/tests/broken_response_test.cc
@@ -82,3 +82,16 @@
   f.target_channel(1).Receive(f.StreamHead() + EncodeChunk("id"));
   CHECK(f.services.buffers.total_bytes() == 2);
 }
+
+// Guards against the events of two runs in one response (MIXED, ORDER): a call
+// that is slow after its first event is tried again.
+TEST_CASE("a call whose first event was passed on is not sent again") {
+  repeatable_request f("/again/x");
+  f.target_channel(0).Receive(f.StreamHead() + EncodeChunk(kFirstEvent));
+  f.scheduler.Advance(milliseconds(1000));
+  CHECK_FALSE(f.WasSentAgain());
+  f.target_channel(0).Receive(EncodeChunk("id: 2\ndata: first\n\n") +
+                              std::string(LastChunk()));
+  CHECK(f.Body() == kFirstEvent + "id: 2\ndata: first\n\n");
+  CHECK(f.IsComplete());
+}
