Count only its own events where a resumed stream has no length

A stream without length that is closed before its first event has been broken off. On a resumed stream the events of the target before counted too, so that the caller got an early end as a complete one (MIXED, ORDER).

The test failed before: "a resumed stream without length and events has been broken off", 2 checks.

--- a/src/gateway/internal/exchange_response.cc
+++ b/src/gateway/internal/exchange_response.cc
@@ -123,7 +123,7 @@
 // event or, where only the end of the channel ends it, before its target has
 // sent one.
 bool exchange::IsStreamBrokenOff() const {
-  const bool has_events = sent_events_.count > 0 && !handover_;
+  const bool has_events = attempt_->events.event_count() > 0 && !handover_;
   return attempt_->events.HasPartial() ||
          (attempt_->classification.is_event_stream &&
           attempt_->head.EndsWithChannel() && !has_events);
--- a/src/gateway/tests/broken_response_test.cc
+++ b/src/gateway/tests/broken_response_test.cc
@@ -95,3 +95,18 @@
   CHECK(f.Body() == kFirstEvent + "id: 2\ndata: first\n\n");
   CHECK(f.IsComplete());
 }
+
+// Guards against a stream that looks complete although its last target broke
+// off before its first event (MIXED, ORDER): the events of the target before it
+// were counted as its own.
+TEST_CASE("a resumed stream without length and events has been broken off") {
+  repeatable_request f("/resume/x");
+  f.target_channel(0).Receive(f.StreamHead() + EncodeChunk(kFirstEvent));
+  f.target_channel(0).End(channel_end::reset);
+  REQUIRE(f.WasSentAgain());
+  f.target_channel(1).Receive(
+      "HTTP/1.1 200 OK\r\nId: r\r\nSigned: 1\r\nEvents: 1\r\n\r\n");
+  f.target_channel(1).End(channel_end::closed);
+  CHECK(f.caller_channel->aborted);
+  CHECK_FALSE(f.IsComplete());
+}
