Do not end a stream with a response that is no stream

Where a resumed or moved run got a signed success that is no event stream, the stream that the caller had begun to get was ended as complete, without the rest of its events (MIXED, ORDER). Now it counts as broken off.

Cause: whether a response is a stream is a matter of each attempt, while the way in which the caller gets it was decided by the first one.

The test failed before: "a stream does not end with a response that is no stream", 4 checks.

--- a/src/gateway/internal/exchange_response.cc
+++ b/src/gateway/internal/exchange_response.cc
@@ -120,9 +120,11 @@
 }
 
 // Whether a stream that seems complete has been broken off: in the middle of an
-// event or, where only the end of the channel ends it, before its target has
-// sent one.
+// event, with a response that is no stream or, where only the end of the
+// channel ends it, before its target has sent an event.
 bool exchange::IsStreamBrokenOff() const {
+  if (stream_started_ && !attempt_->classification.is_event_stream)
+    return true;
   const bool has_events = attempt_->events.event_count() > 0 && !handover_;
   return attempt_->events.HasPartial() ||
          (attempt_->classification.is_event_stream &&
--- a/src/gateway/tests/broken_response_test.cc
+++ b/src/gateway/tests/broken_response_test.cc
@@ -110,3 +110,18 @@
   CHECK(f.caller_channel->aborted);
   CHECK_FALSE(f.IsComplete());
 }
+
+// Guards against a stream that looks complete although its second target sent
+// none of its events (MIXED, ORDER).
+TEST_CASE("a stream does not end with a response that is no stream") {
+  for (const char* status : {"200 OK", "204 No Content"}) {
+    INFO(status);
+    repeatable_request f("/resume/x");
+    f.target_channel(0).Receive(f.StreamHead() + EncodeChunk(kFirstEvent));
+    f.target_channel(0).End(channel_end::reset);
+    REQUIRE(f.WasSentAgain());
+    f.target_channel(1).Receive(f.Response(status, ""));
+    CHECK(f.caller_channel->aborted);
+    CHECK_FALSE(f.IsComplete());
+  }
+}
