Reject a resumed run that begins before the last event sent

A target that begins a resumed or moved run anew sends events again that the caller has got (ORDER, "comes twice"). The gateway passed on whatever the next target sent. Now the first event of such a run has to have a later id than the last one that was sent; else the response is invalid, rule `event_order`, and the run counts as broken off.

Cause: that two runs join was left to the second target alone. Ids that are no numbers only have to differ; events of one response are not compared with each other.

The test failed before: "a resumed stream does not go back", 2 checks.

--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -159,6 +159,7 @@
 
   void OnHead(const http_response_head& head);
   void OnBody(std::string bytes);
+  bool FollowsSentEvents(const event_batch& events) const;
   void OnInvalidBody(const std::string& rule);
   bool HoldBytes(std::size_t bytes);
   void OnResponseGivenUp();
--- a/src/gateway/internal/exchange_response.cc
+++ b/src/gateway/internal/exchange_response.cc
@@ -51,6 +51,8 @@
   event_batch events = attempt_->events.Feed(bytes);
   if (attempt_->events.IsTooLong())
     return OnInvalidBody("event_size");
+  if (!FollowsSentEvents(events))
+    return OnInvalidBody("event_order");
   if (!HoldBytes(attempt_->events.partial_bytes()))
     return;
   if (events.text.empty())
@@ -80,6 +82,14 @@
     response_writer_->AppendToStream(EncodeChunk(events.text));
 }
 
+// Whether a run that goes on at another target does so after the last event
+// that the caller was sent.
+bool exchange::FollowsSentEvents(const event_batch& events) const {
+  const bool is_first = attempt_->events.event_count() == events.count;
+  return !is_first || !events.first_id || !sent_events_.last_id ||
+         IsLaterEventId(*events.first_id, *sent_events_.last_id);
+}
+
 void exchange::OnInvalidBody(const std::string& rule) {
   services_.on_invalid_response(
       {{attempt_->target.id.text(), request_.id}, rule});
--- a/src/gateway/tests/broken_response_test.cc
+++ b/src/gateway/tests/broken_response_test.cc
@@ -125,3 +125,16 @@
     CHECK_FALSE(f.IsComplete());
   }
 }
+
+// Guards against events that a caller gets twice (ORDER): a target begins a
+// resumed stream anew.
+TEST_CASE("a resumed stream does not go back") {
+  repeatable_request f("/resume/x");
+  f.target_channel(0).Receive(f.StreamHead() + EncodeChunk(kFirstEvent) +
+                              EncodeChunk("id: 2\ndata: first\n\n"));
+  f.target_channel(0).End(channel_end::reset);
+  REQUIRE(f.WasSentAgain());
+  f.target_channel(1).Receive(f.StreamHead() + EncodeChunk(kSecondEvent));
+  CHECK(f.caller_channel->aborted);
+  CHECK_FALSE(f.ResponseContains("second"));
+}
--- a/src/streams/event_splitter.h
+++ b/src/streams/event_splitter.h
@@ -13,10 +13,16 @@
 struct event_batch {
   std::string text;
   std::int64_t count = 0;
-  // The id of the last event that has one; nothing if there is none.
+  // The ids of the first and of the last event that has one; nothing if there
+  // is none.
+  std::optional<std::string> first_id;
   std::optional<std::string> last_id;
 };
 
+// Whether the event with this id may follow the one with id `earlier`. Decimal
+// numbers increase; other ids only differ.
+bool IsLaterEventId(std::string_view id, std::string_view earlier);
+
 // Splits one text/event-stream response into complete events, so that a stream
 // that breaks off within an event can be resumed after the last complete one.
 // The incomplete event belongs to this response only: each response has a
--- a/src/streams/internal/event_splitter.cc
+++ b/src/streams/internal/event_splitter.cc
@@ -1,6 +1,7 @@
 #include "streams/event_splitter.h"
 
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
 namespace wist {
@@ -44,8 +45,25 @@
   return id;
 }
 
+std::optional<std::uint64_t> ParseNumber(std::string_view text) {
+  std::uint64_t number = 0;
+  const char* last = text.data() + text.size();
+  const auto [end, error] = std::from_chars(text.data(), last, number);
+  if (error != std::errc() || end != last)
+    return std::nullopt;
+  return number;
+}
+
 }  // namespace
 
+bool IsLaterEventId(std::string_view id, std::string_view earlier) {
+  const auto number = ParseNumber(id);
+  const auto earlier_number = ParseNumber(earlier);
+  if (!number || !earlier_number)
+    return id != earlier;
+  return *number > *earlier_number;
+}
+
 bool event_splitter::IsTooLong() const {
   return partial_.size() > kMaxEventBytes;
 }
@@ -58,6 +76,8 @@
        end != std::string_view::npos; end = FindEventEnd(partial_, begin)) {
     ++batch.count;
     auto id = EventId(std::string_view(partial_).substr(begin, end - begin));
+    if (!batch.first_id)
+      batch.first_id = id;
     if (id)
       batch.last_id = std::move(id);
     begin = end;
--- a/src/streams/tests/event_splitter_test.cc
+++ b/src/streams/tests/event_splitter_test.cc
@@ -37,6 +37,16 @@
   CHECK_FALSE(batch.last_id);
 }
 
+TEST_CASE("ids of events increase if they are numbers") {
+  CHECK(IsLaterEventId("10", "9"));
+  CHECK_FALSE(IsLaterEventId("9", "10"));
+  CHECK_FALSE(IsLaterEventId("9", "9"));
+  CHECK(IsLaterEventId("b", "a"));
+  CHECK(IsLaterEventId("a", "b"));
+  CHECK_FALSE(IsLaterEventId("a", "a"));
+  CHECK(IsLaterEventId("99999999999999999999", "9"));
+}
+
 // A target in trouble may send bytes that are no events, without end.
 TEST_CASE("an event without end is noticed before it fills the memory") {
   event_splitter splitter;
