Do not pass a second response on as events of a stream

A stream without length and chunks ends with its connection. If its target responded twice, the head of the second response ended with an empty line and was passed on as an event, and its events followed (MIXED).

Cause: only the empty line decided what an event is. No line of an event begins with "HTTP/1.": a stream with such a line has been broken off, rule `surplus_bytes`. A second response right after bytes of an incomplete line is not recognized.

The test failed before: "a second response is not part of a stream without length", 6 checks; it accepts 502 in place of an abort where nothing has been passed on.

--- a/src/gateway/internal/exchange_response.cc
+++ b/src/gateway/internal/exchange_response.cc
@@ -51,6 +51,8 @@
   event_batch events = attempt_->events.Feed(bytes);
   if (attempt_->events.IsTooLong())
     return OnInvalidBody("event_size");
+  if (attempt_->events.HasStatusLine())
+    return OnInvalidBody("surplus_bytes");
   if (!FollowsSentEvents(events))
     return OnInvalidBody("event_order");
   if (!HoldBytes(attempt_->events.partial_bytes()))
--- a/src/gateway/tests/broken_response_test.cc
+++ b/src/gateway/tests/broken_response_test.cc
@@ -138,3 +138,26 @@
   CHECK(f.caller_channel->aborted);
   CHECK_FALSE(f.ResponseContains("second"));
 }
+
+// Guards against a second response, late, that is passed on as events (MIXED):
+// the body has no length, and its channel carries more.
+TEST_CASE("a second response is not part of a stream without length") {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nId: r\r\nSigned: 1\r\nEvents: 1\r\n\r\n";
+  for (const bool is_separate : {true, false}) {
+    exchange_fixture f;
+    f.SendStreamRequest();
+    const std::string second = head + kFirstEvent;
+    if (is_separate) {
+      f.target_channel().Receive(head + kFirstEvent);
+      f.target_channel().Receive(second);
+    } else {
+      f.target_channel().Receive(head + kFirstEvent + second);
+    }
+    f.target_channel().End(channel_end::closed);
+    CHECK(f.response().find("HTTP/1.1") == f.response().rfind("HTTP/1.1"));
+    CHECK(f.response().find("first") == f.response().rfind("first"));
+    CHECK((f.caller_channel->aborted ||
+           f.response().starts_with("HTTP/1.1 502")));
+  }
+}
--- a/src/streams/event_splitter.h
+++ b/src/streams/event_splitter.h
@@ -40,12 +40,17 @@
   // stream is to be given up.
   bool IsTooLong() const;
 
+  // Whether a complete event has a line that begins a response. Where only the
+  // end of the channel ends the stream, a second response follows it unnoticed.
+  bool HasStatusLine() const { return has_status_line_; }
+
   // The number of complete events.
   std::int64_t event_count() const { return event_count_; }
 
  private:
   std::string partial_;
   std::int64_t event_count_ = 0;
+  bool has_status_line_ = false;
 };
 
 }  // namespace wist
--- a/src/streams/internal/event_splitter.cc
+++ b/src/streams/internal/event_splitter.cc
@@ -9,6 +9,9 @@
 
 constexpr std::string_view kIdField = "id:";
 
+// No line of an event begins like this: the name of a field ends with a colon.
+constexpr std::string_view kStatusLineStart = "HTTP/1.";
+
 // An event holds a few tokens; a stream without any end of an event holds none.
 constexpr std::size_t kMaxEventBytes = 1'048'576;
 
@@ -26,9 +29,13 @@
   return std::string_view::npos;
 }
 
-// Returns the id that the event states; nothing if it states none.
-std::optional<std::string> EventId(std::string_view event) {
+struct event_lines {
   std::optional<std::string> id;
+  bool has_status_line = false;
+};
+
+event_lines ReadLines(std::string_view event) {
+  event_lines lines;
   for (std::size_t begin = 0; begin < event.size();) {
     const std::size_t end = std::min(event.find('\n', begin), event.size());
     std::string_view line = event.substr(begin, end - begin);
@@ -38,11 +45,13 @@
       line.remove_prefix(kIdField.size());
       if (line.starts_with(' '))
         line.remove_prefix(1);
-      id = std::string(line);
+      lines.id = std::string(line);
+    } else if (line.starts_with(kStatusLineStart)) {
+      lines.has_status_line = true;
     }
     begin = end + 1;
   }
-  return id;
+  return lines;
 }
 
 std::optional<std::uint64_t> ParseNumber(std::string_view text) {
@@ -75,11 +84,13 @@
   for (std::size_t end = FindEventEnd(partial_, begin);
        end != std::string_view::npos; end = FindEventEnd(partial_, begin)) {
     ++batch.count;
-    auto id = EventId(std::string_view(partial_).substr(begin, end - begin));
+    event_lines lines =
+        ReadLines(std::string_view(partial_).substr(begin, end - begin));
+    has_status_line_ = has_status_line_ || lines.has_status_line;
     if (!batch.first_id)
-      batch.first_id = id;
-    if (id)
-      batch.last_id = std::move(id);
+      batch.first_id = lines.id;
+    if (lines.id)
+      batch.last_id = std::move(lines.id);
     begin = end;
   }
   event_count_ += batch.count;
--- a/src/streams/tests/event_splitter_test.cc
+++ b/src/streams/tests/event_splitter_test.cc
@@ -47,6 +47,18 @@
   CHECK(IsLaterEventId("99999999999999999999", "9"));
 }
 
+// Guards against a second response that is passed on as an event.
+TEST_CASE("a line that begins a response is noticed") {
+  for (const char* text : {"HTTP/1.1 200 OK\r\nX: 1\r\n\r\n",
+                           "id: 2\nHTTP/1.0 200 OK\r\nX: 1\r\n\r\n"}) {
+    event_splitter splitter;
+    splitter.Feed("id: 1\ndata: HTTP/1.1 200 OK\n\n");
+    CHECK_FALSE(splitter.HasStatusLine());
+    splitter.Feed(text);
+    CHECK(splitter.HasStatusLine());
+  }
+}
+
 // A target in trouble may send bytes that are no events, without end.
 TEST_CASE("an event without end is noticed before it fills the memory") {
   event_splitter splitter;
