Do not clear a prompt by the output of an earlier run

A prompt that crashes its targets right after their first event counted as harmless when a resumed run sent its first event 250 ms after that of the first run, and the second crash was not held against the prompt. The line `target_crashed` had the events of all runs.

The test failed before: "the output of one run does not clear the prompt of the next one", 2 checks.

--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -368,8 +368,8 @@
   if (!target || target->leaving)
     attempt_->counts = false;
   if (target && !target->leaving)
-    services_.on_run_broken(SuspectsOfBrokenRun(), sent_events_.count,
-                            attempt_->target);
+    services_.on_run_broken(SuspectsOfBrokenRun(),
+                            attempt_->events.event_count(), attempt_->target);
   if (stream_started_) {
     if (ResumeFromOtherCopy() || ResumeFromBackup() || ResumeWithNewRun())
       return;
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -31,8 +31,9 @@
   response_classification classification;
   http_response_head head;
   std::string body;
-  // The events of a stream.
+  // The events of a stream, and when the first one arrived.
   event_splitter events;
+  std::optional<timestamp> first_event_at;
   // Memory of `body` or of an incomplete event. Null until there is any.
   std::unique_ptr<response_buffer> buffer;
   // Target that holds a backup copy of the run's KV cache.
--- a/src/gateway/internal/exchange_quarantine.cc
+++ b/src/gateway/internal/exchange_quarantine.cc
@@ -5,7 +5,7 @@
 namespace wist {
 void exchange::RecordOutput() {
   const timestamp now = services_.scheduler.Now();
-  if (has_settled_ || now < *first_event_at_ + kOutputSettlingTime)
+  if (has_settled_ || now < *attempt_->first_event_at + kOutputSettlingTime)
     return;
   has_settled_ = true;
   services_.crashes.OnOutput(fingerprint_, now);
--- a/src/gateway/internal/exchange_response.cc
+++ b/src/gateway/internal/exchange_response.cc
@@ -124,6 +124,8 @@
 
 void exchange::RecordEventTimes() {
   const timestamp now = services_.scheduler.Now();
+  if (!attempt_->first_event_at)
+    attempt_->first_event_at = now;
   if (!first_event_at_)
     first_event_at_ = now;
   else
--- a/src/gateway/tests/broken_response_test.cc
+++ b/src/gateway/tests/broken_response_test.cc
@@ -161,3 +161,27 @@
            f.response().starts_with("HTTP/1.1 502")));
   }
 }
+
+// Guards against a prompt that crashes its targets after their first event and
+// is cleared by the time that has passed since the first target's: the run of
+// one target is taken for that of the next one.
+TEST_CASE("the output of one run does not clear the prompt of the next one") {
+  exchange_fixture f;
+  f.settings.retry_slack = 100;
+  std::vector<std::size_t> suspected_parts;
+  std::vector<std::int64_t> event_counts;
+  f.services.on_run_broken = [&](const run_fingerprint& run, std::int64_t count,
+                                 const target_entry&) {
+    suspected_parts.push_back(run.prompt_parts.size());
+    event_counts.push_back(count);
+  };
+  f.SendRequest("/resume/x", "Tokens: 1000\r\nParts: a\r\n");
+  f.target_channel(0).Receive(f.StreamHead() + f.Event(1));
+  f.target_channel(0).End(channel_end::reset);
+  REQUIRE(f.connector.channels.size() == 2);
+  f.scheduler.Advance(2 * kOutputSettlingTime);
+  f.target_channel(1).Receive(f.StreamHead() + f.Event(2));
+  f.target_channel(1).End(channel_end::reset);
+  CHECK(suspected_parts == std::vector<std::size_t>{1, 1});
+  CHECK(event_counts == std::vector<std::int64_t>{1, 1});
+}
