Do not pass a second response on as part of a body without length

A response without length and chunks ends with its connection. If its target responded twice, the second response, late, was passed on as part of the first one's body (MIXED).

Cause: such a body has no end of its own. It is now searched for heads that name a request; one that has any is invalid, rule `surplus_bytes`, and the run counts as failed. A second response that names no request is not recognized: nothing tells it from a body that quotes one.

--- a/src/framework/http/internal/http_response_reader.cc
+++ b/src/framework/http/internal/http_response_reader.cc
@@ -321,6 +321,25 @@
   return "";
 }
 
+std::vector<http_response_head> FindResponseHeads(std::string_view bytes) {
+  constexpr std::string_view kStart = "HTTP/1.";
+  const http_reader_limits limits;
+  std::vector<http_response_head> heads;
+  for (std::size_t at = bytes.find(kStart); at != std::string_view::npos;
+       at = bytes.find(kStart, at + kStart.size())) {
+    const std::string_view rest = bytes.substr(at, limits.max_header_bytes);
+    const std::size_t end = rest.find(kHeadEnd);
+    if (end == std::string_view::npos)
+      continue;
+    const auto reader = MakeHttpResponseReader(limits);
+    reader->Feed(rest.substr(0, end + kHeadEnd.size()));
+    if (reader->state() == response_state::body_missing ||
+        reader->state() == response_state::complete)
+      heads.push_back(reader->head());
+  }
+  return heads;
+}
+
 std::unique_ptr<i_http_response_reader> MakeHttpResponseReader(
     const http_reader_limits& limits,
     bool is_response_to_head) {
--- a/src/gateway/i_dialect.h
+++ b/src/gateway/i_dialect.h
@@ -42,6 +42,8 @@
   virtual bool IsResponseTo(const http_response_head& head,
                             const std::string& request_id,
                             bool may_be_old) const = 0;
+  // Whether the response states the id of a request.
+  virtual bool NamesRequest(const http_response_head& head) const = 0;
   virtual response_classification ClassifyResponse(
       const http_response_head& head) const = 0;
   virtual target_signals DecodeSignals(
--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -313,6 +313,8 @@
                                    classification.broken_rule});
     return OnFailure(run_end::broken);
   }
+  if (HasSecondResponse())
+    return OnInvalidBody("surplus_bytes");
   if (classification.kind == response_kind::failure && !stream_started_) {
     if (TryConsumeRetry())
       return RetryOnAnotherTarget(run_end::failed);
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -169,6 +169,7 @@
   void OnCallEnd(call_outcome outcome);
   void OnResponseComplete();
   bool IsStreamBrokenOff() const;
+  bool HasSecondResponse() const;
   bool MayDispatchAgain(timestamp now) const;
   void OnRejected(bool reached_target);
   void OnFailure(run_end end);
--- a/src/gateway/internal/exchange_response.cc
+++ b/src/gateway/internal/exchange_response.cc
@@ -145,6 +145,18 @@
           attempt_->head.EndsWithChannel() && !has_events);
 }
 
+// Whether a collected body has another response in it, which it may where only
+// the end of the channel ends it.
+bool exchange::HasSecondResponse() const {
+  if (!attempt_->head.EndsWithChannel())
+    return false;
+  const auto heads = FindResponseHeads(attempt_->body);
+  return std::any_of(heads.begin(), heads.end(),
+                     [this](const http_response_head& head) {
+                       return services_.dialect.NamesRequest(head);
+                     });
+}
+
 std::vector<http_header> exchange::ResponseHeaders(
     const http_response_head& head) const {
   auto headers = services_.dialect.CallerHeaders(head);
--- a/src/gateway/tests/broken_response_test.cc
+++ b/src/gateway/tests/broken_response_test.cc
@@ -185,3 +185,36 @@
   CHECK(suspected_parts == std::vector<std::size_t>{1, 1});
   CHECK(event_counts == std::vector<std::int64_t>{1, 1});
 }
+
+// Guards against a second response, late, that is passed on as part of the
+// first one's body (MIXED): the body has no length, and its channel carries
+// more.
+TEST_CASE("a second response is not part of a body without length") {
+  const std::string head = "HTTP/1.1 200 OK\r\nId: r\r\nSigned: 1\r\n\r\n";
+  for (const char* second :
+       {"HTTP/1.1 200 OK\r\nId: r\r\nSigned: 1\r\n\r\ndone",
+        "HTTP/1.1 200 OK\r\nId: q\r\nContent-Length: 4\r\n\r\ndone",
+        "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nId: r\r\n\r\n"}) {
+    INFO(second);
+    exchange_fixture f;
+    f.SendRequest("/once/x");
+    f.target_channel().Receive(head + "done");
+    f.target_channel().Receive(second);
+    f.target_channel().End(channel_end::closed);
+    CHECK(f.response().starts_with("HTTP/1.1 502"));
+    CHECK_FALSE(f.ResponseContains("done"));
+    REQUIRE(f.invalid_responses.size() == 1);
+    CHECK(f.invalid_responses.front().rule == "surplus_bytes");
+  }
+}
+
+TEST_CASE("a body without length may quote a response") {
+  exchange_fixture f;
+  f.SendRequest("/once/x");
+  const std::string body = "As in HTTP/1.1 200 OK\r\nX: 1\r\n\r\nwith a body";
+  f.target_channel().Receive("HTTP/1.1 200 OK\r\nId: r\r\nSigned: 1\r\n\r\n" +
+                             body);
+  f.target_channel().End(channel_end::closed);
+  CHECK(f.response().starts_with("HTTP/1.1 200"));
+  CHECK(f.response().ends_with(body));
+}
--- a/src/gateway/tests/mocks/plain_dialect.h
+++ b/src/gateway/tests/mocks/plain_dialect.h
@@ -88,6 +88,10 @@
     return head.Header("Id") == id;
   }
 
+  bool NamesRequest(const http_response_head& head) const override {
+    return !head.Header("Id").empty();
+  }
+
   response_classification ClassifyResponse(
       const http_response_head& head) const override {
     response_classification classification;
