Send requests without an id on new connections

A response without an id was accepted for a request without one on a connection in use again, so that a second response of the request before, late, would be passed on (MIXED). Only the id tells them apart.

Such a request is sent on a new connection now, as are copy and stop requests, whose responses have no id.

The test failed before: "a request without an id is sent on a new connection", 1 check.

--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -23,7 +23,13 @@
 constexpr milliseconds kMaxIdleNonIdempotent{2500};
 constexpr milliseconds kMaxIdleStreaming{0};
 
-milliseconds MaxIdle(call_kind kind) {
+// Without an id, the response could not be told from an earlier one that is
+// repeated on a connection in use again.
+constexpr milliseconds kMaxIdleWithoutId{0};
+
+milliseconds MaxIdle(call_kind kind, const std::string& request_id) {
+  if (request_id.empty())
+    return kMaxIdleWithoutId;
   switch (kind) {
     case call_kind::idempotent:
       return kMaxIdleIdempotent;
@@ -246,7 +252,7 @@
            routed_.deadline,
            now + (is_direct_try_ ? kDirectTryConnectTimeout : kConnectTimeout)),
        services_.paths.IsSuspected(now) ? milliseconds(0)
-                                        : MaxIdle(Route().kind),
+                                        : MaxIdle(Route().kind, request_.id),
        MaxBodyBytes(Route().kind),
        {target.id.text(), request_.id}},
       std::move(callbacks));
--- a/src/gateway/tests/broken_response_test.cc
+++ b/src/gateway/tests/broken_response_test.cc
@@ -218,3 +218,16 @@
   CHECK(f.response().starts_with("HTTP/1.1 200"));
   CHECK(f.response().ends_with(body));
 }
+
+// Guards against a second response, late, that is passed on as that of the next
+// request on its connection (MIXED): only its id tells them apart, and this
+// request has none.
+TEST_CASE("a request without an id is sent on a new connection") {
+  exchange_fixture f;
+  f.SendRequest("/once/x");
+  f.target_channel().Receive(f.Response("200 OK", "first"));
+  f.caller_channel->Receive(
+      "POST /once/x HTTP/1.1\r\nHost: h\r\nKey: k\r\n"
+      "Content-Length: 2\r\n\r\nhi");
+  CHECK(f.connector.channels.size() == 2);
+}
