Do not pass a refusal on before the request goes on elsewhere

If another instance refused a relayed request with a body in chunks or without length, and stated that others may serve it, the caller got this body, and then that of the next target in the same response (MIXED).

Cause: a relayed response without length is passed on as a stream as it arrives, and only its end decided that it is such a refusal. Refusals that others need not share are collected now, whatever their framing.

--- a/src/gateway/internal/exchange_relay.cc
+++ b/src/gateway/internal/exchange_relay.cc
@@ -34,6 +34,12 @@
   return status >= 200 && status < 300;
 }
 
+// Whether the instance refuses a request that another one may serve.
+bool IsRefusedByInstance(const http_response_head& head) {
+  return head.status == kServiceUnavailable &&
+         !head.Header(kTryOtherInstanceHeader).empty();
+}
+
 }  // namespace
 
 // Whether the request is sent to a target although the paths to the targets
@@ -114,9 +120,10 @@
       target_id(std::string(head.Header(kRespondingTargetHeader))),
       services_.dialect.DecodeSignals(head), request_.id);
   relay_->head = head;
-  relay_->is_buffered = request_.message.method == "HEAD" ||
-                        !StatusPermitsBody(head.status) ||
-                        !head.Header("Content-Length").empty();
+  // The caller gets nothing of a refusal: the request goes on elsewhere.
+  relay_->is_buffered =
+      IsRefusedByInstance(head) || request_.message.method == "HEAD" ||
+      !StatusPermitsBody(head.status) || !head.Header("Content-Length").empty();
 }
 
 void exchange::OnRelayBody(const std::string& bytes) {
@@ -156,8 +163,7 @@
       services_.relays.OnFailure(relay_->instance, now);
     return outcome.may_have_been_sent ? OnRelayBroken() : OnRelayRejected();
   }
-  if (relay_->head->status == kServiceUnavailable &&
-      !relay_->head->Header(kTryOtherInstanceHeader).empty()) {
+  if (IsRefusedByInstance(*relay_->head)) {
     services_.relays.OnRefusal(relay_->instance, now);
     return OnRelayRejected();
   }
--- a/src/gateway/tests/relay_test.cc
+++ b/src/gateway/tests/relay_test.cc
@@ -557,3 +557,37 @@
   // It was read, and is refused since there is no path to a target.
   CHECK(channel->written.find(kTryOtherInstanceHeader) != std::string::npos);
 }
+
+// Guards against the bytes of two instances' responses in one (MIXED): a
+// refusal that other instances do not share is read as a stream, and the
+// request goes on elsewhere.
+TEST_CASE("the body of a refusal is no part of the next response") {
+  const std::string refusal = "HTTP/1.1 503 Busy\r\n" +
+                              std::string(kTryOtherInstanceHeader) + ": 1\r\n";
+  for (const std::string& rest :
+       {"Transfer-Encoding: chunked\r\n\r\n" + EncodeChunk("busy") +
+            std::string(LastChunk()),
+        std::string("Content-Length: 4\r\n\r\nbusy"),
+        std::string("\r\nbusy")}) {
+    for (const char* path : {"/once/x", "/stream/x"}) {
+      for (const int refusals : {1, 3}) {
+        INFO(path << " " << refusals << " times " << rest);
+        relay_fixture f;
+        f.LosePaths();
+        // The targets that could not be reached may be used again.
+        f.scheduler.Advance(milliseconds(900));
+        f.SendRequest(path, "Tokens: 1000\r\n");
+        for (int i = 0; i < refusals; ++i) {
+          REQUIRE(f.IsRelay(f.connector.channels.size() - 1));
+          const auto instance = f.connector.channels.back();
+          instance->Receive(refusal + rest);
+          instance->End(channel_end::closed);
+        }
+        f.target_channel().Receive(f.Response("200 OK", "done"));
+        CHECK_FALSE(f.ResponseContains("busy"));
+        CHECK(f.response().starts_with("HTTP/1.1 200"));
+        CHECK(f.response().ends_with("done"));
+      }
+    }
+  }
+}
