Read an event again whose id line is cut off

A generation on the instance's own interface counted as lost, not to be read again, if a response without length ended right after "id: ". No wrong piece.

Cause: the id was parsed as its line was read, and the last line of such a response may be incomplete. It is parsed once its event is complete now; an incomplete event is dropped as before, and read again.

The tests failed before: "an event that breaks off is read whole from the next response", by an exception after 4 bytes (of the 54 places and ends that it tries), and "an id that is cut off is no error before its event is complete".

--- a/src/entry/tests/generation_stream_test.cc
+++ b/src/entry/tests/generation_stream_test.cc
@@ -128,6 +128,51 @@
   }
 }
 
+// Guards against an event made of those of two responses: a response breaks off
+// in the middle of an event, in a line or after one.
+TEST_CASE("an event that breaks off is read whole from the next response") {
+  const std::vector<std::string> cut = {"id: 0", "data: wrong"};
+  for (const auto& error : {std::optional<http_error>(),
+                            std::optional(kInvalid), std::optional(kBroken)}) {
+    for (std::size_t line = 0; line < cut.size(); ++line) {
+      for (std::size_t size = 0; size <= cut[line].size(); ++size) {
+        INFO(size << " bytes of line " << line);
+        fixture f;
+        scripted_response broken{200, {cut.begin(), cut.begin() + line}, error};
+        // Reading returns an incomplete last line only if the response ends.
+        if (size == cut[line].size() || (!error && size > 0))
+          broken.lines.push_back(cut[line].substr(0, size));
+        f.client.responses = {broken, Token(0), Token(1)};
+        f.Start();
+        for (int i = 0; i < 2; ++i) {
+          const auto event = std::get<token_event>(f.stream.Next());
+          CHECK(event.offset == i);
+          CHECK(event.data == "x");
+        }
+      }
+    }
+  }
+}
+
+// Guards against events of a second response, where only the end of the
+// connection ends the first one, and against such that follow the last event.
+TEST_CASE("a second response adds no events to a generation") {
+  for (const char* last : {"data: x", "data: [DONE]"}) {
+    fixture f;
+    f.client.responses = {Token(0)};
+    auto& lines = f.client.responses.front().lines;
+    lines.insert(lines.end(), {"id: 1", last, "", "HTTP/1.1 200 OK",
+                               "Content-Type: text/event-stream", "", "id: 0",
+                               "data: late", "", "data: [DONE]", ""});
+    f.Start();
+    f.stream.Next();
+    if (std::holds_alternative<stream_done>(f.stream.Next()))
+      continue;
+    CHECK_THROWS_AS(f.stream.Next(), generation_lost);
+    CHECK(f.client.open_count == 1);
+  }
+}
+
 TEST_CASE("a stream that breaks after each event goes on") {
   fixture f;
   for (int i = 0; i < 5; ++i) {
--- a/src/streams/internal/event_reader.cc
+++ b/src/streams/internal/event_reader.cc
@@ -25,20 +25,22 @@
 std::optional<stream_event> event_reader::Next() {
   std::string line;
   token_event event;
-  bool has_offset = false;
+  // Parsed at the end of the event: the last line of a response may be cut off.
+  std::optional<std::string> id;
   bool has_data = false;
   while (stream_.ReadLine(line)) {
     const std::string_view view(line);
     if (view.substr(0, kIdField.size()) == kIdField) {
-      event.offset = ParseOffset(view.substr(kIdField.size()));
-      has_offset = true;
+      id = view.substr(kIdField.size());
     } else if (view.substr(0, kDataField.size()) == kDataField) {
       event.data = view.substr(kDataField.size());
       has_data = true;
     } else if (view.empty() && has_data) {
       if (event.data == kDoneMarker)
         return stream_done{};
-      if (!has_offset || event.offset != expected_offset_)
+      if (id)
+        event.offset = ParseOffset(*id);
+      if (!id || event.offset != expected_offset_)
         throw stream_protocol_error(
             "a token event has no id or is out of sequence");
       ++expected_offset_;
--- a/src/streams/tests/streams_test.cc
+++ b/src/streams/tests/streams_test.cc
@@ -68,6 +68,14 @@
   CHECK_FALSE(event_reader(stream, 0).Next());
 }
 
+// A response may break off inside a line. The event is read again.
+TEST_CASE("an id that is cut off is no error before its event is complete") {
+  fake_stream cut({"id: "});
+  CHECK_FALSE(event_reader(cut, 0).Next());
+  fake_stream invalid({"id: ", "data: {}", ""});
+  CHECK_THROWS_AS(event_reader(invalid, 0).Next(), stream_protocol_error);
+}
+
 TEST_CASE("token texts are decoded in both formats") {
   CHECK(TokenText(R"({"choices":[{"text":"a"}]})", stream_format::completion) ==
         "a");
