Test targets that respond twice, the second time late

Not told apart, and so without a test: bytes inside a body of the stated length, and inside a line of an event in one large chunk.

--- a/src/framework/net/tests/http_caller_test.cc
+++ b/src/framework/net/tests/http_caller_test.cc
@@ -17,6 +17,7 @@
     outcome.reset();
     body.clear();
     status = 0;
+    ids.clear();
     call_callbacks callbacks;
     if (!id.empty()) {
       callbacks.matches_call = [id](const http_response_head& head,
@@ -27,10 +28,14 @@
     }
     callbacks.on_head = [this](const http_response_head& head) {
       status = head.status;
+      for (const http_header& header : head.headers) {
+        if (header.name == "Id")
+          ids.push_back(header.value);
+      }
     };
     callbacks.on_body = [this](std::string bytes) { body += bytes; };
     callbacks.on_done = [this](call_outcome result) { outcome = result; };
-    return caller->Call(kAddress, "GET / HTTP/1.1\r\n\r\n", {},
+    return caller->Call(kAddress, method + " / HTTP/1.1\r\n\r\n", {},
                         std::move(callbacks));
   }
 
@@ -50,6 +55,8 @@
   std::optional<call_outcome> outcome;
   std::string body;
   int status = 0;
+  std::vector<std::string> ids;
+  std::string method = "GET";
 };
 
 const std::string kResponse =
@@ -192,6 +199,85 @@
   CHECK(f.body == "mine");
 }
 
+// Guards against the response of an earlier call that has no id, and is taken
+// for the one that is due: after a discarded response nothing tells them apart.
+TEST_CASE("a response without an id is none after a discarded one") {
+  const std::string unnamed = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold";
+  const std::string own =
+      "HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 4\r\n\r\nmine";
+  for (const bool is_reused : {true, false}) {
+    for (const std::string& old :
+         {unnamed, kResponse + unnamed, unnamed + kResponse + unnamed}) {
+      const std::string bytes = (is_reused ? "" : kResponse) + old + own;
+      for (std::size_t size = 0; size < bytes.size(); ++size) {
+        fixture f;
+        if (is_reused) {
+          f.Call("a");
+          f.channel(0).Receive(kResponse);
+        }
+        f.Call("b");
+        f.channel(0).Receive(bytes.substr(0, size));
+        CHECK_FALSE(f.outcome);
+        f.channel(0).Receive(bytes.substr(size));
+        REQUIRE(f.outcome);
+        CHECK(f.outcome->end == call_end::complete);
+        CHECK(f.body == "mine");
+        CHECK_FALSE(f.channel(0).open());
+        f.Call("c");
+        CHECK(f.connector.channels.size() == 2);
+      }
+    }
+  }
+}
+
+// Guards against a discarded response whose body is read by the rules of the
+// other method, so that bytes of it are taken for a response.
+TEST_CASE("a response is read by the rules of the call that it is taken for") {
+  const std::string head_response =
+      "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 20\r\n\r\n";
+  const std::string own =
+      "HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 4\r\n\r\n";
+  for (const bool is_head_request : {true, false}) {
+    fixture f;
+    f.method = is_head_request ? "GET" : "HEAD";
+    f.Call("a");
+    f.channel(0).Receive(head_response +
+                         (is_head_request ? std::string(20, 'x') : ""));
+    REQUIRE(f.outcome);
+    f.method = is_head_request ? "HEAD" : "GET";
+    f.Call("b");
+    REQUIRE(f.connector.channels.size() == 1);
+    f.channel(0).Receive(head_response +
+                         (is_head_request ? std::string(20, 'x') : "") + own +
+                         (is_head_request ? "" : "mine"));
+    REQUIRE(f.outcome);
+    CHECK(f.outcome->end == call_end::malformed);
+    CHECK(f.status == 0);
+    CHECK(f.body.empty());
+    CHECK(f.channel(0).aborted);
+  }
+}
+
+// Guards against a head made of two: a second response begins inside the head
+// of the next one. Either it is no head, or it names both calls.
+TEST_CASE("a repeated response inside a head is no response to one call") {
+  const std::string own_head =
+      "HTTP/1.1 200 OK\r\nX: 1\r\nId: b\r\nY: 1\r\nContent-Length: 4\r\n\r\n";
+  for (std::size_t size = 1; size < own_head.size(); ++size) {
+    INFO(size);
+    fixture f;
+    f.Call("a");
+    f.channel(0).Receive(kResponse);
+    f.Call("b");
+    f.channel(0).Receive(own_head.substr(0, size) + kResponse +
+                         own_head.substr(size) + "mine");
+    f.channel(0).End(channel_end::closed);
+    const bool is_complete = f.outcome && f.outcome->end == call_end::complete;
+    const bool names_both = f.ids == std::vector<std::string>{"b", "a"};
+    CHECK((!is_complete || names_both));
+  }
+}
+
 // Guards against a response that is passed on as a whole one although its
 // server stopped in the middle of its head or body.
 TEST_CASE("a response that is cut short anywhere is not complete") {
--- a/src/gateway/tests/relay_test.cc
+++ b/src/gateway/tests/relay_test.cc
@@ -591,3 +591,28 @@
     }
   }
 }
+
+// Guards against the bytes of two responses in one (MIXED): an instance breaks
+// off anywhere in its response.
+TEST_CASE("a relayed response that breaks off is followed by no other") {
+  const std::string event = "id: 1\ndata: x\n\n";
+  for (const std::string& whole :
+       {exchange_fixture::Response("200 OK", "first"),
+        exchange_fixture::StreamHead() + EncodeChunk(event) +
+            std::string(LastChunk())}) {
+    for (std::size_t size = 0; size < whole.size(); ++size) {
+      for (const channel_end end : {channel_end::closed, channel_end::reset}) {
+        INFO(size << " bytes of " << whole);
+        relay_fixture f;
+        f.LosePaths();
+        f.SendRequest("/again/x");
+        const std::size_t count = f.connector.channels.size();
+        f.target_channel().Receive(whole.substr(0, size));
+        f.target_channel().End(end);
+        CHECK(f.connector.channels.size() == count);
+        CHECK((f.response().starts_with("HTTP/1.1 502") ||
+               f.caller_channel->aborted));
+      }
+    }
+  }
+}
