Send a request to the same address again on a new connection

If two targets have one address, a request that the first one refused or failed was sent to the second one on the same connection, with the same id, so that a second response to the first attempt, late, counted as that of the second (MIXED; REFUSED for a repeated "not run").

Cause: the id tells requests apart, not attempts. The addresses of earlier attempts are kept, and a second attempt at one of them opens a connection.

The test failed before: "a second attempt at the same address uses a new connection", 2 checks.

--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -243,6 +243,9 @@
       throw;
     }
   };
+  // A repeated response to an earlier attempt has the same id. Another target
+  // may have the same address.
+  const bool is_new_address = used_addresses_.insert(target.address).second;
   callbacks.on_connected = [self, now] {
     self->services_.OnTargetConnected(now);
   };
@@ -251,8 +254,9 @@
       {std::min(
            routed_.deadline,
            now + (is_direct_try_ ? kDirectTryConnectTimeout : kConnectTimeout)),
-       services_.paths.IsSuspected(now) ? milliseconds(0)
-                                        : MaxIdle(Route().kind, request_.id),
+       services_.paths.IsSuspected(now) || !is_new_address
+           ? milliseconds(0)
+           : MaxIdle(Route().kind, request_.id),
        MaxBodyBytes(Route().kind),
        {target.id.text(), request_.id}},
       std::move(callbacks));
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -248,6 +248,8 @@
 
   std::optional<target_attempt> attempt_;
   std::set<target_id> excluded_targets_;
+  // Addresses to which the request was sent.
+  std::set<http_address> used_addresses_;
   int dispatch_count_ = 0;
   int connect_failure_count_ = 0;
   int run_count_ = 0;  // Failed attempts that may have run.
--- a/src/gateway/tests/repeated_response_test.cc
+++ b/src/gateway/tests/repeated_response_test.cc
@@ -175,6 +175,29 @@
   CHECK(f.caller_channel->aborted);
 }
 
+// Guards against a repeated response that is taken for that of the next attempt
+// (MIXED): another target has the address, and the request the same id.
+TEST_CASE("a second attempt at the same address uses a new connection") {
+  for (const std::string status : {"500 Failed", "503 Full"}) {
+    INFO(status);
+    exchange_fixture f;
+    f.settings.retry_slack = 100;
+    f.directory.Remove(target_id("p2"), std::nullopt, f.scheduler.Now());
+    f.SendRequest("/again/x");
+    target_entry entry;
+    entry.id = target_id("p3");
+    entry.service = service_id("desk");
+    entry.address = {"p1", 80};
+    entry.domain = domain_id("d");
+    entry.slots = 8;
+    entry.sequence = 1;
+    f.directory.Upsert(entry, f.scheduler.Now());
+    f.target_channel().Receive(
+        f.Response(status, "no", status == "503 Full" ? "Not-Run: 1\r\n" : ""));
+    CHECK(f.connector.channels.size() == 2);
+  }
+}
+
 // Guards against a second attempt whose response could be the first one's
 // (MIXED): both have the same id, so only the target tells them apart.
 TEST_CASE("a request is not sent again to a target that had it") {
