End a move with its attempt

A continued run whose receiver leaves before its first event was asked for a copy at once; if the receiver then broke off, the run went on from another copy, but the move of the ended attempt went on too. Its answer was used without an attempt (undefined behaviour; seen: a second stop, sent to the receiver that had gone, and a copy at the source that was not used), or for the attempt after it.

The move belonged to the request, and three of four ways to another target cancelled it. It is part of the attempt now and is cancelled where the attempt ends.

--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -211,7 +211,7 @@
   dispatch.last_event_id = sent_events_.last_id.value_or("");
   AssignBackup(dispatch);
   const known_target* known = services_.directory.Find(target.id);
-  move_pending_ =
+  attempt_->move_pending =
       ((known && known->leaving) || services_.IsBeingLeft(target)) && CanMove();
 
   const auto self = shared_from_this();
@@ -454,6 +454,8 @@
   if (!attempt_)
     return;
   attempt_timer_.reset();
+  if (attempt_->mover)
+    std::exchange(attempt_->mover, nullptr)->Cancel();
   LogBrokenAttempt(end);
   RecordEnd(end);
   excluded_targets_.insert(attempt_->target.id);
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -49,6 +49,9 @@
   bool is_sampled = false;
   // Cleared if the attempt ends for a reason that is not its target's.
   bool counts = true;
+  // Move the run after its first event.
+  bool move_pending = false;
+  std::shared_ptr<run_mover> mover;
 };
 
 // One dispatch of a request to another instance, since this one has no path to
@@ -278,8 +281,6 @@
   std::optional<timestamp> first_event_at_;
   timestamp last_event_at_{};
   microseconds longest_pause_{0};
-  std::shared_ptr<run_mover> mover_;
-  bool move_pending_ = false;  // Move the run after its first event.
   std::optional<run_handover> handover_;
   int handover_count_ = 0;
   int resume_count_ = 0;
--- a/src/gateway/internal/exchange_continuation.cc
+++ b/src/gateway/internal/exchange_continuation.cc
@@ -34,14 +34,14 @@
 }  // namespace
 
 void exchange::OnTargetLeaving(const target_id& target) {
-  if (finished_ || !attempt_ || attempt_->target.id != target || mover_ ||
-      IsWaitingForStop() || !CanMove())
+  if (finished_ || !attempt_ || attempt_->target.id != target ||
+      attempt_->mover || IsWaitingForStop() || !CanMove())
     return;
   // A run that has not started yet has no KV cache to copy.
   if (attempt_->classification.kind == response_kind::success &&
       stream_started_)
     return StartMove();
-  move_pending_ = true;
+  attempt_->move_pending = true;
 }
 
 bool exchange::CanMove() const {
@@ -53,20 +53,21 @@
 
 void exchange::StartMove() {
   const timestamp now = services_.scheduler.Now();
-  move_pending_ = false;
-  mover_ = std::make_shared<run_mover>(
+  attempt_->move_pending = false;
+  const auto mover = std::make_shared<run_mover>(
       services_, request_.id, attempt_->target, SelectionRequest(),
       std::min(routed_.deadline, now + kMaxMoveDuration),
       [weak = weak_from_this()](std::optional<moved_run> moved) {
         if (const auto self = weak.lock())
           self->OnMoveEnd(std::move(moved));
       });
-  mover_->Start();
+  attempt_->mover = mover;
+  mover->Start();
 }
 
 void exchange::OnMoveEnd(std::optional<moved_run> moved) {
-  mover_.reset();
-  if (finished_ || !moved)
+  attempt_->mover.reset();
+  if (!moved)
     return;
   const target_entry source = attempt_->target;
   const auto backup = attempt_->backup_target;
@@ -330,8 +331,6 @@
                           {"receiver", holder->entry.id.text()},
                           {"events", sent_events_.count}});
   ++backup_resume_count_;
-  if (mover_)
-    std::exchange(mover_, nullptr)->Cancel();
   const target_entry source = attempt_->target;
   EndAttempt(run_end::broken);
   StartHandover(source, copy);
@@ -347,8 +346,6 @@
                          {{"request_id", request_.id},
                           {"from", attempt_->target.id.text()},
                           {"events", sent_events_.count}});
-  if (mover_)
-    std::exchange(mover_, nullptr)->Cancel();
   ++resume_count_;
   RetryOnAnotherTarget(run_end::broken);
   return true;
--- a/src/gateway/internal/exchange_end.cc
+++ b/src/gateway/internal/exchange_end.cc
@@ -77,8 +77,6 @@
   Log(outcome, reason, verdict);
   CancelCalls();
   EndAttempt(run_end::cancelled);
-  if (mover_)
-    std::exchange(mover_, nullptr)->Cancel();
   EndHandover();
   deadline_timer_.reset();
   attempt_timer_.reset();
--- a/src/gateway/internal/exchange_response.cc
+++ b/src/gateway/internal/exchange_response.cc
@@ -70,7 +70,7 @@
     EndHandover();
   else if (handover_ && !handover_->stays_at_source)
     ArmStopTimer();
-  if (move_pending_ && !mover_)
+  if (attempt_->move_pending && !attempt_->mover)
     StartMove();
   if (!stream_started_) {
     stream_started_ = true;
--- a/src/gateway/tests/broken_response_test.cc
+++ b/src/gateway/tests/broken_response_test.cc
@@ -16,7 +16,14 @@
 struct repeatable_request : exchange_fixture {
   explicit repeatable_request(const std::string& path) {
     settings.retry_slack = 100;
-    SendRequest(path, path.starts_with("/resume") ? "Tokens: 1000\r\n" : "");
+    SendRequest(path, path.starts_with("/again") ? "" : "Tokens: 1000\r\n");
+  }
+
+  std::size_t CountRequests(const std::string& start) const {
+    std::size_t count = 0;
+    for (const auto& channel : connector.channels)
+      count += channel->written.starts_with(start) ? 1 : 0;
+    return count;
   }
 
   bool WasSentAgain() const { return connector.channels.size() == 2; }
@@ -231,3 +238,31 @@
       "Content-Length: 2\r\n\r\nhi");
   CHECK(f.connector.channels.size() == 2);
 }
+
+// Guards against a run that is stopped, or an end of the process, by a move of
+// an attempt that has ended: the copy is confirmed after its target broke off.
+TEST_CASE("a move ends with its attempt") {
+  repeatable_request f("/stream/x");
+  const std::string source = f.TargetName(0);
+  f.target_channel(0).Receive(f.StreamHead() + f.Event(1));
+  f.directory.Remove(target_id(source), std::nullopt, f.scheduler.Now());
+  f.target_channel().Receive(f.Response("200 OK", "first"));
+  const auto stop = f.connector.channels.back();
+  REQUIRE(stop->written.starts_with("POST /stop/"));
+  f.scheduler.Advance(milliseconds(100));
+  const std::string receiver = f.connector.addresses.back().host;
+  const auto run = f.connector.channels.back();
+  REQUIRE(run->written.find("Memory: first") != std::string::npos);
+  run->Receive(f.StreamHead());
+  f.directory.Remove(target_id(receiver), std::nullopt, f.scheduler.Now());
+  const auto move = f.connector.channels.back();
+  run->End(channel_end::reset);
+  CHECK(f.caller_channel->open());
+  const auto stops = f.CountRequests("POST /stop/");
+  if (move->written.starts_with("POST /move/"))
+    move->Receive(f.Response("200 OK", "stale"));
+  CHECK(f.CountRequests("POST /stop/") == stops);
+  stop->Receive(f.Response("503 Full", "kept"));
+  CHECK(f.target_channel().written.find("Memory: kept") != std::string::npos);
+  CHECK(f.connector.addresses.back().host == source);
+}
