Move a resumed run after its own first event only

A resumed run whose target leaves before its first event was asked for copies at once, since the events of the target before counted as its own. The target knew no such run; all 16 copy requests were used on its 404s, and the run was not moved later. The stream was cut when its target ended.

--- a/src/gateway/internal/exchange_continuation.cc
+++ b/src/gateway/internal/exchange_continuation.cc
@@ -38,8 +38,7 @@
       attempt_->mover || IsWaitingForStop() || !CanMove())
     return;
   // A run that has not started yet has no KV cache to copy.
-  if (attempt_->classification.kind == response_kind::success &&
-      stream_started_)
+  if (attempt_->first_event_at)
     return StartMove();
   attempt_->move_pending = true;
 }
--- a/src/gateway/tests/broken_response_test.cc
+++ b/src/gateway/tests/broken_response_test.cc
@@ -266,3 +266,18 @@
   CHECK(f.target_channel().written.find("Memory: kept") != std::string::npos);
   CHECK(f.connector.addresses.back().host == source);
 }
+
+// Guards against copy requests that are used up before a resumed run has begun,
+// so that it is not moved: the events of the target before count as its own.
+TEST_CASE("a resumed run is moved after its own first event") {
+  repeatable_request f("/resume/x");
+  f.target_channel(0).Receive(f.StreamHead() + f.Event(1));
+  f.target_channel(0).End(channel_end::reset);
+  REQUIRE(f.WasSentAgain());
+  f.target_channel(1).Receive(f.StreamHead());
+  f.directory.Remove(target_id(f.TargetName(1)), std::nullopt,
+                     f.scheduler.Now());
+  CHECK(f.CountRequests("POST /move/") == 0);
+  f.target_channel(1).Receive(f.Event(2));
+  CHECK(f.CountRequests("POST /move/") == 1);
+}
