End a resumed run whose prompt is about to crash its target

When a prompt is found to crash targets, runs without an event are ended. A resumed run went on, since the time of the first event was that of the target before, and could crash one more target. The time that belongs to the request is named first_sent_event_at_, which is in the log only.

--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -277,8 +277,8 @@
   // Load of the last target before the request was dispatched to it, for the
   // log.
   target_load load_at_dispatch_;
-  // Arrival times of the stream's events, for the log.
-  std::optional<timestamp> first_event_at_;
+  // When events that the caller was sent arrived, for the log.
+  std::optional<timestamp> first_sent_event_at_;
   timestamp last_event_at_{};
   microseconds longest_pause_{0};
   std::optional<run_handover> handover_;
--- a/src/gateway/internal/exchange_end.cc
+++ b/src/gateway/internal/exchange_end.cc
@@ -120,9 +120,10 @@
        {"events", sent_events_.count},
        {"resumes", static_cast<std::int64_t>(resume_count_)},
        {"took_ms", ToMilliseconds(now - received_at_)},
-       {"first_event_ms", first_event_at_
-                              ? ToMilliseconds(*first_event_at_ - received_at_)
-                              : -1.0},
+       {"first_event_ms",
+        first_sent_event_at_
+            ? ToMilliseconds(*first_sent_event_at_ - received_at_)
+            : -1.0},
        {"longest_pause_ms", ToMilliseconds(longest_pause_)},
        {"configuration", services_.latest_configuration.version()},
        {"configuration_age_ms", age ? ToMilliseconds(*age) : -1.0}});
--- a/src/gateway/internal/exchange_quarantine.cc
+++ b/src/gateway/internal/exchange_quarantine.cc
@@ -45,7 +45,7 @@
 }
 
 void exchange::OnCrashesChanged() {
-  if (finished_ || !attempt_ || first_event_at_ || is_trial_ ||
+  if (finished_ || !attempt_ || attempt_->first_event_at || is_trial_ ||
       fingerprint_.prompt_parts.empty())
     return;
   const auto refusing = FindQuarantine();
--- a/src/gateway/internal/exchange_response.cc
+++ b/src/gateway/internal/exchange_response.cc
@@ -126,8 +126,8 @@
   const timestamp now = services_.scheduler.Now();
   if (!attempt_->first_event_at)
     attempt_->first_event_at = now;
-  if (!first_event_at_)
-    first_event_at_ = now;
+  if (!first_sent_event_at_)
+    first_sent_event_at_ = now;
   else
     longest_pause_ = std::max(longest_pause_, now - last_event_at_);
   last_event_at_ = now;
--- a/src/gateway/tests/broken_response_test.cc
+++ b/src/gateway/tests/broken_response_test.cc
@@ -281,3 +281,26 @@
   f.target_channel(1).Receive(f.Event(2));
   CHECK(f.CountRequests("POST /move/") == 1);
 }
+
+// Guards against a prompt that crashes one more target: a resumed run that has
+// no event yet is not ended, since the target before had sent some.
+TEST_CASE("a resumed run that is about to crash its target is ended") {
+  exchange_fixture f;
+  f.settings.retry_slack = 100;
+  run_fingerprint prompt;
+  f.services.on_run_broken = [&](const run_fingerprint& run, std::int64_t,
+                                 const target_entry&) { prompt = run; };
+  f.SendRequest("/resume/x", "Tokens: 1000\r\nParts: a\r\n");
+  f.target_channel(0).Receive(f.StreamHead() + f.Event(1));
+  f.target_channel(0).End(channel_end::reset);
+  REQUIRE(f.connector.channels.size() == 2);
+  for (std::uint64_t i = 0; i < 5; ++i) {
+    f.scheduler.Advance(kOutputSettlingTime);
+    f.services.crashes.OnCrash({100 + i, prompt.prompt_parts},
+                               target_id("x" + std::to_string(i)),
+                               f.scheduler.Now());
+  }
+  f.connection->OnCrashesChanged();
+  REQUIRE_FALSE(f.services.crashes.Quarantines().empty());
+  CHECK(f.target_channel(1).aborted);
+}
