Search a body for second responses in one pass

Each beginning was parsed by itself. Now the lines before an empty line are read back to the nearest status line, and at most one head is parsed for each.

--- a/src/framework/http/http_codec.h
+++ b/src/framework/http/http_codec.h
@@ -159,9 +159,9 @@
     const http_reader_limits& limits,
     bool is_response_to_head = false);
 
-// Returns the heads of responses that follow other bytes in `bytes`, in order.
-// Where only the end of the channel ends a body, a second response becomes part
-// of it.
+// Returns the heads of responses in `bytes`, in order; the last one may be cut
+// off. Where only the end of the channel ends a body, a second response becomes
+// part of it.
 std::vector<http_response_head> FindResponseHeads(std::string_view bytes);
 
 // Encode a message in HTTP/1.1 format. Requests and responses get the
--- a/src/framework/http/internal/http_response_reader.cc
+++ b/src/framework/http/internal/http_response_reader.cc
@@ -291,6 +291,56 @@
   std::string unparsed_bytes_;  // Bytes of an incomplete chunk header.
 };
 
+constexpr std::string_view kLineEnd = "\r\n";
+
+// Returns the position of a status line in `line`, which it may follow other
+// bytes in; npos if there is none.
+std::size_t FindStatusLine(std::string_view line) {
+  constexpr std::string_view kStart = "HTTP/1.";
+  constexpr std::size_t kDigitCount = 3;
+  const std::size_t at = line.rfind(kStart);
+  if (at == std::string_view::npos)
+    return at;
+  // A digit of the version, a blank and the status code.
+  const std::string_view rest = line.substr(at + kStart.size());
+  if (rest.size() < 2 + kDigitCount || rest[1] != ' ')
+    return std::string_view::npos;
+  const std::string_view code = rest.substr(2, kDigitCount);
+  const bool is_code = std::all_of(code.begin(), code.end(), [](char digit) {
+    return digit >= '0' && digit <= '9';
+  });
+  return is_code ? at : std::string_view::npos;
+}
+
+// Returns the head of a response in the last lines of `lines`, which the empty
+// line of a head may follow. Parses at most once, so that a search takes time
+// in proportion to its input.
+std::optional<http_response_head> HeadAtEnd(std::string_view lines) {
+  const http_reader_limits limits;
+  if (lines.size() > limits.max_header_bytes)
+    lines.remove_prefix(lines.size() - limits.max_header_bytes);
+  for (std::size_t end = lines.size(); end > 0;) {
+    const std::size_t line_end = lines.rfind(kLineEnd, end - 1);
+    const std::size_t begin =
+        line_end == std::string_view::npos ? 0 : line_end + kLineEnd.size();
+    const std::string_view line = lines.substr(begin, end - begin);
+    const std::size_t at = FindStatusLine(line);
+    if (at != std::string_view::npos) {
+      const auto reader = MakeHttpResponseReader(limits);
+      reader->Feed(std::string(lines.substr(begin + at)) +
+                   std::string(kHeadEnd));
+      if (reader->state() == response_state::malformed ||
+          reader->state() == response_state::head_missing)
+        return std::nullopt;
+      return reader->head();
+    }
+    if (begin == 0 || line.find(':') == std::string_view::npos)
+      return std::nullopt;
+    end = line_end;
+  }
+  return std::nullopt;
+}
+
 }  // namespace
 
 std::string_view ResponseRuleName(response_rule rule) {
@@ -322,20 +372,20 @@
 }
 
 std::vector<http_response_head> FindResponseHeads(std::string_view bytes) {
-  constexpr std::string_view kStart = "HTTP/1.";
-  const http_reader_limits limits;
   std::vector<http_response_head> heads;
-  for (std::size_t at = bytes.find(kStart); at != std::string_view::npos;
-       at = bytes.find(kStart, at + kStart.size())) {
-    const std::string_view rest = bytes.substr(at, limits.max_header_bytes);
-    const std::size_t end = rest.find(kHeadEnd);
-    if (end == std::string_view::npos)
-      continue;
-    const auto reader = MakeHttpResponseReader(limits);
-    reader->Feed(rest.substr(0, end + kHeadEnd.size()));
-    if (reader->state() == response_state::body_missing ||
-        reader->state() == response_state::complete)
-      heads.push_back(reader->head());
+  std::size_t begin = 0;
+  for (std::size_t end = bytes.find(kHeadEnd); end != std::string_view::npos;
+       end = bytes.find(kHeadEnd, begin)) {
+    if (auto head = HeadAtEnd(bytes.substr(begin, end - begin)))
+      heads.push_back(std::move(*head));
+    begin = end + kHeadEnd.size();
+  }
+  // The last line of a head that is cut off may be incomplete.
+  const std::string_view rest = bytes.substr(begin);
+  const std::size_t last_line = rest.rfind(kLineEnd);
+  if (last_line != std::string_view::npos) {
+    if (auto head = HeadAtEnd(rest.substr(0, last_line)))
+      heads.push_back(std::move(*head));
   }
   return heads;
 }
--- a/src/framework/http/tests/http_codec_test.cc
+++ b/src/framework/http/tests/http_codec_test.cc
@@ -218,3 +218,34 @@
     CHECK(reader->state() == response_state::malformed);
   }
 }
+
+// Guards against a second response that is passed on as part of a body.
+TEST_CASE("heads of responses are found in a body, whole or cut off") {
+  const std::string head = "HTTP/1.1 200 OK\r\nX: 1\r\nY: 2";
+  for (const std::string before : {"", "body", "a\r\n\r\nb", "x: y\r\n"}) {
+    for (const char* after : {"\r\n", "\r\nZ: cut", "\r\n\r\n", "\r\n\r\nok"}) {
+      INFO(before << head << after);
+      const auto heads = FindResponseHeads(before + head + after);
+      REQUIRE(heads.size() == 1);
+      CHECK(heads.front().Header("Y") == "2");
+    }
+  }
+  CHECK(FindResponseHeads(head + "\r\n\r\n" + head + "\r\n\r\n").size() == 2);
+  for (const char* text :
+       {"", "HTTP/1.1 200 OK", "HTTP/1.1 is a protocol\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nno field\r\n\r\n"})
+    CHECK(FindResponseHeads(text).empty());
+}
+
+// Guards against a body that keeps an instance busy for seconds. Heads are
+// searched for in time that grows with the body.
+TEST_CASE("a body of many beginnings of heads is searched once") {
+  for (const std::string piece :
+       {"HTTP/1.\r", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nx\r\n\r\n"}) {
+    std::string body;
+    while (body.size() < 2'000'000)
+      body += piece;
+    // Only the last status line may be followed by fields.
+    CHECK(FindResponseHeads(body + "\r\nx").size() <= 1);
+  }
+}
