Accept events with lines that are no status lines

Fields that are not known are ignored by the format, and a line need not have a colon. Now the line has to be a status line: a version, a blank and three digits.

--- a/src/framework/http/http_codec.h
+++ b/src/framework/http/http_codec.h
@@ -159,6 +159,9 @@
     const http_reader_limits& limits,
     bool is_response_to_head = false);
 
+// Whether the line begins a response: a version, a blank and a status code.
+bool IsStatusLine(std::string_view line);
+
 // Returns the heads of responses in `bytes`, in order; the last one may be cut
 // off. Where only the end of the channel ends a body, a second response becomes
 // part of it.
--- a/src/framework/http/internal/http_response_reader.cc
+++ b/src/framework/http/internal/http_response_reader.cc
@@ -371,6 +371,10 @@
   return "";
 }
 
+bool IsStatusLine(std::string_view line) {
+  return FindStatusLine(line) == 0;
+}
+
 std::vector<http_response_head> FindResponseHeads(std::string_view bytes) {
   std::vector<http_response_head> heads;
   std::size_t begin = 0;
--- a/src/gateway/tests/broken_response_test.cc
+++ b/src/gateway/tests/broken_response_test.cc
@@ -304,3 +304,14 @@
   REQUIRE_FALSE(f.services.crashes.Quarantines().empty());
   CHECK(f.target_channel(1).aborted);
 }
+
+// Guards against a sound stream that is broken off for its content.
+TEST_CASE("a stream may have a line that begins like a status line") {
+  exchange_fixture f;
+  f.SendStreamRequest();
+  f.target_channel().Receive(
+      f.StreamHead() + EncodeChunk("id: 1\ndata: x\nHTTP/1.1 is a field\n\n") +
+      std::string(LastChunk()));
+  CHECK(f.ResponseContains("HTTP/1.1 is a field"));
+  CHECK_FALSE(f.caller_channel->aborted);
+}
--- a/src/streams/event_splitter.h
+++ b/src/streams/event_splitter.h
@@ -40,8 +40,8 @@
   // stream is to be given up.
   bool IsTooLong() const;
 
-  // Whether a complete event has a line that begins a response. Where only the
-  // end of the channel ends the stream, a second response follows it unnoticed.
+  // Whether a complete event has a line that begins a response. No field of an
+  // event does, so that a second response is in the stream.
   bool HasStatusLine() const { return has_status_line_; }
 
   // The number of complete events.
--- a/src/streams/internal/event_splitter.cc
+++ b/src/streams/internal/event_splitter.cc
@@ -4,14 +4,13 @@
 #include <charconv>
 #include <utility>
 
+#include "framework/http/http_codec.h"
+
 namespace wist {
 namespace {
 
 constexpr std::string_view kIdField = "id:";
 
-// No line of an event begins like this: the name of a field ends with a colon.
-constexpr std::string_view kStatusLineStart = "HTTP/1.";
-
 // An event holds a few tokens; a stream without any end of an event holds none.
 constexpr std::size_t kMaxEventBytes = 1'048'576;
 
@@ -46,7 +45,7 @@
       if (line.starts_with(' '))
         line.remove_prefix(1);
       lines.id = std::string(line);
-    } else if (line.starts_with(kStatusLineStart)) {
+    } else if (IsStatusLine(line)) {
       lines.has_status_line = true;
     }
     begin = end + 1;
