Find a second response after an incomplete line of a stream

Only status lines at the start of a line were recognized.

The events are searched for heads that name a request, as bodies without length are. Data that quotes a head has a field name at the start of each line, so that it is not taken for one.

--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -323,7 +323,8 @@
                                    classification.broken_rule});
     return OnFailure(run_end::broken);
   }
-  if (HasSecondResponse())
+  // Only the end of the channel ends such a body.
+  if (attempt_->head.EndsWithChannel() && HasSecondResponse(attempt_->body))
     return OnInvalidBody("surplus_bytes");
   if (classification.kind == response_kind::failure && !stream_started_) {
     if (TryConsumeRetry())
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -172,7 +173,7 @@
   void OnCallEnd(call_outcome outcome);
   void OnResponseComplete();
   bool IsStreamBrokenOff() const;
-  bool HasSecondResponse() const;
+  bool HasSecondResponse(std::string_view bytes) const;
   bool MayDispatchAgain(timestamp now) const;
   void OnRejected(bool reached_target);
   void OnFailure(run_end end);
--- a/src/gateway/internal/exchange_response.cc
+++ b/src/gateway/internal/exchange_response.cc
@@ -51,7 +51,7 @@
   event_batch events = attempt_->events.Feed(bytes);
   if (attempt_->events.IsTooLong())
     return OnInvalidBody("event_size");
-  if (attempt_->events.HasStatusLine())
+  if (attempt_->events.HasStatusLine() || HasSecondResponse(events.text))
     return OnInvalidBody("surplus_bytes");
   if (!FollowsSentEvents(events))
     return OnInvalidBody("event_order");
@@ -145,12 +145,9 @@
           attempt_->head.EndsWithChannel() && !has_events);
 }
 
-// Whether a collected body has another response in it, which it may where only
-// the end of the channel ends it.
-bool exchange::HasSecondResponse() const {
-  if (!attempt_->head.EndsWithChannel())
-    return false;
-  const auto heads = FindResponseHeads(attempt_->body);
+// Whether the bytes have a response in them that names a request.
+bool exchange::HasSecondResponse(std::string_view bytes) const {
+  const auto heads = FindResponseHeads(bytes);
   return std::any_of(heads.begin(), heads.end(),
                      [this](const http_response_head& head) {
                        return services_.dialect.NamesRequest(head);
--- a/src/gateway/tests/broken_response_test.cc
+++ b/src/gateway/tests/broken_response_test.cc
@@ -151,24 +151,48 @@
 TEST_CASE("a second response is not part of a stream without length") {
   const std::string head =
       "HTTP/1.1 200 OK\r\nId: r\r\nSigned: 1\r\nEvents: 1\r\n\r\n";
-  for (const bool is_separate : {true, false}) {
-    exchange_fixture f;
-    f.SendStreamRequest();
-    const std::string second = head + kFirstEvent;
-    if (is_separate) {
-      f.target_channel().Receive(head + kFirstEvent);
-      f.target_channel().Receive(second);
-    } else {
-      f.target_channel().Receive(head + kFirstEvent + second);
+  const std::string without_id =
+      "HTTP/1.1 200 OK\r\nSigned: 1\r\nEvents: 1\r\n\r\n";
+  struct example {
+    std::string end;  // Of the first response.
+    std::string second;
+  };
+  for (const auto& [end, second] :
+       {example{"", head}, example{"", without_id}, example{"id: 2\n", head},
+        example{"id: 2\n", without_id}, example{"id: 2\ndata: fi", head}}) {
+    for (const bool is_separate : {true, false}) {
+      INFO(end << second << is_separate);
+      exchange_fixture f;
+      f.SendStreamRequest();
+      const std::string first = head + kFirstEvent + end;
+      if (is_separate) {
+        f.target_channel().Receive(first);
+        f.target_channel().Receive(second + kFirstEvent);
+        CHECK(f.caller_channel->aborted);
+        CHECK(f.Occurrences("first") == 1);
+      } else {
+        f.target_channel().Receive(first + second + kFirstEvent);
+        CHECK(f.response().starts_with("HTTP/1.1 502"));
+        CHECK(f.Occurrences("first") == 0);
+      }
+      CHECK(f.Occurrences("HTTP/1.1") == 1);
+      REQUIRE(f.invalid_responses.size() == 1);
+      CHECK(f.invalid_responses.front().rule == "surplus_bytes");
     }
-    f.target_channel().End(channel_end::closed);
-    CHECK(f.response().find("HTTP/1.1") == f.response().rfind("HTTP/1.1"));
-    CHECK(f.response().find("first") == f.response().rfind("first"));
-    CHECK((f.caller_channel->aborted ||
-           f.response().starts_with("HTTP/1.1 502")));
   }
 }
 
+// Guards against a sound stream that is broken off for its content.
+TEST_CASE("a stream may have a line that begins like a status line") {
+  exchange_fixture f;
+  f.SendStreamRequest();
+  f.target_channel().Receive(
+      f.StreamHead() + EncodeChunk("id: 1\ndata: x\nHTTP/1.1 is a field\n\n") +
+      std::string(LastChunk()));
+  CHECK(f.ResponseContains("HTTP/1.1 is a field"));
+  CHECK_FALSE(f.caller_channel->aborted);
+}
+
 // Guards against a prompt that crashes its targets after their first event and
 // is cleared by the time that has passed since the first target's: the run of
 // one target is taken for that of the next one.
@@ -201,7 +225,8 @@
   for (const char* second :
        {"HTTP/1.1 200 OK\r\nId: r\r\nSigned: 1\r\n\r\ndone",
         "HTTP/1.1 200 OK\r\nId: q\r\nContent-Length: 4\r\n\r\ndone",
-        "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nId: r\r\n\r\n"}) {
+        "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nId: r\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nId: r\r\nSig"}) {
     INFO(second);
     exchange_fixture f;
     f.SendRequest("/once/x");
@@ -215,6 +240,7 @@
   }
 }
 
+// Guards against a sound response that is refused for its content.
 TEST_CASE("a body without length may quote a response") {
   exchange_fixture f;
   f.SendRequest("/once/x");
@@ -304,14 +330,3 @@
   REQUIRE_FALSE(f.services.crashes.Quarantines().empty());
   CHECK(f.target_channel(1).aborted);
 }
-
-// Guards against a sound stream that is broken off for its content.
-TEST_CASE("a stream may have a line that begins like a status line") {
-  exchange_fixture f;
-  f.SendStreamRequest();
-  f.target_channel().Receive(
-      f.StreamHead() + EncodeChunk("id: 1\ndata: x\nHTTP/1.1 is a field\n\n") +
-      std::string(LastChunk()));
-  CHECK(f.ResponseContains("HTTP/1.1 is a field"));
-  CHECK_FALSE(f.caller_channel->aborted);
-}
--- a/src/gateway/tests/mocks/exchange_fixture.h
+++ b/src/gateway/tests/mocks/exchange_fixture.h
@@ -143,6 +143,15 @@
     return response().find(part) != std::string::npos;
   }
 
+  // How often the caller was sent `part`.
+  std::size_t Occurrences(const std::string& part) const {
+    std::size_t count = 0;
+    for (std::size_t at = response().find(part); at != std::string::npos;
+         at = response().find(part, at + part.size()))
+      ++count;
+    return count;
+  }
+
   virtual_scheduler scheduler;
   scripted_connector connector;
   gateway_settings settings;
