Compare the first id of a resumed run, also after events without one

The check of the seam of two runs looked at the first read only, so that a target that first sends a comment and then begins anew repeated events (ORDER). Now the first event that states an id is compared, whenever it comes.

--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -35,6 +35,8 @@
   // The events of a stream, and when the first one arrived.
   event_splitter events;
   std::optional<timestamp> first_event_at;
+  // An event that states an id was received.
+  bool has_event_id = false;
   // Memory of `body` or of an incomplete event. Null until there is any.
   std::unique_ptr<response_buffer> buffer;
   // Target that holds a backup copy of the run's KV cache.
--- a/src/gateway/internal/exchange_response.cc
+++ b/src/gateway/internal/exchange_response.cc
@@ -59,6 +59,8 @@
     return;
   if (events.text.empty())
     return;
+  attempt_->has_event_id =
+      attempt_->has_event_id || events.first_id.has_value();
   sent_events_.count += events.count;
   if (events.last_id)
     sent_events_.last_id = std::move(events.last_id);
@@ -87,8 +89,7 @@
 // Whether a run that goes on at another target does so after the last event
 // that the caller was sent.
 bool exchange::FollowsSentEvents(const event_batch& events) const {
-  const bool is_first = attempt_->events.event_count() == events.count;
-  return !is_first || !events.first_id || !sent_events_.last_id ||
+  return attempt_->has_event_id || !events.first_id || !sent_events_.last_id ||
          IsLaterEventId(*events.first_id, *sent_events_.last_id);
 }
 
--- a/src/gateway/tests/broken_response_test.cc
+++ b/src/gateway/tests/broken_response_test.cc
@@ -134,16 +134,28 @@
 }
 
 // Guards against events that a caller gets twice (ORDER): a target begins a
-// resumed stream anew.
+// resumed stream anew, or repeats its last event, perhaps after an event
+// without an id.
 TEST_CASE("a resumed stream does not go back") {
-  repeatable_request f("/resume/x");
-  f.target_channel(0).Receive(f.StreamHead() + EncodeChunk(kFirstEvent) +
-                              EncodeChunk("id: 2\ndata: first\n\n"));
-  f.target_channel(0).End(channel_end::reset);
-  REQUIRE(f.WasSentAgain());
-  f.target_channel(1).Receive(f.StreamHead() + EncodeChunk(kSecondEvent));
-  CHECK(f.caller_channel->aborted);
-  CHECK_FALSE(f.ResponseContains("second"));
+  for (const char* first : {"", ": ping\n\n", "data: x\n\n"}) {
+    for (const char* id : {"1", "2"}) {
+      INFO(first << id);
+      repeatable_request f("/resume/x");
+      f.target_channel(0).Receive(f.StreamHead() + EncodeChunk(kFirstEvent) +
+                                  EncodeChunk("id: 2\ndata: first\n\n"));
+      f.target_channel(0).End(channel_end::reset);
+      REQUIRE(f.WasSentAgain());
+      f.target_channel(1).Receive(f.StreamHead());
+      if (*first)
+        f.target_channel(1).Receive(EncodeChunk(first));
+      f.target_channel(1).Receive(
+          EncodeChunk("id: " + std::string(id) + "\ndata: second\n\n"));
+      CHECK(f.caller_channel->aborted);
+      CHECK_FALSE(f.ResponseContains("second"));
+      REQUIRE(f.invalid_responses.size() == 1);
+      CHECK(f.invalid_responses.front().rule == "event_order");
+    }
+  }
 }
 
 // Guards against a second response, late, that is passed on as events (MIXED):
