Do not resume a stream after an event with an empty id

An event with an empty id leaves nothing after which a run could go on; the request was sent without a last id, the run began anew, and the caller got its events twice (ORDER).

--- a/src/gateway/internal/exchange_continuation.cc
+++ b/src/gateway/internal/exchange_continuation.cc
@@ -338,8 +338,9 @@
 
 // Returns whether the stream continues with a new run after its last event.
 bool exchange::ResumeWithNewRun() {
-  if (handover_ || !Route().may_resume_stream || !sent_events_.last_id ||
-      !TryConsumeRetry())
+  // An empty id resets the one from which a stream can be resumed.
+  if (handover_ || !Route().may_resume_stream ||
+      sent_events_.last_id.value_or("").empty() || !TryConsumeRetry())
     return false;
   services_.logger.Write(log_level::info, "resume_with_new_run",
                          {{"request_id", request_.id},
--- a/src/gateway/tests/broken_response_test.cc
+++ b/src/gateway/tests/broken_response_test.cc
@@ -342,3 +342,14 @@
   REQUIRE_FALSE(f.services.crashes.Quarantines().empty());
   CHECK(f.target_channel(1).aborted);
 }
+
+// Guards against events that a caller gets twice (ORDER): the last event has an
+// empty id, with which a run can only begin anew.
+TEST_CASE("a stream whose last id is empty is not resumed") {
+  repeatable_request f("/resume/x");
+  f.target_channel(0).Receive(f.StreamHead() +
+                              EncodeChunk("id:\ndata: first\n\n"));
+  f.target_channel(0).End(channel_end::reset);
+  CHECK_FALSE(f.WasSentAgain());
+  CHECK(f.caller_channel->aborted);
+}
