--- a/src/framework/net/internal/http_caller.cc
+++ b/src/framework/net/internal/http_caller.cc
@@ -29,7 +29,7 @@
 // Start of an encoded request whose response has no body.
 constexpr std::string_view kHeadRequest = "HEAD ";
 
-// Rules that bytes of servers break which respond more than once.
+// Rules that a server breaks which responds more than once.
 constexpr char kOtherRequestRule[] = "other_request";
 constexpr char kSurplusBytesRule[] = "surplus_bytes";
 
--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -382,7 +382,7 @@
     attempt_->counts = false;
   if (target && !target->leaving)
     services_.on_run_broken(SuspectsOfBrokenRun(),
-                            attempt_->events.event_count(), attempt_->target);
+                            attempt_->splitter.event_count(), attempt_->target);
   if (stream_started_) {
     if (ResumeFromOtherCopy() || ResumeFromBackup() || ResumeWithNewRun())
       return;
@@ -483,9 +483,9 @@
        {"target", attempt_->target.id.text()},
        {"end", std::string(name)},
        {"status", static_cast<std::int64_t>(attempt_->head.status)},
-       {"events", attempt_->events.event_count()},
+       {"events", attempt_->splitter.event_count()},
        {"incomplete_event_bytes",
-        static_cast<std::int64_t>(attempt_->events.partial_bytes())},
+        static_cast<std::int64_t>(attempt_->splitter.partial_bytes())},
        {"took_ms",
         ToMilliseconds(services_.scheduler.Now() - attempt_->sent_at)}});
 }
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -32,8 +32,8 @@
   response_classification classification;
   http_response_head head;
   std::string body;
-  // The events of a stream, and when the first one arrived.
-  event_splitter events;
+  // Of a stream; with the time at which the first event arrived.
+  event_splitter splitter;
   std::optional<timestamp> first_event_at;
   // An event that states an id was received.
   bool has_event_id = false;
--- a/src/gateway/internal/exchange_response.cc
+++ b/src/gateway/internal/exchange_response.cc
@@ -48,14 +48,14 @@
       return;
     return OnInvalidBody("body_size");
   }
-  event_batch events = attempt_->events.Feed(bytes);
-  if (attempt_->events.IsTooLong())
+  event_batch events = attempt_->splitter.Feed(bytes);
+  if (attempt_->splitter.IsTooLong())
     return OnInvalidBody("event_size");
-  if (attempt_->events.HasStatusLine() || HasSecondResponse(events.text))
+  if (attempt_->splitter.HasStatusLine() || HasSecondResponse(events.text))
     return OnInvalidBody("surplus_bytes");
   if (!FollowsSentEvents(events))
     return OnInvalidBody("event_order");
-  if (!HoldBytes(attempt_->events.partial_bytes()))
+  if (!HoldBytes(attempt_->splitter.partial_bytes()))
     return;
   if (events.text.empty())
     return;
@@ -140,8 +140,8 @@
 bool exchange::IsStreamBrokenOff() const {
   if (stream_started_ && !attempt_->classification.is_event_stream)
     return true;
-  const bool has_events = attempt_->events.event_count() > 0 && !handover_;
-  return attempt_->events.HasPartial() ||
+  const bool has_events = attempt_->splitter.event_count() > 0 && !handover_;
+  return attempt_->splitter.HasPartial() ||
          (attempt_->classification.is_event_stream &&
           attempt_->head.EndsWithChannel() && !has_events);
 }
--- a/src/gateway/tests/broken_response_test.cc
+++ b/src/gateway/tests/broken_response_test.cc
@@ -353,3 +353,33 @@
   CHECK_FALSE(f.WasSentAgain());
   CHECK(f.caller_channel->aborted);
 }
+
+// Guards against a response with the proof of one target and the first event of
+// another (MIXED): the head is that of the target whose first event was sent.
+TEST_CASE("a stream has the head of the target of its first event") {
+  for (const bool breaks_in_first_event : {true, false}) {
+    INFO(breaks_in_first_event);
+    exchange_fixture f;
+    f.settings.retry_slack = 100;
+    const auto channel = std::make_shared<scripted_channel>();
+    const auto relayed = std::make_shared<caller_connection>(
+        f.services, channel, [](caller_connection*) {}, /*is_relay=*/true);
+    relayed->Start();
+    channel->Receive(
+        "POST /resume/x HTTP/1.1\r\nHost: h\r\nId: r\r\nKey: k\r\n"
+        "Tokens: 1000\r\nContent-Length: 2\r\n\r\nhi");
+    f.target_channel(0).Receive(f.StreamHead() + (breaks_in_first_event
+                                                      ? EncodeChunk("id: 1\nd")
+                                                      : f.Event(1)));
+    f.target_channel(0).End(channel_end::reset);
+    REQUIRE(f.connector.channels.size() == 2);
+    f.target_channel(1).Receive(f.StreamHead() + f.Event(2) +
+                                std::string(LastChunk()));
+    const std::string head = std::string(kRespondingTargetHeader) + ": " +
+                             f.TargetName(breaks_in_first_event ? 1 : 0) +
+                             "\r\n";
+    CHECK(channel->written.find(head) != std::string::npos);
+    CHECK(channel->written.find("HTTP/1.1") ==
+          channel->written.rfind("HTTP/1.1"));
+  }
+}
--- a/src/gateway/tests/mocks/recorded_logger.h
+++ b/src/gateway/tests/mocks/recorded_logger.h
@@ -9,7 +9,8 @@
 
 namespace wist {
 
-// Records the text fields of the latest event of each name.
+// Records the text fields and the whole numbers of the latest event of each
+// name, as text.
 class recorded_logger final : public i_logger {
  public:
   void Write(log_level,
@@ -21,6 +22,8 @@
     for (const log_field& field : fields) {
       if (const auto* text = std::get_if<std::string>(&field.value))
         last[field.name] = *text;
+      if (const auto* number = std::get_if<std::int64_t>(&field.value))
+        last[field.name] = std::to_string(*number);
     }
   }
 
--- a/src/gateway/tests/stream_resume_test.cc
+++ b/src/gateway/tests/stream_resume_test.cc
@@ -83,6 +83,8 @@
   CHECK(f.logger.Count("attempt_broken") == 1);
   CHECK(f.logger.LastField("attempt_broken", "target") == f.TargetName(0));
   CHECK(f.logger.LastField("attempt_broken", "end") == "broken");
+  CHECK(f.logger.LastField("attempt_broken", "events") == "0");
+  CHECK(f.logger.LastField("attempt_broken", "incomplete_event_bytes") == "8");
   REQUIRE(f.WasSentAgain());
   f.target_channel(1).Receive(f.StreamHead() + f.Event(1) +
                               std::string(LastChunk()));
