--- a/src/entry/tests/generation_stream_test.cc
+++ b/src/entry/tests/generation_stream_test.cc
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include <deque>
+#include <iterator>
 #include <string>
 #include <utility>
 
@@ -138,7 +139,11 @@
       for (std::size_t size = 0; size <= cut[line].size(); ++size) {
         INFO(size << " bytes of line " << line);
         fixture f;
-        scripted_response broken{200, {cut.begin(), cut.begin() + line}, error};
+        scripted_response broken{
+            200,
+            {cut.begin(),
+             std::next(cut.begin(), static_cast<std::ptrdiff_t>(line))},
+            error};
         // Reading returns an incomplete last line only if the response ends.
         if (size == cut[line].size() || (!error && size > 0))
           broken.lines.push_back(cut[line].substr(0, size));
