--- a/src/gateway/internal/exchange.cc
+++ b/src/gateway/internal/exchange.cc
@@ -61,25 +61,6 @@
 constexpr int kCapacityWaitDivisor = 8;
 constexpr milliseconds kCapacityPollInterval{20};
 
-// Returns the name of an end after which a run may go on at another target;
-// null for the others.
-const char* BrokenEndName(run_end end) {
-  switch (end) {
-    case run_end::failed:
-      return "failed";
-    case run_end::broken:
-      return "broken";
-    case run_end::timed_out:
-      return "timed_out";
-    case run_end::completed:
-    case run_end::rejected:
-    case run_end::unreachable:
-    case run_end::cancelled:
-      return nullptr;
-  }
-  return nullptr;
-}
-
 // The events of a stream are passed on as they arrive. A response on a
 // streaming route that is no stream is bounded in OnBody.
 std::size_t MaxBodyBytes(call_kind kind) {
@@ -473,23 +454,6 @@
   services_.on_load_change();
 }
 
-void exchange::LogBrokenAttempt(run_end end) {
-  const char* name = BrokenEndName(end);
-  if (!name)
-    return;
-  services_.logger.Write(
-      log_level::info, "attempt_broken",
-      {{"request_id", request_.id},
-       {"target", attempt_->target.id.text()},
-       {"end", std::string(name)},
-       {"status", static_cast<std::int64_t>(attempt_->head.status)},
-       {"events", attempt_->splitter.event_count()},
-       {"incomplete_event_bytes",
-        static_cast<std::int64_t>(attempt_->splitter.partial_bytes())},
-       {"took_ms",
-        ToMilliseconds(services_.scheduler.Now() - attempt_->sent_at)}});
-}
-
 void exchange::OnCallerGone() {
   if (finished_)
     return;
--- a/src/gateway/internal/exchange_end.cc
+++ b/src/gateway/internal/exchange_end.cc
@@ -2,8 +2,8 @@
 
 #include "gateway/internal/exchange.h"
 
-// End of an exchange: refusals with their Retry-After, and the request's log
-// entry.
+// End of an exchange and of its attempts: refusals with their Retry-After, and
+// the log entries.
 namespace wist {
 namespace {
 
@@ -27,6 +27,25 @@
 // about this long to end.
 constexpr milliseconds kQuarantineRetryAfter{30'000};
 
+// Returns the name of an end after which a run may go on at another target;
+// null for the others.
+const char* BrokenEndName(run_end end) {
+  switch (end) {
+    case run_end::failed:
+      return "failed";
+    case run_end::broken:
+      return "broken";
+    case run_end::timed_out:
+      return "timed_out";
+    case run_end::completed:
+    case run_end::rejected:
+    case run_end::unreachable:
+    case run_end::cancelled:
+      return nullptr;
+  }
+  return nullptr;
+}
+
 }  // namespace
 
 void exchange::RefuseOverloaded(milliseconds retry_after) {
@@ -86,6 +105,23 @@
     std::exchange(on_finished_, nullptr)();
 }
 
+void exchange::LogBrokenAttempt(run_end end) {
+  const char* name = BrokenEndName(end);
+  if (!name)
+    return;
+  services_.logger.Write(
+      log_level::info, "attempt_broken",
+      {{"request_id", request_.id},
+       {"target", attempt_->target.id.text()},
+       {"end", std::string(name)},
+       {"status", static_cast<std::int64_t>(attempt_->head.status)},
+       {"events", attempt_->splitter.event_count()},
+       {"incomplete_event_bytes",
+        static_cast<std::int64_t>(attempt_->splitter.partial_bytes())},
+       {"took_ms",
+        ToMilliseconds(services_.scheduler.Now() - attempt_->sent_at)}});
+}
+
 void exchange::Log(const std::string& outcome,
                    const std::string& reason,
                    run_verdict verdict) {
